--- /dev/null
+++ b/orioleplank/__init__.py
@@ -0,0 +1,27 @@
+"""A database proxy with session consistency.
+
+The decisions of a proxy are in `orioleplank.decision`, a caller's side in `orioleplank.client`,
+the daemon in `orioleplank.daemon` and the command line in `orioleplank.cli`.
+"""
+
+from orioleplank._exceptions import (
+    ConflictError,
+    MalformedObjectError,
+    MalformedRequestError,
+    MalformedTokenError,
+    OrioleplankError,
+    PlatformError,
+    SettingsError,
+    UnknownServiceNameError,
+)
+
+__all__ = [
+    "ConflictError",
+    "MalformedObjectError",
+    "MalformedRequestError",
+    "MalformedTokenError",
+    "OrioleplankError",
+    "PlatformError",
+    "SettingsError",
+    "UnknownServiceNameError",
+]
--- /dev/null
+++ b/orioleplank/cli/_call.py
@@ -0,0 +1,116 @@
+"""The command that sends one request."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import uuid
+from collections.abc import Iterator
+
+import grpc
+
+from orioleplank._protos import orioleplank_caller_pb2 as pb
+from orioleplank._protos import orioleplank_caller_pb2_grpc as rpc
+from orioleplank.cli._output import ExitCode, show
+from orioleplank.client import make_payload, make_query, read_rows
+
+MILLISECONDS = 1000
+CALL_MARGIN_S = 2.0
+
+
+def call_command(options: argparse.Namespace) -> int:
+    """Send one request and show its reply."""
+    if not options.sql and not options.outcome:
+        print("a statement is needed, or --outcome", file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    try:
+        request = _build_request(options)
+    except ValueError as error:
+        print(f"--token is not hexadecimal: {error}", file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    try:
+        reply = _ask(options.proxy, request, options.timeout + CALL_MARGIN_S)
+    except (grpc.RpcError, StopIteration) as error:
+        print(f"{options.proxy} gave no reply to {request.id}: {error}", file=sys.stderr)
+        return ExitCode.UNAVAILABLE
+    if reply.WhichOneof("outcome") == "answer":
+        return _show_answer(options, reply)
+    return _show_refusal(options, reply)
+
+
+def _build_request(options: argparse.Namespace) -> pb.CallerRequest:
+    token = bytes.fromhex(options.token)
+    payload = make_payload(make_query(options.sql, *options.args)) if options.sql else b""
+    request = pb.CallerRequest(
+        id=options.id or uuid.uuid4().hex,
+        service=options.service,
+        kind=options.kind,
+        payload=payload,
+        write=options.write,
+        repeatable=options.repeatable,
+        timeout_ms=round(options.timeout * MILLISECONDS),
+        token=token,
+        new_session=not token,
+        freshness=pb.FRESHNESS_CURRENT if not token else pb.FRESHNESS_SESSION,
+    )
+    if options.outcome:
+        request.operation = pb.OPERATION_OUTCOME
+    if options.max_age is not None:
+        request.freshness = pb.FRESHNESS_MAX_AGE
+        request.max_age_ms = round(options.max_age * MILLISECONDS)
+    return request
+
+
+def _ask(address: str, request: pb.CallerRequest, limit: float) -> pb.CallerReply:
+    with grpc.insecure_channel(address) as channel:
+
+        def requests() -> Iterator[pb.CallerRequest]:
+            yield request
+
+        reply: pb.CallerReply = next(rpc.CallerStub(channel).Session(requests(), timeout=limit))
+        return reply
+
+
+def _show_answer(options: argparse.Namespace, reply: pb.CallerReply) -> int:
+    answer = reply.answer
+    rows = read_rows(answer.result)
+    shown = {
+        "id": reply.id,
+        "rows": [[[_plain(value) for value in row] for row in part] for part in rows],
+        "token": answer.token.hex(),
+        "position": f"{answer.position.term}.{answer.position.index}",
+        "instance": answer.instance,
+        "by_replica": answer.by_replica,
+        "repeated": answer.repeated,
+    }
+    lines = ["\t".join(str(value) for value in row) for part in rows for row in part]
+    role = "replica" if answer.by_replica else "primary"
+    lines.append(f"answered by {role} {answer.instance} at {shown['position']}")
+    lines.append(f"token {shown['token']}")
+    show(options.output, shown, "\n".join(lines))
+    return ExitCode.DONE
+
+
+def _plain(value: object) -> object:
+    return value.hex() if isinstance(value, bytes) else value
+
+
+def _show_refusal(options: argparse.Namespace, reply: pb.CallerReply) -> int:
+    refusal = reply.refusal
+    ran = "did not run" if refusal.did_run == pb.DID_RUN_NO else "may have run"
+    who = f"person {refusal.person}" if refusal.person else f"program ({refusal.mechanism})"
+    shown = {
+        "id": reply.id,
+        "did_run": "no" if refusal.did_run == pb.DID_RUN_NO else "unknown",
+        "reason": refusal.reason,
+        "person": refusal.person,
+        "change": refusal.change_id,
+        "mechanism": refusal.mechanism,
+        "retry_after_ms": refusal.retry_after_ms,
+        "step": refusal.step,
+        "peer": refusal.peer,
+        "detail": refusal.detail,
+    }
+    text = f"refused by a {who}: {refusal.reason}; it {ran}; {refusal.detail}"
+    show(options.output, shown, text)
+    return ExitCode.REFUSED
--- /dev/null
+++ b/orioleplank/cli/_main.py
@@ -0,0 +1,161 @@
+"""Arguments, and which command runs."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from orioleplank._exceptions import OrioleplankError, SettingsError
+from orioleplank.cli import _call, _objects, _report, _run
+from orioleplank.cli._output import ExitCode, OutputFormat
+
+DEFAULT_ADMIN = "127.0.0.1:7403"
+DEFAULT_CALLERS = "127.0.0.1:7401"
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run one command; return its exit code.
+
+    0: done. 2: bad input. 3: another change won. 4: not reachable, or the outcome is not known.
+    5: refused.
+    """
+    options = _build_parser().parse_args(arguments)
+    try:
+        return int(options.run(options))
+    except SettingsError as error:
+        print(error.detail, file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    except OrioleplankError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.UNAVAILABLE
+
+
+def _build_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="orioleplank",
+        description="A database proxy with session consistency.",
+        epilog="Exit codes: 0 done, 2 bad input, 3 another change won, 4 not reachable, 5 refused.",
+    )
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    _add_proxy(commands)
+    _add_check(commands)
+    _add_objects(commands)
+    _add_operations(commands)
+    _add_report(commands)
+    _add_call(commands)
+    _add_standin(commands)
+    return parser
+
+
+def _add_command(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser], name: str, text: str
+) -> argparse.ArgumentParser:
+    parser = commands.add_parser(name, help=text, description=text)
+    parser.add_argument(
+        "--output",
+        type=OutputFormat,
+        choices=list(OutputFormat),
+        default=OutputFormat.TEXT,
+        help="form of the output (default: text)",
+    )
+    return parser
+
+
+def _add_admin(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--admin", default=DEFAULT_ADMIN, metavar="HOST:PORT", help="admin address of a proxy"
+    )
+
+
+def _add_proxy(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    parser = _add_command(commands, "proxy", "Run a proxy until it is stopped.")
+    parser.add_argument("--settings", type=Path, required=True, metavar="FILE")
+    parser.set_defaults(run=_run.run_proxy_command)
+
+
+def _add_check(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    parser = _add_command(commands, "check", "Check a settings file.")
+    parser.add_argument("file", type=Path, metavar="FILE")
+    parser.set_defaults(run=_run.check_command)
+
+
+def _add_objects(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    parser = _add_command(commands, "apply", "Apply services and presets from a YAML file.")
+    parser.add_argument("file", type=Path, metavar="FILE")
+    parser.add_argument("--author", required=True, help="who makes the change")
+    parser.add_argument("--version", type=int, help="the version it must replace, 0 for none")
+    _add_admin(parser)
+    parser.set_defaults(run=_objects.apply_command)
+
+    parser = _add_command(commands, "get", "Show objects and who changed them.")
+    parser.add_argument("kind", nargs="?", help="service, preset, in-force, keepership, primary")
+    parser.add_argument("name", nargs="?")
+    _add_admin(parser)
+    parser.set_defaults(run=_objects.get_command)
+
+    parser = _add_command(commands, "preset", "Show the preset in force, or put one in force.")
+    parser.add_argument("name", nargs="?")
+    parser.add_argument("--author", default="", help="who makes the change")
+    _add_admin(parser)
+    parser.set_defaults(run=_objects.preset_command)
+
+
+def _add_operations(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    parser = _add_command(commands, "status", "Show what a proxy knows.")
+    _add_admin(parser)
+    parser.set_defaults(run=_objects.status_command)
+    for name, text in (
+        ("drain", "Take a proxy out of service gracefully; the process stays."),
+        ("stop", "Stop a proxy gracefully; the process ends."),
+    ):
+        parser = _add_command(commands, name, text)
+        parser.add_argument("--grace", type=float, metavar="SECONDS")
+        _add_admin(parser)
+        parser.set_defaults(run=_objects.drain_command, order=name)
+
+
+def _add_report(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    parser = _add_command(commands, "report", "Report on service-level burn over all proxies.")
+    parser.add_argument(
+        "--admin",
+        action="append",
+        metavar="HOST:PORT",
+        help="admin address of a proxy; once for each",
+    )
+    parser.set_defaults(run=_report.report_command)
+
+
+def _add_call(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    parser = _add_command(commands, "call", "Send one request through a proxy.")
+    parser.add_argument("--proxy", default=DEFAULT_CALLERS, metavar="HOST:PORT")
+    parser.add_argument("--service", required=True)
+    parser.add_argument("--kind", required=True)
+    parser.add_argument("--id", default="", help="request id (default: a new one)")
+    parser.add_argument("--write", action="store_true", help="it changes data")
+    parser.add_argument("--repeatable", action="store_true", help="running it twice does no harm")
+    parser.add_argument("--outcome", action="store_true", help="ask for the outcome of --id")
+    parser.add_argument("--max-age", type=float, metavar="SECONDS", help="accept data of this age")
+    parser.add_argument("--timeout", type=float, default=5.0, metavar="SECONDS")
+    parser.add_argument("--token", default="", metavar="HEX", help="session token")
+    parser.add_argument("sql", nargs="?", default="")
+    parser.add_argument("args", nargs="*", help="arguments of the statement, as text")
+    parser.set_defaults(run=_call.call_command)
+
+
+def _add_standin(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    parser = commands.add_parser("standin", help="Run a stand-in of the outside.")
+    kinds = parser.add_subparsers(required=True, metavar="KIND")
+    platform = _add_command(kinds, "platform", "Run a stand-in platform.")
+    platform.add_argument("--listen", required=True, metavar="HOST:PORT")
+    platform.set_defaults(run=_run.platform_command)
+    upstream = _add_command(kinds, "upstream", "Run a stand-in upstream instance.")
+    upstream.add_argument("--name", required=True)
+    upstream.add_argument("--listen", required=True, metavar="HOST:PORT")
+    upstream.add_argument("--admin", required=True, metavar="HOST:PORT")
+    upstream.add_argument("--slots", type=int, default=5)
+    upstream.add_argument("--connections", type=int, default=30)
+    upstream.add_argument("--connect-ms", type=float, default=12.0)
+    upstream.add_argument("--service-ms", type=float, default=2.0)
+    upstream.add_argument("--lag-ms", type=float, default=4.0)
+    upstream.set_defaults(run=_run.upstream_command)
--- /dev/null
+++ b/orioleplank/client/__init__.py
@@ -0,0 +1,15 @@
+"""A caller's side: sessions that carry their token, over streams to any proxy."""
+
+from orioleplank.client._caller import Caller, Stream, StreamLostError
+from orioleplank.client._query import make_payload, make_query, read_rows
+from orioleplank.client._session import Session
+
+__all__ = [
+    "Caller",
+    "Session",
+    "Stream",
+    "StreamLostError",
+    "make_payload",
+    "make_query",
+    "read_rows",
+]
--- /dev/null
+++ b/orioleplank/daemon/_events.py
@@ -0,0 +1,148 @@
+"""Numbered events in the log, and metrics."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+
+from logbook import Logger, StreamHandler
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+from orioleplank.daemon import _names as names
+from orioleplank.decision import (
+    Answer,
+    Event,
+    Note,
+    Person,
+    Refusal,
+    Reply,
+    Stopped,
+)
+from orioleplank.kernel import Service
+
+_WARNINGS = frozenset(
+    {
+        Event.PRIMARY_SUSPECTED,
+        Event.SEAL_REFUSED,
+        Event.INSTANCE_UNREACHABLE,
+        Event.CONNECTION_LOST,
+        Event.TRANSACTION_ABORTED,
+        Event.PLATFORM_UNAVAILABLE,
+    }
+)
+_DETAILS = frozenset({Event.REQUEST_RETRIED, Event.REQUEST_REFUSED, Event.LATE_REPLY_DROPPED})
+_LINE = "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.message}"
+_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+
+class Metrics:
+    """The proxy's metrics."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "orioleplank_requests",
+            "Requests by outcome.",
+            ("service", "kind", "outcome", "party", "reason", "did_run"),
+            registry=self.registry,
+        )
+        self.reads = Counter(
+            "orioleplank_reads",
+            "Reads answered, by role of the instance.",
+            ("service", "kind", "role"),
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "orioleplank_attempts",
+            "Statements sent upstream.",
+            ("service", "kind"),
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            "orioleplank_request_seconds",
+            "Seconds from arrival to reply.",
+            ("service", "kind"),
+            registry=self.registry,
+            buckets=_BUCKETS,
+        )
+        self.events = Counter(
+            "orioleplank_events", "Numbered events.", ("event",), registry=self.registry
+        )
+
+
+class Events(Service):
+    """Logs events, counts them, and ends the process when the proxy has stopped."""
+
+    def __init__(self, proxy: str, level: str, end: Callable[[], None]) -> None:
+        super().__init__(names.EVENTS)
+        self.metrics = Metrics()
+        self._proxy = proxy
+        self._end = end
+        self._logger = Logger("orioleplank")
+        self._handler = StreamHandler(
+            sys.stderr,
+            level=level,
+            format_string=_LINE,
+        )
+
+    def receive(self, message: object) -> None:
+        """Log or count."""
+        match message:
+            case Note():
+                self.log(message)
+            case Reply():
+                self._count(message)
+            case Stopped():
+                self._end()
+
+    def log(self, note: Note) -> None:
+        """Log an event as one line of JSON."""
+        self.metrics.events.labels(note.event.name.lower()).inc()
+        line = json.dumps(
+            {
+                "event": note.event.value,
+                "name": note.event.name.lower(),
+                "proxy": self._proxy,
+                "step": note.step,
+                "peer": note.peer,
+                "detail": note.detail,
+            }
+        )
+        with self._handler.threadbound():
+            if note.event is Event.INTERNAL_ERROR:
+                self._logger.error(line)
+            elif note.event in _WARNINGS:
+                self._logger.warning(line)
+            elif note.event in _DETAILS:
+                self._logger.debug(line)
+            else:
+                self._logger.info(line)
+
+    def _count(self, reply: Reply) -> None:
+        request = reply.request
+        self.metrics.seconds.labels(request.service, request.kind).observe(reply.elapsed)
+        self.metrics.attempts.labels(request.service, request.kind).inc(reply.attempts)
+        match reply.outcome:
+            case Answer(by_replica=by_replica):
+                labels = (request.service, request.kind, "answered", "", "", "")
+                self.metrics.requests.labels(*labels).inc()
+                if not request.write:
+                    role = "replica" if by_replica else "primary"
+                    self.metrics.reads.labels(request.service, request.kind, role).inc()
+            case Refusal() as refusal:
+                self._count_refusal(reply, refusal)
+
+    def _count_refusal(self, reply: Reply, refusal: Refusal) -> None:
+        request = reply.request
+        party = "person" if isinstance(refusal.party, Person) else "program"
+        self.metrics.requests.labels(
+            request.service,
+            request.kind,
+            "refused",
+            party,
+            refusal.reason.value,
+            refusal.did_run.value,
+        ).inc()
+        detail = f"{refusal.reason.value}: {refusal.detail}"
+        self.log(Note(Event.REQUEST_REFUSED, refusal.step, refusal.peer, detail))
--- /dev/null
+++ b/orioleplank/daemon/_names.py
@@ -0,0 +1,14 @@
+"""Names under which the daemon's services find each other."""
+
+from __future__ import annotations
+
+from typing import Final
+
+TIMER: Final = "timer"
+DECISIONS: Final = "decisions"
+CALLERS: Final = "callers"
+UPSTREAMS: Final = "upstreams"
+PLATFORM: Final = "platform"
+PEERS: Final = "peers"
+ADMIN: Final = "admin"
+EVENTS: Final = "events"
--- /dev/null
+++ b/orioleplank/decision/_admission.py
@@ -0,0 +1,92 @@
+"""Admission: refuse at once, and truthfully, what cannot or must not be served."""
+
+from __future__ import annotations
+
+from orioleplank.decision._configuration import Change, PresetSpec
+from orioleplank.decision._node import Node
+from orioleplank.decision._refusal import (
+    DidRun,
+    Mechanism,
+    Party,
+    Person,
+    Program,
+    Reason,
+    Refusal,
+)
+from orioleplank.decision._request import TRANSACTIONAL, Operation, Request
+
+
+def admit(
+    request: Request,
+    node: Node,
+    queued: int,
+    service_time: float,
+    admits: bool,
+    continues: bool,
+) -> Refusal | None:
+    """Return why `request` is refused, None when it is admitted.
+
+    `queued` requests wait before it, each of which takes about `service_time` seconds of one
+    slot. `admits` is False once the proxy refuses new work; `continues` is True for a step of a
+    transaction that is open here.
+    """
+    if not admits:
+        return _refuse(Reason.STOPPING, Mechanism.STOP, "the proxy is stopping", 0.1)
+    if node.configuration.revision == 0:
+        return _refuse(
+            Reason.NOT_CONFIGURED,
+            Mechanism.CONFIGURATION,
+            "the proxy has not learned the configuration yet",
+            0.5,
+        )
+    spec = node.configuration.service(request.service)
+    if spec is None:
+        detail = f"no service is called {request.service!r}"
+        return _refuse(Reason.UNKNOWN_SERVICE, Mechanism.VALIDATION, detail)
+    if spec.kind(request.kind) is None:
+        detail = f"service {request.service!r} has no kind {request.kind!r}"
+        return _refuse(Reason.UNKNOWN_KIND, Mechanism.VALIDATION, detail)
+    if continues or request.operation is Operation.OUTCOME:
+        return None
+    preset, change = node.configuration.in_force()
+    if request.kind in preset.refused_kinds and _is_new(request):
+        return _refuse_by_preset(request, change)
+    return _check_load(request, node, preset, queued, service_time)
+
+
+def _is_new(request: Request) -> bool:
+    return request.operation not in TRANSACTIONAL or request.operation is Operation.BEGIN
+
+
+def _check_load(
+    request: Request, node: Node, preset: PresetSpec, queued: int, service_time: float
+) -> Refusal | None:
+    if node.now >= request.deadline:
+        return _refuse(Reason.DEADLINE, Mechanism.DEADLINE, "the deadline passed on the way")
+    slots = sum(pool.slot_share for pool in node.pools[request.service].values())
+    wait = queued * service_time / max(1, slots)
+    if queued >= preset.queue_limit:
+        return _refuse(Reason.OVERLOADED, Mechanism.ADMISSION, "the queue is full", max(wait, 0.1))
+    if node.now + wait > request.deadline:
+        detail = f"it would wait {wait:.2f} s, past its deadline"
+        return _refuse(Reason.OVERLOADED, Mechanism.ADMISSION, detail, wait)
+    return None
+
+
+def _refuse(reason: Reason, mechanism: Mechanism, detail: str, retry_after: float = 0.0) -> Refusal:
+    party = Program(mechanism)
+    return Refusal(reason, party, DidRun.NO, "admit", retry_after=retry_after, detail=detail)
+
+
+def _refuse_by_preset(request: Request, change: Change | None) -> Refusal:
+    party: Party = Program(Mechanism.CONFIGURATION)
+    if change is not None:
+        party = Person(change.author, change.id, change.at)
+    return Refusal(
+        Reason.PRESET,
+        party,
+        DidRun.NO,
+        "admit",
+        retry_after=60.0,
+        detail=f"the preset in force does not admit {request.kind!r}",
+    )
--- /dev/null
+++ b/orioleplank/decision/_effect.py
@@ -0,0 +1,276 @@
+"""What a proxy's decisions ask the outside to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from orioleplank.decision._configuration import Change, ObjectKey, Spec, StoredObject
+from orioleplank.decision._message import ConnectionId
+from orioleplank.decision._request import Outcome, Request
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answers a caller, once for each request."""
+
+    # Number of the caller's stream.
+    caller: int
+    # The request it answers.
+    request: Request
+    # The answer or refusal.
+    outcome: Outcome
+    # True when the caller should open its next stream elsewhere.
+    move: bool
+    # Seconds from arrival to reply.
+    elapsed: float
+    # Statements sent upstream for it.
+    attempts: int
+
+
+@dataclass(frozen=True, slots=True)
+class OpenConnection:
+    """Opens a connection; ends in `ConnectionOpened` or `ConnectionClosed`."""
+
+    # The connection.
+    connection: ConnectionId
+    # HOST:PORT of the instance.
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class CloseConnection:
+    """Closes a connection; what arrives on it later is dropped."""
+
+    # The connection.
+    connection: ConnectionId
+
+
+@unique
+class Boundary(Enum):
+    """Where a statement stands in a transaction."""
+
+    AUTO = "auto"
+    BEGIN = "begin"
+    STEP = "step"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+
+
+@dataclass(frozen=True, slots=True)
+class SendStatement:
+    """Sends a statement; ends in `StatementEnded` or `ConnectionClosed`."""
+
+    # The connection.
+    connection: ConnectionId
+    # Number of the statement on that connection.
+    statement: int
+    # Term in which the instance has to be primary; 0 for a read at any role.
+    term: int
+    # Id for the ledger; empty for none.
+    ledger_id: str
+    # Queries to run.
+    payload: bytes
+    # True when it may change data.
+    write: bool
+    # Where it stands in a transaction.
+    boundary: Boundary
+
+
+@dataclass(frozen=True, slots=True)
+class WatchInstance:
+    """Opens the control stream to an instance, and keeps it open."""
+
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+    # HOST:PORT of the instance.
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetInstance:
+    """Closes the control stream to an instance."""
+
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class AskRound:
+    """Asks an instance for a report; ends in `InstanceReported`."""
+
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+    # Number of the round.
+    round: int
+
+
+@dataclass(frozen=True, slots=True)
+class AskLedger:
+    """Looks up an id, or tombstones it; ends in `LedgerAnswered`."""
+
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+    # Number of the question.
+    query: int
+    # The ledger id.
+    ledger_id: str
+    # Term in which the instance has to be primary.
+    term: int
+    # True to write a tombstone when the id is absent.
+    tombstone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SendSeal:
+    """Seals an instance; ends in `SealAnswered`, or never."""
+
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+    # The new term.
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendPromote:
+    """Promotes an instance; ends in `PromoteAnswered`, or never."""
+
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+    # The term it was sealed at.
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendFollow:
+    """Makes an instance a replica of a primary."""
+
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+    # The term.
+    term: int
+    # Name of the primary.
+    primary: str
+    # HOST:PORT of the primary.
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class UpdateObject:
+    """Updates a platform object on a condition; ends in `UpdateEnded`."""
+
+    # What names the object.
+    key: ObjectKey
+    # The version it must have; 0 when it must not exist.
+    version: int
+    # Who changes it.
+    change: Change
+    # Its new content.
+    spec: Spec
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Sends a heartbeat to all peers."""
+
+    # Revision up to which the configuration is complete.
+    revision: int
+    # True when this proxy is stopping.
+    stopping: bool
+    # Services whose groups it cannot reach by majority.
+    unreachable_services: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SendObjects:
+    """Sends configuration to a peer that is behind."""
+
+    # Name of the peer.
+    proxy: str
+    # Revision up to which the peer is complete with it.
+    revision: int
+    # The objects.
+    objects: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """Ends the process: nothing runs any more."""
+
+
+@unique
+class Event(Enum):
+    """Numbered events; docs/EVENTS.md is the catalogue."""
+
+    STARTED = 100
+    READY = 101
+    STOPPING = 102
+    STOPPED = 103
+    CONFIGURATION_TAKEN = 200
+    PRESET_IN_FORCE = 201
+    PRIMARY_SUSPECTED = 300
+    SEAL_SENT = 301
+    SEAL_REFUSED = 302
+    PROMOTION_SENT = 303
+    PRIMARY_PROMOTED = 304
+    PRIMARY_CHANGED = 305
+    KEEPERSHIP_TAKEN = 306
+    INSTANCE_UNREACHABLE = 307
+    CONNECTION_LOST = 400
+    LATE_REPLY_DROPPED = 401
+    OUTCOME_RESOLVED = 402
+    TRANSACTION_ABORTED = 403
+    REQUEST_RETRIED = 404
+    REQUEST_REFUSED = 405
+    PEER_FOUND = 500
+    PLATFORM_UNAVAILABLE = 501
+    PLATFORM_AVAILABLE = 502
+    INTERNAL_ERROR = 900
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """Logs a numbered event and counts it."""
+
+    # The event.
+    event: Event
+    # The step.
+    step: str
+    # The peer concerned; empty when none.
+    peer: str = ""
+    # One sentence for a person.
+    detail: str = ""
+
+
+Effect = (
+    Reply
+    | OpenConnection
+    | CloseConnection
+    | SendStatement
+    | WatchInstance
+    | ForgetInstance
+    | AskRound
+    | AskLedger
+    | SendSeal
+    | SendPromote
+    | SendFollow
+    | UpdateObject
+    | Heartbeat
+    | SendObjects
+    | Stopped
+    | Note
+)
--- /dev/null
+++ b/orioleplank/decision/_groups.py
@@ -0,0 +1,129 @@
+"""Keeps the views of all groups: watches instances, takes reports, sends rounds."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from orioleplank.decision._configuration import ServiceSpec
+from orioleplank.decision._effect import AskRound, Event, ForgetInstance, WatchInstance
+from orioleplank.decision._group import (
+    GroupView,
+    change_members,
+    lose_contact,
+    observe_report,
+    start_round,
+)
+from orioleplank.decision._message import InstanceReported, InstanceUnreachable
+from orioleplank.decision._node import Node, create_pool, share_of
+
+ROUND_PERIOD_S = 0.1
+ROUND_SPACING_S = 0.003
+
+
+class Groups:
+    """The groups of all configured services."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._round_at: dict[str, float] = {}
+        self._addresses: dict[tuple[str, str], str] = {}
+
+    def take_configuration(self) -> None:
+        """Watch the instances that are configured now and forget the others."""
+        node = self._node
+        wanted: dict[tuple[str, str], str] = {}
+        for service in node.configuration.services():
+            spec = node.spec(service)
+            self._take_service(service, spec)
+            for instance in spec.instances:
+                wanted[service, instance.name] = instance.address
+        for key in sorted(self._addresses.keys() - wanted.keys()):
+            node.emit(ForgetInstance(*key))
+        for key in sorted(wanted.keys()):
+            if self._addresses.get(key) != wanted[key]:
+                node.emit(WatchInstance(*key, wanted[key]))
+        self._addresses = wanted
+
+    def _take_service(self, service: str, spec: ServiceSpec) -> None:
+        node = self._node
+        members = tuple(instance.name for instance in spec.instances)
+        view = node.views.get(service) or GroupView(members, mechanisms=node.mechanisms)
+        node.views[service] = change_members(view, members)
+        pools = node.pools.setdefault(service, {})
+        proxies = len(node.membership.alive(node.now))
+        for instance in spec.instances:
+            if instance.name not in pools:
+                pools[instance.name] = create_pool(instance, proxies)
+
+    def take_membership(self) -> None:
+        """Share the limits of instances among the proxies that are alive now."""
+        node = self._node
+        proxies = len(node.membership.alive(node.now))
+        for service in node.configuration.services():
+            for instance in node.spec(service).instances:
+                pool = node.pools[service][instance.name]
+                node.pools[service][instance.name] = replace(
+                    pool,
+                    connection_share=share_of(instance.connections, proxies),
+                    slot_share=share_of(instance.slots, proxies),
+                )
+
+    def take_report(self, message: InstanceReported) -> bool:
+        """Take in a report; tell whether it names another primary than before."""
+        node = self._node
+        view = node.views.get(message.service)
+        if view is None:
+            return False
+        before = view.primary()
+        seen = observe_report(view, message.report, message.round, node.now)
+        node.views[message.service] = seen
+        after = seen.primary()
+        if after is None or (before is not None and before.term == after.term):
+            return False
+        node.note(
+            Event.PRIMARY_CHANGED, "take report", after.instance, f"primary of term {after.term}"
+        )
+        return True
+
+    def lose_instance(self, message: InstanceUnreachable) -> None:
+        """Note that the control stream to an instance broke."""
+        node = self._node
+        view = node.views.get(message.service)
+        if view is None or message.instance in view.unreachable:
+            return
+        node.views[message.service] = lose_contact(view, message.instance)
+        node.note(Event.INSTANCE_UNREACHABLE, "watch instance", message.instance)
+
+    def pass_time(self) -> None:
+        """Send the rounds that are due."""
+        for service in self._node.configuration.services():
+            if self._node.now - self._round_at.get(service, -1.0) >= ROUND_PERIOD_S:
+                self._send_round(service)
+
+    def send_wanted_rounds(self) -> None:
+        """Send the rounds that held answers wait for, a few milliseconds apart at the least."""
+        for service in sorted(self._node.wanted_rounds):
+            if self._node.now - self._round_at.get(service, -1.0) >= ROUND_SPACING_S:
+                self._send_round(service)
+        self._node.wanted_rounds.clear()
+
+    def _send_round(self, service: str) -> None:
+        node = self._node
+        view = start_round(node.views[service], node.now)
+        node.views[service] = view
+        self._round_at[service] = node.now
+        for instance in view.members:
+            node.emit(AskRound(service, instance, view.last_round))
+
+    def unreachable_services(self) -> tuple[str, ...]:
+        """Return the services whose groups this proxy cannot reach by majority."""
+        node = self._node
+        return tuple(
+            service
+            for service in node.configuration.services()
+            if _count_reachable(node.views[service], node.now) < node.views[service].majority
+        )
+
+
+def _count_reachable(view: GroupView, now: float) -> int:
+    return sum(view.is_reachable(name, now) for name in view.members)
--- /dev/null
+++ b/orioleplank/decision/_keeper.py
@@ -0,0 +1,354 @@
+"""Promotion: notice that a primary is gone, seal a majority, promote the most advanced.
+
+A keeper trusts no clock and no lease. It promotes in terms that the platform reserved for it
+alone, and only after a majority has sealed the term, so two keepers at once, or one that wakes up
+late, cannot make two primaries that both gather a majority. Every step may be repeated.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from orioleplank.decision._configuration import KeeperRange, ServiceSpec
+from orioleplank.decision._effect import Effect, Event, Note, SendFollow, SendPromote, SendSeal
+from orioleplank.decision._group import GroupView, Report, Role
+from orioleplank.decision._mechanism import Switch
+from orioleplank.decision._message import PromoteAnswered, SealAnswered, Tick
+
+SUSPECT_AFTER_S = 0.6
+CUT_OFF_AFTER_S = 0.8
+PATIENCE_S = 3.0
+SETTLE_S = 0.5
+RESEND_S = 0.25
+STEP_LIMIT_S = 1.0
+SEAL_LINGER_S = 0.05
+REPAIR_S = 0.5
+BACKOFF_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Watching:
+    """Watches the primary."""
+
+    # Takes no step before this time of the proxy's clock, in seconds.
+    not_before: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Sealing:
+    """Seals the members at a new term."""
+
+    # The term.
+    term: int
+    # When it began, in seconds.
+    started: float
+    # When the seals were sent last, in seconds.
+    sent_at: float
+    # Reports of the members that are sealed.
+    granted: Mapping[str, Report] = field(default_factory=dict)
+    # When a majority was sealed, in seconds; 0 before.
+    majority_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Promoting:
+    """Promotes the member it chose."""
+
+    # The term.
+    term: int
+    # Name of the member.
+    candidate: str
+    # When it began, in seconds.
+    started: float
+    # When the promotion was sent last, in seconds.
+    sent_at: float
+
+
+KeeperStage = Watching | Sealing | Promoting
+
+
+@dataclass(frozen=True, slots=True)
+class Keeper:
+    """One proxy's part in the promotions of one service."""
+
+    # Name of the service.
+    service: str
+    # The stage it has reached.
+    stage: KeeperStage = Watching()
+    # Last term it has tried.
+    last_term: int = 0
+    # When it last told members to follow, in seconds.
+    repaired_at: float = 0.0
+    # When the primary was first suspected, in seconds; 0 while it is not.
+    suspected_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperSurroundings:
+    """What a keeper looks at besides its state."""
+
+    # The service.
+    spec: ServiceSpec
+    # Its group.
+    view: GroupView
+    # Members that are leaving by the platform's list.
+    leaving: frozenset[str]
+    # Terms reserved for this run of this proxy; None when there are none.
+    terms: KeeperRange | None
+    # True when no keeper that goes before this one is alive.
+    acting: bool
+    # Proxy's monotonic clock, in seconds.
+    now: float
+    # Generator for backoff.
+    random: Random
+
+
+Step = tuple[Keeper, tuple[Effect, ...]]
+
+
+def decide_keeper(
+    keeper: Keeper, message: Tick | SealAnswered | PromoteAnswered, around: KeeperSurroundings
+) -> Step:
+    """Take a message; return the keeper's new state and what to do."""
+    match keeper.stage, message:
+        case Watching(), Tick():
+            return _watch(keeper, around)
+        case Sealing() as stage, SealAnswered() if message.term == stage.term:
+            return _take_seal(keeper, stage, message, around)
+        case Sealing() as stage, Tick():
+            return _continue_sealing(keeper, stage, around)
+        case Promoting() as stage, PromoteAnswered() if message.term == stage.term:
+            return _take_promotion(keeper, stage, message, around)
+        case Promoting() as stage, Tick():
+            return _continue_promoting(keeper, stage, around)
+        case _:
+            return keeper, ()
+
+
+def _watch(keeper: Keeper, around: KeeperSurroundings) -> Step:
+    assert isinstance(keeper.stage, Watching)
+    if not around.acting or around.now < keeper.stage.not_before:
+        return keeper, ()
+    why = suspect_primary(around)
+    if not why:
+        return _repair(replace(keeper, suspected_at=0.0), around)
+    term = _next_term(keeper, around)
+    if term is None:
+        return keeper, ()
+    suspicion = Note(Event.PRIMARY_SUSPECTED, "watch primary", keeper.service, why)
+    stage = Sealing(term, around.now, around.now)
+    sealing = replace(keeper, stage=stage, last_term=term, suspected_at=around.now)
+    if not around.view.mechanisms.on(Switch.SEALING):
+        return _promote_unsealed(sealing, stage, around, suspicion)
+    return sealing, (suspicion, *_seals(keeper.service, term, stage.granted, around))
+
+
+def suspect_primary(around: KeeperSurroundings) -> str:
+    """Return why a promotion is due, an empty text when it is not."""
+    view = around.view
+    voters = [name for name in view.members if view.is_reachable(name, around.now)]
+    if len(voters) < view.majority:
+        return ""
+    primary = view.primary()
+    if primary is None or primary.term < view.committed.last.term:
+        return "the group has no primary"
+    if _stranded(primary, around):
+        return f"a member is sealed above term {primary.term}"
+    if primary.leaving or primary.instance in around.leaving:
+        return f"primary {primary.instance} is leaving" if _has_successor(around) else ""
+    return _suspect_silence(primary, around)
+
+
+def _suspect_silence(primary: Report, around: KeeperSurroundings) -> str:
+    view = around.view
+    others = [name for name in view.members if name != primary.instance]
+    fresh = [report for name in others if (report := _fresh_report(name, around)) is not None]
+    deaf = [report for report in fresh if report.primary_silence > CUT_OFF_AFTER_S]
+    if len(view.members) - len(deaf) < view.majority and len(deaf) >= view.majority:
+        return f"primary {primary.instance} is cut off from its replicas"
+    silence = around.now - view.sightings[primary.instance].at
+    if primary.instance not in view.unreachable and silence <= SUSPECT_AFTER_S:
+        return ""
+    hearing = [report for report in fresh if report.primary_silence < SUSPECT_AFTER_S / 2]
+    if len(hearing) + 1 >= view.majority and silence < PATIENCE_S:
+        return ""
+    return f"primary {primary.instance} has been silent for {silence:.2f} s"
+
+
+def _fresh_report(name: str, around: KeeperSurroundings) -> Report | None:
+    if not around.view.is_reachable(name, around.now):
+        return None
+    return around.view.report(name)
+
+
+def _stranded(primary: Report, around: KeeperSurroundings) -> bool:
+    """Tell whether a reachable member cannot follow because its seal is above the primary's."""
+    reports = (_fresh_report(name, around) for name in around.view.members)
+    return any(report is not None and report.term > primary.term for report in reports)
+
+
+def _has_successor(around: KeeperSurroundings) -> bool:
+    staying = [
+        name
+        for name in around.view.members
+        if (report := _fresh_report(name, around)) is not None
+        and not report.leaving
+        and report.voting
+        and name not in around.leaving
+    ]
+    return len(staying) >= around.view.majority
+
+
+def _next_term(keeper: Keeper, around: KeeperSurroundings) -> int | None:
+    if around.terms is None:
+        return None
+    term = max(keeper.last_term + 1, around.view.highest_term + 1, around.terms.first)
+    return term if term <= around.terms.last else None
+
+
+def _seals(
+    service: str, term: int, granted: Mapping[str, Report], around: KeeperSurroundings
+) -> tuple[Effect, ...]:
+    missing = [name for name in around.view.members if name not in granted]
+    note = Note(Event.SEAL_SENT, "seal", service, f"term {term} to {', '.join(missing)}")
+    return (note, *(SendSeal(service, name, term) for name in missing))
+
+
+def _promote_unsealed(
+    keeper: Keeper, stage: Sealing, around: KeeperSurroundings, suspicion: Note
+) -> Step:
+    """Promote without a seal; only tests that switch sealing off come here."""
+    reports = {name: seen.report for name, seen in around.view.sightings.items()}
+    primary = around.view.primary()
+    others = {name: r for name, r in reports.items() if primary is None or r != primary}
+    promoting, effects = _promote(keeper, replace(stage, granted=others), around)
+    return promoting, (suspicion, *effects)
+
+
+def _take_seal(
+    keeper: Keeper, stage: Sealing, message: SealAnswered, around: KeeperSurroundings
+) -> Step:
+    if not message.granted:
+        note = Note(
+            Event.SEAL_REFUSED,
+            "seal",
+            message.report.instance,
+            f"term {stage.term} refused, {message.report.term} is higher",
+        )
+        return _back_off(keeper, around), (note,)
+    if not message.report.voting and around.view.mechanisms.on(Switch.VOTING):
+        return keeper, ()
+    granted = {**stage.granted, message.report.instance: message.report}
+    majority_at = stage.majority_at
+    if len(granted) >= around.view.majority and majority_at == 0.0:
+        majority_at = around.now
+    sealed = replace(stage, granted=granted, majority_at=majority_at)
+    if len(granted) == len(around.view.members):
+        return _promote(keeper, sealed, around)
+    return replace(keeper, stage=sealed), ()
+
+
+def _continue_sealing(keeper: Keeper, stage: Sealing, around: KeeperSurroundings) -> Step:
+    if stage.majority_at and around.now - stage.majority_at >= SEAL_LINGER_S:
+        return _promote(keeper, stage, around)
+    if around.now - stage.started >= STEP_LIMIT_S and not stage.majority_at:
+        return _back_off(keeper, around), ()
+    if around.now - stage.sent_at < RESEND_S:
+        return keeper, ()
+    resent = replace(keeper, stage=replace(stage, sent_at=around.now))
+    return resent, _seals(keeper.service, stage.term, stage.granted, around)
+
+
+def _back_off(keeper: Keeper, around: KeeperSurroundings) -> Keeper:
+    pause = BACKOFF_S * (0.5 + around.random.random())
+    return replace(keeper, stage=Watching(around.now + pause))
+
+
+def _promote(keeper: Keeper, stage: Sealing, around: KeeperSurroundings) -> Step:
+    candidate = choose_candidate(stage.granted, around)
+    promoting = Promoting(stage.term, candidate, around.now, around.now)
+    note = Note(Event.PROMOTION_SENT, "promote", candidate, f"term {stage.term}")
+    effect = SendPromote(keeper.service, candidate, stage.term)
+    return replace(keeper, stage=promoting), (note, effect)
+
+
+def choose_candidate(granted: Mapping[str, Report], around: KeeperSurroundings) -> str:
+    """Choose the sealed member whose last entry has the highest (term, index).
+
+    Members that leave are passed over while the others are a majority by themselves, since then
+    the most advanced of the others holds every acknowledged entry too.
+    """
+    staying = {
+        name: report
+        for name, report in granted.items()
+        if not report.leaving and name not in around.leaving
+    }
+    eligible = staying if len(staying) >= around.view.majority else granted
+    if not around.view.mechanisms.on(Switch.MOST_ADVANCED):
+        return min(eligible, key=lambda name: eligible[name].lineage.last)
+    return max(eligible, key=lambda name: (eligible[name].lineage.last, name))
+
+
+def _take_promotion(
+    keeper: Keeper, stage: Promoting, message: PromoteAnswered, around: KeeperSurroundings
+) -> Step:
+    if not message.granted:
+        return _back_off(keeper, around), ()
+    gap = around.now - keeper.suspected_at
+    note = Note(
+        Event.PRIMARY_PROMOTED,
+        "promote",
+        stage.candidate,
+        f"term {stage.term}, {gap:.3f} s after suspicion",
+    )
+    watching = replace(keeper, stage=Watching(around.now + SETTLE_S), suspected_at=0.0)
+    follows = _follows(keeper.service, stage.candidate, stage.term, around.view.members, around)
+    return replace(watching, repaired_at=around.now), (note, *follows)
+
+
+def _continue_promoting(keeper: Keeper, stage: Promoting, around: KeeperSurroundings) -> Step:
+    if around.now - stage.started >= STEP_LIMIT_S:
+        return _back_off(keeper, around), ()
+    if around.now - stage.sent_at < RESEND_S:
+        return keeper, ()
+    resent = replace(keeper, stage=replace(stage, sent_at=around.now))
+    return resent, (SendPromote(keeper.service, stage.candidate, stage.term),)
+
+
+def _repair(keeper: Keeper, around: KeeperSurroundings) -> Step:
+    """Tell members that follow nobody, or somebody else, whom to follow."""
+    primary = around.view.primary()
+    if primary is None or around.now - keeper.repaired_at < REPAIR_S:
+        return keeper, ()
+    strays = tuple(
+        name
+        for name in around.view.members
+        if name != primary.instance
+        and (report := _fresh_report(name, around)) is not None
+        and _is_stray(report, primary)
+    )
+    repaired = replace(keeper, repaired_at=around.now)
+    return repaired, _follows(keeper.service, primary.instance, primary.term, strays, around)
+
+
+def _is_stray(report: Report, primary: Report) -> bool:
+    if report.term > primary.term:
+        return False
+    if report.role is not Role.REPLICA:
+        return True
+    return report.term < primary.term or report.following != primary.instance
+
+
+def _follows(
+    service: str, primary: str, term: int, members: tuple[str, ...], around: KeeperSurroundings
+) -> tuple[Effect, ...]:
+    spec = around.spec.instance(primary)
+    if spec is None:
+        return ()
+    return tuple(
+        SendFollow(service, name, term, primary, spec.address)
+        for name in members
+        if name != primary
+    )
--- /dev/null
+++ b/orioleplank/decision/_membership.py
@@ -0,0 +1,120 @@
+"""Which proxies are alive, and which of them keep a service."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from hashlib import blake2b
+
+from orioleplank.decision._configuration import KeeperRange, KeepershipSpec
+from orioleplank.decision._message import PeerHeard, Vm
+
+ALIVE_S = 1.0
+KEEPERS_PER_SERVICE = 3
+RANGES_KEPT = 5
+TERMS_PER_RANGE = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Another proxy."""
+
+    # Its last heartbeat.
+    heard: PeerHeard
+    # When it came, in seconds of the proxy's clock.
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Membership:
+    """The other proxies, as this one sees them."""
+
+    # Name of this proxy.
+    proxy: str
+    # This run of it.
+    incarnation: str
+    # Peers that have been heard, by name.
+    peers: Mapping[str, Peer] = field(default_factory=dict)
+    # The platform's list of VMs.
+    vms: tuple[Vm, ...] = ()
+
+    def alive(self, now: float) -> tuple[str, ...]:
+        """Return the proxies that take part, this one included, sorted."""
+        names = {
+            name
+            for name, peer in self.peers.items()
+            if now - peer.at <= ALIVE_S and not peer.heard.stopping
+        }
+        return tuple(sorted(names | {self.proxy}))
+
+    def leaving_vms(self) -> frozenset[str]:
+        """Return the names of VMs that the platform is taking away."""
+        return frozenset(vm.name for vm in self.vms if vm.leaving)
+
+
+def hear_peer(membership: Membership, heard: PeerHeard, now: float) -> Membership:
+    """Take in a heartbeat."""
+    if heard.proxy == membership.proxy:
+        return membership
+    return replace(membership, peers={**membership.peers, heard.proxy: Peer(heard, now)})
+
+
+def rank_proxies(service: str, proxies: Iterable[str]) -> tuple[str, ...]:
+    """Order proxies for a service by rendezvous hashing.
+
+    Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", 1998: when a proxy
+    comes or goes, only the services it ranks first for change hands.
+    """
+
+    def score(proxy: str) -> bytes:
+        return blake2b(f"{service}\0{proxy}".encode(), digest_size=8).digest()
+
+    return tuple(sorted(proxies, key=lambda proxy: (score(proxy), proxy)))
+
+
+def find_own_range(membership: Membership, spec: KeepershipSpec) -> KeeperRange | None:
+    """Return the newest range reserved for this run of this proxy, None when there is none."""
+    own = [entry for entry in spec.ranges if entry.incarnation == membership.incarnation]
+    return own[-1] if own else None
+
+
+def is_acting(membership: Membership, service: str, spec: KeepershipSpec, now: float) -> bool:
+    """Tell whether no living keeper goes before this proxy."""
+    holders = {entry.proxy: entry.incarnation for entry in spec.ranges}
+    for proxy in rank_proxies(service, holders):
+        if proxy == membership.proxy:
+            return holders[proxy] == membership.incarnation
+        if _can_keep(membership, service, proxy, holders[proxy], now):
+            return False
+    return False
+
+
+def _can_keep(
+    membership: Membership, service: str, proxy: str, incarnation: str, now: float
+) -> bool:
+    peer = membership.peers.get(proxy)
+    if peer is None or now - peer.at > ALIVE_S or peer.heard.stopping:
+        return False
+    if peer.heard.incarnation != incarnation:
+        return False
+    return service not in peer.heard.unreachable_services
+
+
+def propose_keepership(
+    membership: Membership, service: str, spec: KeepershipSpec, highest_term: int, now: float
+) -> KeepershipSpec | None:
+    """Return the keepership with a range for this proxy added, None when none is due."""
+    alive = membership.alive(now)
+    if membership.proxy not in rank_proxies(service, alive)[:KEEPERS_PER_SERVICE]:
+        return None
+    own = find_own_range(membership, spec)
+    if own is not None and highest_term < own.last:
+        return None
+    first = max(spec.highest, highest_term) + 1
+    added = KeeperRange(
+        membership.proxy, membership.incarnation, first, first + TERMS_PER_RANGE - 1
+    )
+    kept = [
+        entry for entry in spec.ranges if entry.proxy != membership.proxy and entry.proxy in alive
+    ]
+    return KeepershipSpec((*kept[-(RANGES_KEPT - 1) :], added))
--- /dev/null
+++ b/orioleplank/decision/_pool.py
@@ -0,0 +1,99 @@
+"""A proxy's connections to one instance, and its share of the instance's slots."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+REOPEN_DELAY_S = 0.05
+REOPEN_DELAY_LIMIT_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """Connections to one instance."""
+
+    # Connections this proxy may hold.
+    connection_share: int
+    # Statements this proxy may run at once.
+    slot_share: int
+    # Numbers of the connections that are free.
+    idle: tuple[int, ...] = ()
+    # Numbers of the connections that run a statement or hold a transaction.
+    taken: frozenset[int] = frozenset()
+    # Numbers of the connections being opened.
+    opening: frozenset[int] = frozenset()
+    # Statements running.
+    running: int = 0
+    # Number for the next connection.
+    next_number: int = 1
+    # Failures to open in a row.
+    failures: int = 0
+    # No connection is opened before this time of the proxy's clock, in seconds.
+    reopen_at: float = 0.0
+
+    def __post_init__(self) -> None:
+        if self.connection_share < 1 or self.slot_share < 1:
+            raise ValueError("a share is at least 1")
+
+    @property
+    def size(self) -> int:
+        """Connections open or being opened."""
+        return len(self.idle) + len(self.taken) + len(self.opening)
+
+    @property
+    def has_slot(self) -> bool:
+        """True when one more statement may run."""
+        return self.running < self.slot_share
+
+    def knows(self, number: int) -> bool:
+        """Tell whether a connection is still this pool's."""
+        return number in self.taken or number in self.opening or number in self.idle
+
+    def take(self) -> tuple[Pool, int]:
+        """Take the connection used last; `idle` must not be empty."""
+        number = self.idle[-1]
+        return replace(self, idle=self.idle[:-1], taken=self.taken | {number}), number
+
+    def free(self, number: int) -> Pool:
+        """Give back a connection that is in no doubt."""
+        return replace(self, idle=(*self.idle, number), taken=self.taken - {number})
+
+    def start(self) -> Pool:
+        """Count a statement as running."""
+        return replace(self, running=self.running + 1)
+
+    def end(self) -> Pool:
+        """Count a statement as ended."""
+        return replace(self, running=max(0, self.running - 1))
+
+    def open(self) -> tuple[Pool, int]:
+        """Begin to open a connection."""
+        number = self.next_number
+        return replace(self, opening=self.opening | {number}, next_number=number + 1), number
+
+    def opened(self, number: int) -> Pool:
+        """Note that a connection is ready."""
+        return replace(self, opening=self.opening - {number}, idle=(*self.idle, number), failures=0)
+
+    def drop(self, number: int, now: float) -> Pool:
+        """Forget a connection; a failure to open delays the next try."""
+        if number not in self.opening:
+            idle = tuple(kept for kept in self.idle if kept != number)
+            return replace(self, idle=idle, taken=self.taken - {number})
+        delay = min(REOPEN_DELAY_LIMIT_S, REOPEN_DELAY_S * 2**self.failures)
+        return replace(
+            self,
+            opening=self.opening - {number},
+            failures=min(self.failures + 1, 10),
+            reopen_at=now + delay,
+        )
+
+    def wants(self, demand: int, now: float) -> int:
+        """Return how many connections to open for `demand` statements waiting.
+
+        One spare is kept open ahead of need, because opening takes several round trips.
+        """
+        if now < self.reopen_at:
+            return 0
+        missing = min(demand, self.slot_share) + 1 - len(self.idle) - len(self.opening)
+        return max(0, min(missing, self.connection_share - self.size))
--- /dev/null
+++ b/orioleplank/kernel/__init__.py
@@ -0,0 +1,7 @@
+"""The micro-kernel: services that find each other by name, and a timer they subscribe to."""
+
+from orioleplank.kernel._kernel import Kernel
+from orioleplank.kernel._service import Service
+from orioleplank.kernel._timer import Timer, TimerTick
+
+__all__ = ["Kernel", "Service", "Timer", "TimerTick"]
--- /dev/null
+++ b/orioleplank/kernel/_timer.py
@@ -0,0 +1,35 @@
+"""The timer service: the one source of time that parts subscribe to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from orioleplank.kernel._service import Service
+
+
+@dataclass(frozen=True, slots=True)
+class TimerTick:
+    """A subscriber's period has passed."""
+
+    # Name the subscriber gave.
+    topic: str
+    # Reactor's monotonic clock, in seconds.
+    now: float
+
+
+class Timer(Service):
+    """Tells each subscriber a `TimerTick` once a period."""
+
+    def __init__(self) -> None:
+        super().__init__("timer")
+
+    def subscribe(self, subscriber: Service, topic: str, period: float) -> None:
+        """Tell `subscriber` a tick named `topic` every `period` seconds."""
+
+        def fire() -> None:
+            if not self._accepting:
+                return
+            subscriber.tell(TimerTick(topic, self.kernel.now()))
+            self.kernel.schedule_in(period, fire)
+
+        self.kernel.schedule_in(period, fire)
--- /dev/null
+++ b/orioleplank/standin/__init__.py
@@ -0,0 +1,15 @@
+"""Small stand-ins for the outside: a replicated database instance and the platform."""
+
+from orioleplank.standin._instance import Entry, Instance, StandinReply
+from orioleplank.standin._platform import PlatformState, run_platform
+from orioleplank.standin._upstream import UpstreamOptions, run_upstream
+
+__all__ = [
+    "Entry",
+    "Instance",
+    "PlatformState",
+    "StandinReply",
+    "UpstreamOptions",
+    "run_platform",
+    "run_upstream",
+]
--- /dev/null
+++ b/orioleplank/standin/_database.py
@@ -0,0 +1,157 @@
+"""SQL in memory, and a ledger of request ids in the same database."""
+
+from __future__ import annotations
+
+import sqlite3
+from dataclasses import dataclass
+
+from google.protobuf.message import DecodeError
+
+from orioleplank._protos import orioleplank_common_pb2 as common
+
+SqlValue = int | float | str | bytes | None
+
+
+class StatementError(Exception):
+    """A statement failed and was rolled back."""
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerRow:
+    """What the ledger holds under an id."""
+
+    # The first outcome; empty for a tombstone.
+    result: bytes
+    # True for a tombstone.
+    tombstone: bool
+    # Index of its log entry.
+    index: int
+
+
+class Database:
+    """One sqlite3 database in memory.
+
+    Statements run one at a time. A transaction is kept as a list of payloads and run again as a
+    whole at commit; it fails when a result differs from the one shown before, which makes it
+    serializable without locks.
+    """
+
+    def __init__(self) -> None:
+        self._connection = sqlite3.connect(":memory:", isolation_level=None)
+        self._connection.execute(
+            "CREATE TABLE orioleplank_ledger"
+            " (id TEXT PRIMARY KEY, result BLOB, tombstone INTEGER, position INTEGER)"
+        )
+
+    def close(self) -> None:
+        """Forget everything."""
+        self._connection.close()
+
+    def read(self, payload: bytes) -> bytes:
+        """Run queries that may not change data."""
+        self._connection.execute("PRAGMA query_only=ON")
+        try:
+            return self._run_all(payload)
+        except sqlite3.Error as error:
+            raise StatementError(str(error)) from error
+        finally:
+            self._connection.execute("PRAGMA query_only=OFF")
+
+    def try_payloads(self, payloads: list[bytes]) -> list[bytes]:
+        """Run payloads and undo them; return their results."""
+        self._connection.execute("BEGIN")
+        try:
+            return [self._run_all(payload) for payload in payloads]
+        except sqlite3.Error as error:
+            raise StatementError(str(error)) from error
+        finally:
+            self._connection.execute("ROLLBACK")
+
+    def write(
+        self, payloads: list[bytes], shown: list[bytes] | None, ledger_id: str, index: int
+    ) -> list[bytes]:
+        """Run payloads and keep them, with `ledger_id` in the ledger; return their results.
+
+        `shown` are results a transaction showed before, which have to come out again.
+        """
+        self._connection.execute("BEGIN")
+        try:
+            results = [self._run_all(payload) for payload in payloads]
+            if shown is not None and results != shown:
+                raise StatementError("the transaction conflicts with another")
+            if ledger_id:
+                last = results[-1] if shown is None and results else b""
+                self._insert_ledger(ledger_id, last, False, index)
+        except sqlite3.Error as error:
+            self._connection.execute("ROLLBACK")
+            raise StatementError(str(error)) from error
+        except StatementError:
+            self._connection.execute("ROLLBACK")
+            raise
+        self._connection.execute("COMMIT")
+        return results
+
+    def write_tombstone(self, ledger_id: str, index: int) -> None:
+        """Write a tombstone; the ledger must not hold the id."""
+        self._insert_ledger(ledger_id, b"", True, index)
+
+    def keep_outcome(self, ledger_id: str, result: bytes, index: int) -> None:
+        """Write the outcome of a replayed request into the ledger."""
+        self._insert_ledger(ledger_id, result, False, index)
+
+    def find(self, ledger_id: str) -> LedgerRow | None:
+        """Return what the ledger holds under an id."""
+        row = self._connection.execute(
+            "SELECT result, tombstone, position FROM orioleplank_ledger WHERE id = ?", (ledger_id,)
+        ).fetchone()
+        return LedgerRow(row[0], bool(row[1]), row[2]) if row else None
+
+    def _insert_ledger(self, ledger_id: str, result: bytes, tombstone: bool, index: int) -> None:
+        self._connection.execute(
+            "INSERT INTO orioleplank_ledger VALUES (?, ?, ?, ?)",
+            (ledger_id, result, int(tombstone), index),
+        )
+
+    def _run_all(self, payload: bytes) -> bytes:
+        try:
+            queries = common.Queries.FromString(payload)
+        except DecodeError as error:
+            raise StatementError(f"the payload is malformed: {error}") from error
+        sets = [self._run(query) for query in queries.queries]
+        return common.Result(sets=sets).SerializeToString()
+
+    def _run(self, query: common.Query) -> common.ResultSet:
+        arguments = [_read_value(value) for value in query.args]
+        cursor = self._connection.execute(query.sql, arguments)
+        rows = [
+            common.Row(values=[_write_value(value) for value in row]) for row in cursor.fetchall()
+        ]
+        return common.ResultSet(rows=rows, changed=max(0, cursor.rowcount))
+
+
+def _read_value(value: common.Value) -> SqlValue:
+    match value.WhichOneof("value"):
+        case "integer":
+            return value.integer
+        case "real":
+            return value.real
+        case "text":
+            return value.text
+        case "blob":
+            return value.blob
+        case _:
+            return None
+
+
+def _write_value(value: SqlValue) -> common.Value:
+    match value:
+        case int():
+            return common.Value(integer=value)
+        case float():
+            return common.Value(real=value)
+        case str():
+            return common.Value(text=value)
+        case bytes():
+            return common.Value(blob=value)
+        case None:
+            return common.Value(null=True)
--- /dev/null
+++ b/orioleplank/wire/_token.py
@@ -0,0 +1,55 @@
+"""The form of a session token on the wire: a version byte, the content, a checksum."""
+
+from __future__ import annotations
+
+from zlib import crc32
+
+from google.protobuf.message import DecodeError
+
+from orioleplank._exceptions import MalformedTokenError
+from orioleplank._protos import orioleplank_common_pb2 as common
+from orioleplank.decision import EMPTY_TOKEN, Position, SessionToken, TokenEntry
+
+TOKEN_VERSION = b"\x01"
+CHECKSUM_BYTES = 4
+MAX_TOKEN_BYTES = 16_384
+
+
+def write_token(token: SessionToken) -> bytes:
+    """Return `token` in its wire form; an empty token is empty."""
+    if not token.entries:
+        return b""
+    message = common.Token(
+        entries=[
+            common.TokenEntry(
+                service=entry.service,
+                position=common.Position(term=entry.position.term, index=entry.position.index),
+            )
+            for entry in token.entries
+        ]
+    )
+    content = TOKEN_VERSION + message.SerializeToString()
+    return content + crc32(content).to_bytes(CHECKSUM_BYTES, "big")
+
+
+def read_token(data: bytes) -> SessionToken:
+    """Read a token from its wire form; raise `MalformedTokenError` when it is not valid."""
+    if not data:
+        return EMPTY_TOKEN
+    if len(data) > MAX_TOKEN_BYTES:
+        raise MalformedTokenError(f"{len(data)} bytes, {MAX_TOKEN_BYTES} are allowed")
+    content, checksum = data[:-CHECKSUM_BYTES], data[-CHECKSUM_BYTES:]
+    if not content.startswith(TOKEN_VERSION):
+        raise MalformedTokenError("it has an unknown version")
+    if crc32(content).to_bytes(CHECKSUM_BYTES, "big") != checksum:
+        raise MalformedTokenError("its checksum does not match")
+    try:
+        message = common.Token.FromString(content[len(TOKEN_VERSION) :])
+    except DecodeError as error:
+        raise MalformedTokenError(str(error)) from error
+    return SessionToken(
+        tuple(
+            TokenEntry(entry.service, Position(entry.position.term, entry.position.index))
+            for entry in message.entries
+        )
+    )
--- /dev/null
+++ b/orioleplank/wire/_upstream.py
@@ -0,0 +1,143 @@
+"""Statements, reports and ledger answers of the upstream protocol."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+
+from orioleplank._protos import orioleplank_common_pb2 as common
+from orioleplank._protos import orioleplank_upstream_pb2 as pb
+from orioleplank.decision import (
+    AskLedger,
+    Boundary,
+    ConnectionId,
+    LedgerAnswered,
+    LedgerState,
+    Lineage,
+    Position,
+    Report,
+    Role,
+    SendStatement,
+    StatementEnded,
+    StatementStatus,
+    TermStart,
+)
+
+MILLISECONDS = 1000.0
+
+_BOUNDARIES = MappingProxyType(
+    {
+        Boundary.AUTO: pb.BOUNDARY_AUTO,
+        Boundary.BEGIN: pb.BOUNDARY_BEGIN,
+        Boundary.STEP: pb.BOUNDARY_STEP,
+        Boundary.COMMIT: pb.BOUNDARY_COMMIT,
+        Boundary.ROLLBACK: pb.BOUNDARY_ROLLBACK,
+    }
+)
+_STATUSES = MappingProxyType(
+    {
+        pb.STATEMENT_STATUS_DONE: StatementStatus.DONE,
+        pb.STATEMENT_STATUS_REPEATED: StatementStatus.REPEATED,
+        pb.STATEMENT_STATUS_STALE_TERM: StatementStatus.STALE_TERM,
+        pb.STATEMENT_STATUS_NO_SLOT: StatementStatus.NO_SLOT,
+        pb.STATEMENT_STATUS_LEAVING: StatementStatus.LEAVING,
+        pb.STATEMENT_STATUS_FAILED: StatementStatus.FAILED,
+        pb.STATEMENT_STATUS_TOMBSTONED: StatementStatus.TOMBSTONED,
+    }
+)
+_ROLES = MappingProxyType(
+    {
+        pb.ROLE_SEALED: Role.SEALED,
+        pb.ROLE_PRIMARY: Role.PRIMARY,
+        pb.ROLE_REPLICA: Role.REPLICA,
+    }
+)
+_ROLE_NUMBERS = MappingProxyType({role: number for number, role in _ROLES.items()})
+_LEDGER_STATES = MappingProxyType(
+    {
+        pb.LEDGER_STATE_ABSENT: LedgerState.ABSENT,
+        pb.LEDGER_STATE_FOUND: LedgerState.FOUND,
+        pb.LEDGER_STATE_TOMBSTONED: LedgerState.TOMBSTONED,
+        pb.LEDGER_STATE_STALE_TERM: LedgerState.STALE_TERM,
+    }
+)
+
+
+def read_position(message: common.Position) -> Position:
+    """Return a position."""
+    return Position(message.term, message.index)
+
+
+def write_position(position: Position) -> common.Position:
+    """Return a position's message."""
+    return common.Position(term=position.term, index=position.index)
+
+
+def write_statement(effect: SendStatement) -> pb.Statement:
+    """Return the message that sends a statement."""
+    return pb.Statement(
+        id=effect.statement,
+        term=effect.term,
+        ledger_id=effect.ledger_id,
+        payload=effect.payload,
+        write=effect.write,
+        boundary=_BOUNDARIES[effect.boundary],
+    )
+
+
+def read_statement_reply(connection: ConnectionId, message: pb.StatementReply) -> StatementEnded:
+    """Return how a statement ended; an unknown status raises `KeyError`."""
+    return StatementEnded(
+        connection,
+        message.id,
+        _STATUSES[message.status],
+        read_position(message.position),
+        message.result,
+        message.detail,
+    )
+
+
+def read_report(instance: str, message: pb.Report) -> Report:
+    """Return an instance's report; an unknown role raises `KeyError`."""
+    starts = tuple(TermStart(start.term, start.first_index) for start in message.starts)
+    return Report(
+        instance,
+        message.term,
+        _ROLES[message.role],
+        Lineage(read_position(message.last), starts),
+        message.leaving,
+        message.voting,
+        message.primary_silence_ms / MILLISECONDS,
+        message.following,
+        message.incarnation,
+    )
+
+
+def write_report(report: Report, busy_slots: int) -> pb.Report:
+    """Return a report's message."""
+    return pb.Report(
+        term=report.term,
+        role=_ROLE_NUMBERS[report.role],
+        last=write_position(report.lineage.last),
+        starts=[
+            pb.TermStart(term=start.term, first_index=start.first_index)
+            for start in report.lineage.starts
+        ],
+        leaving=report.leaving,
+        voting=report.voting,
+        primary_silence_ms=round(report.primary_silence * MILLISECONDS),
+        following=report.following,
+        incarnation=report.incarnation,
+        busy_slots=busy_slots,
+    )
+
+
+def read_ledger(asked: AskLedger, message: pb.ControlReply) -> LedgerAnswered:
+    """Return what a ledger holds; an unknown state raises `KeyError`."""
+    return LedgerAnswered(
+        asked.service,
+        asked.instance,
+        asked.query,
+        _LEDGER_STATES[message.ledger],
+        read_position(message.position),
+        message.result,
+    )
