--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Each target sets up what it needs in .venv.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: run test lint setup
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $@
+
+run: setup
+	@sh scripts/run.sh $(BIN)/python
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/black --check --quiet .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/mypy
