Ask callers to move before a proxy ends, and end only when they have

A stopping proxy ended half a second after its last request, while callers still held open streams and went on choosing it. Ruled out: the killed primary (only 2 transactions fall in its gap).

--- a/orioleplank/daemon/_callers.py
+++ b/orioleplank/daemon/_callers.py
@@ -15,6 +15,8 @@
 from orioleplank._protos import orioleplank_caller_pb2_grpc as rpc
 from orioleplank.daemon import _names as names
 from orioleplank.decision import (
+    AskToMove,
+    CallerArrived,
     CallerGone,
     DidRun,
     Mechanism,
@@ -65,7 +67,7 @@
             if self._replies.qsize() < self._limit:
                 self._room.set()
             if reply is not None:
-                self._awaited -= 1
+                self._awaited -= 1 if reply.id else 0
                 return reply
         return None
 
@@ -104,11 +106,16 @@
         return Deferred.fromFuture(asyncio.ensure_future(self._server.stop(CLOSE_GRACE_S)))
 
     def receive(self, message: object) -> None:
-        """Send a reply to its caller, unless that has gone."""
-        assert isinstance(message, Reply)
+        """Send a reply or a hint to its caller, unless that has gone."""
+        assert isinstance(message, (Reply, AskToMove))
         caller = self._callers.get(message.caller)
-        if caller is not None:
-            caller.put(write_reply(message.request.id, message.outcome, message.move))
+        if caller is None:
+            return
+        match message:
+            case Reply():
+                caller.put(write_reply(message.request.id, message.outcome, message.move))
+            case AskToMove():
+                caller.put(pb.CallerReply(move=True))
 
     async def Session(  # noqa: N802
         self, requests: AsyncIterator[pb.CallerRequest], context: grpc.aio.ServicerContext
@@ -116,6 +123,7 @@
         """Serve one caller until it ends its side and has all its replies."""
         number = next(self._numbers)
         caller = self._callers[number] = _Caller(self._limits.replies_per_caller)
+        self.kernel.find(names.DECISIONS).tell(CallerArrived(number))
         reader = asyncio.get_running_loop().create_task(self._read(number, caller, requests))
         try:
             while (reply := await caller.next()) is not None:
--- a/orioleplank/daemon/_decisions.py
+++ b/orioleplank/daemon/_decisions.py
@@ -9,6 +9,7 @@
 from orioleplank.decision import (
     AskLedger,
     AskRound,
+    AskToMove,
     CloseConnection,
     Effect,
     ForgetInstance,
@@ -77,6 +78,8 @@
             case Reply():
                 self.kernel.find(names.CALLERS).tell(effect)
                 self.kernel.find(names.EVENTS).tell(effect)
+            case AskToMove():
+                self.kernel.find(names.CALLERS).tell(effect)
             case SendStatement() | OpenConnection() | CloseConnection():
                 self.kernel.find(names.UPSTREAMS).tell(effect)
             case AskRound() | AskLedger() | SendSeal() | SendPromote() | SendFollow():
--- a/orioleplank/decision/__init__.py
+++ b/orioleplank/decision/__init__.py
@@ -29,6 +29,7 @@
 from orioleplank.decision._effect import (
     AskLedger,
     AskRound,
+    AskToMove,
     Boundary,
     CloseConnection,
     Effect,
@@ -82,6 +83,7 @@
     rank_proxies,
 )
 from orioleplank.decision._message import (
+    CallerArrived,
     CallerGone,
     ConnectionClosed,
     ConnectionId,
@@ -152,7 +154,9 @@
     "Answer",
     "AskLedger",
     "AskRound",
+    "AskToMove",
     "Boundary",
+    "CallerArrived",
     "CallerGone",
     "Change",
     "CloseConnection",
--- a/orioleplank/decision/_effect.py
+++ b/orioleplank/decision/_effect.py
@@ -28,6 +28,14 @@
     attempts: int
 
 
+@dataclass(frozen=True, slots=True)
+class AskToMove:
+    """Asks a caller to open its next stream elsewhere and to end this one."""
+
+    # Number of the caller's stream.
+    caller: int
+
+
 @dataclass(frozen=True, slots=True)
 class OpenConnection:
     """Opens a connection; ends in `ConnectionOpened` or `ConnectionClosed`."""
@@ -258,6 +266,7 @@
 
 Effect = (
     Reply
+    | AskToMove
     | OpenConnection
     | CloseConnection
     | SendStatement
--- a/orioleplank/decision/_message.py
+++ b/orioleplank/decision/_message.py
@@ -33,6 +33,14 @@
     request: Request
 
 
+@dataclass(frozen=True, slots=True)
+class CallerArrived:
+    """A caller opened a stream."""
+
+    # Number of the stream.
+    caller: int
+
+
 @dataclass(frozen=True, slots=True)
 class CallerGone:
     """A caller's stream ended."""
@@ -242,6 +250,7 @@
 
 Message = (
     RequestArrived
+    | CallerArrived
     | CallerGone
     | InstanceReported
     | InstanceUnreachable
--- a/orioleplank/decision/_proxy.py
+++ b/orioleplank/decision/_proxy.py
@@ -6,13 +6,14 @@
 from random import Random
 
 from orioleplank.decision._configuration import Configuration
-from orioleplank.decision._effect import Effect, Event, Stopped
+from orioleplank.decision._effect import AskToMove, Effect, Event, Stopped
 from orioleplank.decision._group import GroupView
 from orioleplank.decision._groups import Groups
 from orioleplank.decision._keepers import Keepers
 from orioleplank.decision._mechanism import ALL_MECHANISMS, Mechanisms, Switch
 from orioleplank.decision._membership import Membership
 from orioleplank.decision._message import (
+    CallerArrived,
     CallerGone,
     ConnectionClosed,
     ConnectionOpened,
@@ -83,6 +84,7 @@
         self._keepers = Keepers(self._node)
         self._peers = Peers(self._node)
         self._stop = Stop()
+        self._callers: set[int] = set()
         self._was_ready = False
 
     def handle(self, message: Message, now: float, wall: float = 0.0) -> tuple[Effect, ...]:
@@ -126,7 +128,10 @@
             case RequestArrived():
                 self._stop.note_activity()
                 self._requests.arrive(message, self._stop.admits)
+            case CallerArrived(caller):
+                self._take_caller(caller)
             case CallerGone(caller):
+                self._callers.discard(caller)
                 self._requests.leave(caller)
             case InstanceReported():
                 self._groups.take_report(message)
@@ -157,6 +162,11 @@
             case Tick():
                 self._pass_time()
 
+    def _take_caller(self, caller: int) -> None:
+        self._callers.add(caller)
+        if not self._stop.is_ready:
+            self._node.emit(AskToMove(caller))
+
     def _take_news(self, service: str) -> None:
         if service in self._node.views:
             self._requests.take_news(service)
@@ -180,6 +190,8 @@
         patient = self._node.mechanisms.on(Switch.GRACE)
         self._stop.request(self._node.now, grace if patient else 0.0)
         self._requests.move = True
+        for caller in sorted(self._callers):
+            self._node.emit(AskToMove(caller))
 
     def _pass_time(self) -> None:
         node = self._node
@@ -188,7 +200,8 @@
         self._groups.pass_time()
         self._keepers.pass_time()
         self._requests.pass_time()
-        busy = self._requests.busy and node.mechanisms.on(Switch.GRACE)
+        waits = self._requests.busy or (self._stop.admits and bool(self._callers))
+        busy = waits and node.mechanisms.on(Switch.GRACE)
         self._stop.pass_time(node.now, busy)
         if self._stop.is_ended:
             node.note(Event.STOPPED, "stop")
--- a/orioleplank/decision/_stop.py
+++ b/orioleplank/decision/_stop.py
@@ -68,7 +68,8 @@
     """Where a proxy's shutdown stands.
 
     Requests that arrive while it drains are served until the grace has passed, because the
-    balancer's view lags. The process ends once nothing has been in progress for half a second.
+    balancer's view lags; callers are asked to move meanwhile. The process ends once nothing has
+    been in progress for half a second.
     """
 
     def __init__(self) -> None:
--- a/orioleplank/workday/_day.py
+++ b/orioleplank/workday/_day.py
@@ -12,6 +12,7 @@
 from orioleplank.client import (
     Caller,
     Session,
+    Stream,
     StreamLostError,
     make_payload,
     make_query,
@@ -167,11 +168,26 @@
         transaction = f"t-{commit_id}"
         sent_at = self._now()
         insert = "INSERT INTO signoff VALUES (?, ?, ?)"
-        steps = [(pb.OPERATION_BEGIN, b"", self._new_id())]
+        steps: list[tuple[pb.Operation, bytes, str]] = [(pb.OPERATION_BEGIN, b"", self._new_id())]
         for amount in (number + 1, -number - 1):
             query = make_query(insert, commit_id, f"officer-{number}", amount)
             steps.append((pb.OPERATION_STEP, make_payload(query), self._new_id()))
         steps.append((pb.OPERATION_COMMIT, b"", commit_id))
+        with stream.held():
+            reply = await self._run_steps(session, stream, transaction, steps)
+        if reply is None:
+            reply = await self._ask_outcome(session, commit_id)
+        self._note(commit_id, "sign-off", True, sent_at, reply, False)
+        await self._think()
+
+    async def _run_steps(
+        self,
+        session: Session,
+        stream: Stream,
+        transaction: str,
+        steps: list[tuple[pb.Operation, bytes, str]],
+    ) -> pb.CallerReply | None:
+        """Run the steps of a transaction; return the last reply, None when the stream broke."""
         reply: pb.CallerReply | None = None
         for operation, payload, step_id in steps:
             request = self._build("sign-off", payload, step_id, write=True)
@@ -180,15 +196,10 @@
             try:
                 reply = await session.ask(stream, request)
             except StreamLostError:
-                reply = None
-            if reply is None or reply.WhichOneof("outcome") != "answer":
-                break
-            if stream.move:
-                await asyncio.sleep(0)
-        if reply is None:
-            reply = await self._ask_outcome(session, commit_id)
-        self._note(commit_id, "sign-off", True, sent_at, reply, False)
-        await self._think()
+                return None
+            if reply.WhichOneof("outcome") != "answer":
+                return reply
+        return reply
 
     async def _ask_outcome(self, session: Session, request_id: str) -> pb.CallerReply | None:
         """Ask another proxy what became of a request."""
