--- a/orioleplank/daemon/_peers.py
+++ b/orioleplank/daemon/_peers.py
@@ -115,6 +115,7 @@
                 proxy=self._identity.name,
                 incarnation=self._identity.incarnation,
                 revision=heartbeat.revision,
+                newest=heartbeat.newest,
                 stopping=heartbeat.stopping,
                 unreachable_services=heartbeat.unreachable_services,
             )
@@ -143,6 +144,7 @@
         message.proxy,
         message.incarnation,
         message.revision,
+        message.newest,
         message.stopping,
         tuple(message.unreachable_services),
     )
--- a/orioleplank/decision/_configuration.py
+++ b/orioleplank/decision/_configuration.py
@@ -296,6 +296,12 @@
             )
         )
 
+    @property
+    def newest(self) -> int:
+        """The version of the newest object, which may be above `revision`."""
+        versions = (accepted.stored.version for accepted in self.objects.values())
+        return max(versions, default=0)
+
     def newer_than(self, revision: int) -> tuple[StoredObject, ...]:
         """Return the objects written after `revision`."""
         return tuple(
--- a/orioleplank/decision/_effect.py
+++ b/orioleplank/decision/_effect.py
@@ -197,6 +197,8 @@
 
     # Revision up to which the configuration is complete.
     revision: int
+    # Version of the newest object.
+    newest: int
     # True when this proxy is stopping.
     stopping: bool
     # Services whose groups it cannot reach by majority.
--- a/orioleplank/decision/_message.py
+++ b/orioleplank/decision/_message.py
@@ -229,6 +229,8 @@
     incarnation: str
     # Revision up to which its configuration is complete.
     revision: int
+    # Version of its newest object, which may be above that revision.
+    newest: int = 0
     # True when it is stopping.
     stopping: bool = False
     # Services whose groups it cannot reach by majority.
--- a/orioleplank/decision/_peers.py
+++ b/orioleplank/decision/_peers.py
@@ -28,7 +28,8 @@
         if message.proxy not in node.membership.peers:
             node.note(Event.PEER_FOUND, "hear peer", message.proxy)
         node.membership = hear_peer(node.membership, message, node.now)
-        if message.revision < node.configuration.revision:
+        behind = message.revision < node.configuration.revision
+        if behind or message.newest < node.configuration.newest:
             objects = node.configuration.newer_than(message.revision)
             node.emit(SendObjects(message.proxy, node.configuration.revision, objects))
 
@@ -65,7 +66,8 @@
         node = self._node
         if node.now - self._sent_at >= HEARTBEAT_PERIOD_S:
             self._sent_at = node.now
-            node.emit(Heartbeat(node.configuration.revision, stopping, unreachable))
+            known = node.configuration
+            node.emit(Heartbeat(known.revision, known.newest, stopping, unreachable))
         alive = node.membership.alive(node.now)
         changed = alive != self._alive
         self._alive = alive
