Say 'not run' of a repeat only once its outcome is resolved

The caller had sent it through one proxy, which lost the primary, and sent it again under the same id through another, which never found a primary and truly said that its copy did not run. Ruled out: the ledger (the id stands there once) and the promotion (there was none, two of three instances were down). Change: a request says that it was sent before; a refusal of such a request is 'unknown' until the ledger has resolved it. A member that lost its log votes again in a term begun since. Faults of the harness mended on the way: connections of two proxies shared a number, two lost logs of three were checked against the one that survived.

--- a/orioleplank/decision/_admission.py
+++ b/orioleplank/decision/_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from orioleplank.decision._configuration import Change, PresetSpec
 from orioleplank.decision._node import Node
 from orioleplank.decision._refusal import (
@@ -30,6 +32,20 @@
     slot. `admits` is False once the proxy refuses new work; `continues` is True for a step of a
     transaction that is open here.
     """
+    refusal = _find_reason(request, node, queued, service_time, admits, continues)
+    if refusal is not None and request.may_have_run:
+        return replace(refusal, did_run=DidRun.UNKNOWN)
+    return refusal
+
+
+def _find_reason(
+    request: Request,
+    node: Node,
+    queued: int,
+    service_time: float,
+    admits: bool,
+    continues: bool,
+) -> Refusal | None:
     if not admits:
         return _refuse(Reason.STOPPING, Mechanism.STOP, "the proxy is stopping", 0.1)
     if node.configuration.revision == 0:
--- a/orioleplank/decision/_keeper.py
+++ b/orioleplank/decision/_keeper.py
@@ -26,6 +26,7 @@
 SEAL_LINGER_S = 0.05
 REPAIR_S = 0.5
 BACKOFF_S = 0.3
+ADMIT_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +84,8 @@
     repaired_at: float = 0.0
     # When the primary was first suspected, in seconds; 0 while it is not.
     suspected_at: float = 0.0
+    # When it last began a term to admit a member, in seconds.
+    admitted_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,8 +135,15 @@
     if not around.acting or around.now < keeper.stage.not_before:
         return keeper, ()
     why = suspect_primary(around)
+    if not why and around.now - keeper.admitted_at >= ADMIT_S:
+        why = _find_newcomer(around)
+        keeper = replace(keeper, admitted_at=around.now) if why else keeper
     if not why:
         return _repair(replace(keeper, suspected_at=0.0), around)
+    return _begin_term(keeper, why, around)
+
+
+def _begin_term(keeper: Keeper, why: str, around: KeeperSurroundings) -> Step:
     term = _next_term(keeper, around)
     if term is None:
         return keeper, ()
@@ -161,6 +171,23 @@
     return _suspect_silence(primary, around)
 
 
+def _find_newcomer(around: KeeperSurroundings) -> str:
+    """Return which member that lost its log has caught up, and needs a new term to vote again.
+
+    Such a member has forgotten what it acknowledged and promised. In a term that a majority of
+    the others seals after it came back, nothing depends on what it forgot.
+    """
+    primary = around.view.primary()
+    for name in around.view.members:
+        report = _fresh_report(name, around)
+        if report is None or primary is None or report.voting:
+            continue
+        follows = report.term == primary.term and report.following == primary.instance
+        if follows and report.lineage.contains(around.view.committed.last):
+            return f"member {name} has caught up and is to vote again"
+    return ""
+
+
 def _suspect_silence(primary: Report, around: KeeperSurroundings) -> str:
     view = around.view
     others = [name for name in view.members if name != primary.instance]
@@ -240,6 +267,8 @@
         return _back_off(keeper, around), (note,)
     if not message.report.voting and around.view.mechanisms.on(Switch.VOTING):
         return keeper, ()
+    if around.now - stage.started >= STEP_LIMIT_S and not stage.majority_at:
+        return _back_off(keeper, around), ()
     granted = {**stage.granted, message.report.instance: message.report}
     majority_at = stage.majority_at
     if len(granted) >= around.view.majority and majority_at == 0.0:
@@ -288,7 +317,9 @@
     eligible = staying if len(staying) >= around.view.majority else granted
     if not around.view.mechanisms.on(Switch.MOST_ADVANCED):
         return min(eligible, key=lambda name: eligible[name].lineage.last)
-    return max(eligible, key=lambda name: (eligible[name].lineage.last, name))
+    primary = around.view.primary()
+    standing = primary.instance if primary is not None else ""
+    return max(eligible, key=lambda name: (eligible[name].lineage.last, name == standing, name))
 
 
 def _take_promotion(
--- a/orioleplank/decision/_request.py
+++ b/orioleplank/decision/_request.py
@@ -78,6 +78,8 @@
     token: SessionToken
     # The caller's name for the transaction; empty outside one.
     transaction: str = ""
+    # True when it has been sent before under this id, to whichever proxy.
+    sent_before: bool = False
 
     def __post_init__(self) -> None:
         if not 1 <= len(self.id) <= MAX_ID_CHARACTERS:
@@ -85,6 +87,11 @@
         if self.operation in TRANSACTIONAL and not self.transaction:
             raise ValueError(f"{self.operation.value} names its transaction")
 
+    @property
+    def may_have_run(self) -> bool:
+        """True when an earlier copy may have run, whatever becomes of this one."""
+        return self.operation is Operation.OUTCOME or (self.write and self.sent_before)
+
     @property
     def ledger_id(self) -> str:
         """The id to write into the ledger; empty when running it twice does no harm."""
--- a/orioleplank/decision/_requests.py
+++ b/orioleplank/decision/_requests.py
@@ -135,7 +135,7 @@
         if not queue or kind is None:
             return False
         exchange = self._exchanges[queue[-1][1]]
-        if exchange.weight >= kind.weight or exchange.attempts:
+        if exchange.weight >= kind.weight or exchange.attempts or exchange.ambiguous:
             return False
         self._finish(
             exchange,
@@ -158,7 +158,12 @@
         kind = node.spec(request.service).kind(request.kind)
         self._numbers += 1
         exchange = Exchange(
-            self._numbers, message.caller, request, node.now, kind.weight if kind else 1
+            self._numbers,
+            message.caller,
+            request,
+            node.now,
+            kind.weight if kind else 1,
+            ambiguous=request.may_have_run,
         )
         self._in_progress[request.id] = exchange.number
         heappush(self._deadlines, (request.deadline, exchange.number))
--- /dev/null
+++ b/orioleplank/decision/tests/test_configuration.py
@@ -0,0 +1,87 @@
+"""Configuration objects."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from orioleplank import MalformedObjectError
+from orioleplank.decision import (
+    Change,
+    Configuration,
+    InForceSpec,
+    Kind,
+    ObjectKey,
+    PresetSpec,
+    StoredObject,
+    UpdateVerdict,
+    dump_body,
+    judge_update,
+    merge_objects,
+    parse_spec,
+)
+
+KEY = ObjectKey(Kind.IN_FORCE, "preset")
+
+
+def make_object(version: int, preset: str = "ordinary", change: str = "c") -> StoredObject:
+    """Return the object that names the preset in force."""
+    return StoredObject(KEY, version, dump_body(Change(change, "ana", 1.0), InForceSpec(preset)))
+
+
+class MergeTest(TestCase):
+    @given(st.lists(st.integers(1, 20), max_size=20))
+    def test_versions_only_move_up(self, versions: list[int]) -> None:
+        configuration, highest = Configuration(), 0
+        for version in versions:
+            objects = (make_object(version, f"p{version}"),)
+            configuration = merge_objects(configuration, version, objects)
+            highest = max(highest, version)
+            self.assertEqual(highest, configuration.objects[KEY].stored.version)
+            self.assertEqual(InForceSpec(f"p{highest}"), configuration.spec(KEY))
+
+    def test_content_that_is_not_valid_leaves_the_previous_in_force(self) -> None:
+        configuration = merge_objects(Configuration(), 1, (make_object(1, "peak"),))
+        broken = StoredObject(KEY, 2, '{"change": {}, "spec": 3}')
+        configuration = merge_objects(configuration, 2, (broken,))
+        self.assertEqual(InForceSpec("peak"), configuration.spec(KEY))
+        self.assertEqual(2, configuration.objects[KEY].stored.version)
+
+    def test_newest_may_be_above_the_revision(self) -> None:
+        configuration = merge_objects(Configuration(), 0, (make_object(9),))
+        self.assertEqual((0, 9), (configuration.revision, configuration.newest))
+
+
+class JudgeUpdateTest(TestCase):
+    def test_lost_answers(self) -> None:
+        cases = {
+            "took effect": (make_object(6, change="mine"), UpdateVerdict.ACCEPTED),
+            "did not arrive": (make_object(5, change="old"), UpdateVerdict.NOT_APPLIED),
+            "somebody else won": (make_object(6, change="other"), UpdateVerdict.SUPERSEDED),
+            "the object is absent": (None, UpdateVerdict.NOT_APPLIED),
+        }
+        for name, (found, verdict) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(verdict, judge_update("mine", 5, found))
+
+
+class ParseTest(TestCase):
+    def test_rejects(self) -> None:
+        cases: dict[str, tuple[Kind, object]] = {
+            "no instances": (Kind.SERVICE, {"instances": [], "kinds": [{"name": "k"}]}),
+            "two of one name": (
+                Kind.SERVICE,
+                {
+                    "instances": [{"name": "a", "address": "h:1", "zone": "z"}] * 2,
+                    "kinds": [{"name": "k"}],
+                },
+            ),
+            "a retry share above 1": (Kind.PRESET, {"retry_share": 2}),
+            "a queue of nothing": (Kind.PRESET, {"queue_limit": 0}),
+            "not an object": (Kind.IN_FORCE, 3),
+        }
+        for name, (kind, content) in cases.items():
+            with self.subTest(name):
+                self.assertRaises(MalformedObjectError, parse_spec, kind, content)
+
+    def test_accepts_defaults(self) -> None:
+        self.assertEqual(PresetSpec(), parse_spec(Kind.PRESET, {}))
--- /dev/null
+++ b/orioleplank/decision/tests/test_parts.py
@@ -0,0 +1,90 @@
+"""Small parts: pools, the retry budget, transactions, the shutdown, tokens."""
+
+from testtools import TestCase
+
+from orioleplank.decision import ConnectionId, Position, SessionToken
+from orioleplank.decision._pool import Pool
+from orioleplank.decision._retry import RetryBudget
+from orioleplank.decision._stop import Stop
+from orioleplank.decision._transaction import Fate, TransactionKey, begin_transaction
+
+
+class PoolTest(TestCase):
+    def test_never_holds_more_than_its_share(self) -> None:
+        pool = Pool(connection_share=3, slot_share=5)
+        opened = 0
+        while pool.wants(10, 0.0):
+            pool, _ = pool.open()
+            opened += 1
+        self.assertEqual((3, 3), (opened, pool.size))
+
+    def test_failure_to_open_delays_the_next_try(self) -> None:
+        pool, number = Pool(3, 3).open()
+        pool = pool.drop(number, 10.0)
+        self.assertEqual(0, pool.wants(1, 10.01))
+        self.assertGreater(pool.wants(1, 11.0), 0)
+
+    def test_dropped_connection_is_forgotten(self) -> None:
+        pool, number = Pool(3, 3).open()
+        pool = pool.opened(number)
+        pool, taken = pool.take()
+        pool = pool.drop(taken, 0.0)
+        self.assertFalse(pool.knows(number))
+        self.assertEqual(0, pool.size)
+
+
+class RetryBudgetTest(TestCase):
+    def test_retries_are_a_share_of_requests(self) -> None:
+        budget = RetryBudget(0.0)
+        for _ in range(100):
+            budget = budget.earn(0.2)
+        spent = 0
+        while (left := budget.spend()) is not None:
+            budget, spent = left, spent + 1
+        self.assertIn(spent, (19, 20))
+
+
+class TransactionTest(TestCase):
+    def test_fate(self) -> None:
+        cases = {
+            "before it is open": ([], Fate.ROLLED_BACK),
+            "while it is open": (["open"], Fate.ROLLED_BACK),
+            "while it commits": (["open", "begin_commit"], Fate.AMBIGUOUS),
+            "after a commit without a slot": (
+                ["open", "begin_commit", "retract_commit"],
+                Fate.ROLLED_BACK,
+            ),
+        }
+        for name, (inputs, fate) in cases.items():
+            with self.subTest(name):
+                key = TransactionKey(1, "t")
+                transaction = begin_transaction(key, ConnectionId("s", "a", 1), 1, 0.0)
+                for step in inputs:
+                    getattr(transaction.lifecycle, step)()
+                self.assertEqual(fate, transaction.lifecycle.lose())
+
+
+class StopTest(TestCase):
+    def test_ends_only_when_quiet(self) -> None:
+        stop = Stop()
+        stop.pass_time(0.0, False)
+        stop.request(1.0, 5.0)
+        self.assertFalse(stop.is_ready)
+        self.assertTrue(stop.admits)
+        stop.pass_time(5.9, True)
+        stop.pass_time(6.1, True)
+        self.assertFalse(stop.admits)
+        self.assertFalse(stop.is_ended)
+        stop.pass_time(6.2, False)
+        self.assertFalse(stop.is_ended)
+        stop.pass_time(6.8, False)
+        self.assertTrue(stop.is_ended)
+
+
+class SessionTokenTest(TestCase):
+    def test_keeps_the_newest_position_of_each_service(self) -> None:
+        token = SessionToken().advance("b", Position(1, 5)).advance("a", Position(2, 1))
+        token = token.advance("b", Position(1, 4))
+        self.assertEqual(Position(1, 5), token.position("b"))
+        self.assertEqual(["a", "b"], [entry.service for entry in token.entries])
+        self.assertEqual(Position(0, 0), token.position("c"))
--- /dev/null
+++ b/orioleplank/kernel/tests/test_kernel.py
@@ -0,0 +1,94 @@
+"""The kernel under a clock of the test's own."""
+
+from testtools import TestCase
+from twisted.internet.defer import Deferred, fail
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from orioleplank import UnknownServiceNameError
+from orioleplank.kernel import Kernel, Service, Timer, TimerTick
+
+
+class Recorder(Service):
+    """Keeps what it receives."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name)
+        self.received: list[object] = []
+
+    def receive(self, message: object) -> None:
+        """Keep a message; the text "bad" raises."""
+        if message == "bad":
+            raise ValueError("bad message")
+        self.received.append(message)
+
+
+class Stubborn(Recorder):
+    """Fails to stop."""
+
+    def stop(self) -> Deferred[None]:
+        """Fail."""
+        return fail(OSError(self.name))
+
+
+class KernelTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = Clock()
+        self.failures: list[tuple[str, object]] = []
+        self.kernel = Kernel(
+            self.clock, lambda name, message, error: self.failures.append((name, message))
+        )
+
+    def test_services_find_each_other_by_name(self) -> None:
+        recorder = Recorder("a")
+        self.kernel.add(recorder)
+        self.assertIs(recorder, self.kernel.find("a"))
+        self.assertRaises(UnknownServiceNameError, self.kernel.find, "b")
+        self.assertRaises(ValueError, self.kernel.add, Recorder("a"))
+
+    def test_messages_come_in_order_and_never_inside_tell(self) -> None:
+        recorder = Recorder("a")
+        self.kernel.add(recorder)
+        for number in range(3):
+            recorder.tell(number)
+        self.assertEqual([], recorder.received)
+        self.clock.advance(0)
+        self.assertEqual([0, 1, 2], recorder.received)
+
+    def test_failure_is_reported_and_ends_nothing(self) -> None:
+        recorder = Recorder("a")
+        self.kernel.add(recorder)
+        recorder.tell("bad")
+        recorder.tell("good")
+        self.clock.advance(0)
+        self.assertEqual(["good"], recorder.received)
+        self.assertEqual([("a", "bad")], self.failures)
+
+    def test_timer_tells_each_period(self) -> None:
+        timer, recorder = Timer(), Recorder("a")
+        self.kernel.add(timer)
+        self.kernel.add(recorder)
+        timer.subscribe(recorder, "beat", 0.5)
+        self.clock.pump([0.1] * 12)
+        self.assertEqual(2, len(recorder.received))
+        tick = recorder.received[0]
+        assert isinstance(tick, TimerTick)
+        self.assertEqual("beat", tick.topic)
+
+    def test_errors_of_several_stops_are_one_group(self) -> None:
+        for name in "ab":
+            self.kernel.add(Stubborn(name))
+        failures: list[Failure] = []
+        self.kernel.stop().addErrback(failures.append)
+        group = failures[0].value
+        assert isinstance(group, ExceptionGroup)
+        self.assertEqual(["b", "a"], [str(error) for error in group.exceptions])
+
+    def test_stopped_service_takes_nothing(self) -> None:
+        recorder = Recorder("a")
+        self.kernel.add(recorder)
+        self.kernel.stop()
+        recorder.tell(1)
+        self.clock.advance(0)
+        self.assertEqual([], recorder.received)
--- /dev/null
+++ b/orioleplank/settings/tests/test_settings.py
@@ -0,0 +1,62 @@
+"""Settings files, good and bad."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from orioleplank.cli import main
+from orioleplank.settings import load_settings
+from orioleplank.settings._document import ProblemsError
+
+GOOD = """
+proxy: {name: entry-1, zone: akl-a, callers: "127.0.0.1:1", peers: "127.0.0.1:2",
+  admin: "127.0.0.1:3"}
+platform: {address: "127.0.0.1:4"}
+"""
+
+
+class SettingsTest(TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "proxy.yaml"
+
+    def write(self, text: str) -> Path:
+        self.path.write_text(text, encoding="utf-8")
+        return self.path
+
+    def test_defaults(self) -> None:
+        settings = load_settings(self.write(GOOD))
+        self.assertEqual("entry-1", settings.proxy.name)
+        self.assertEqual(10.0, settings.stop.grace)
+
+    def test_problems_name_line_path_value_and_what_is_allowed(self) -> None:
+        cases = {
+            "unknown key": (GOOD + "limit: 3\n", 5, "limit", "3"),
+            "wrong type": (
+                GOOD + "limits:\n  message_bytes: many\n",
+                6,
+                "limits.message_bytes",
+                "'many'",
+            ),
+            "out of range": (GOOD + "stop:\n  grace: -1\n", 6, "stop.grace", "-1"),
+            "not one of": (GOOD + "log: {level: LOUD}\n", 5, "log.level", "'LOUD'"),
+            "missing": ("proxy: {}\nplatform: {address: 'h:1'}\n", 1, "proxy.name", ""),
+        }
+        for name, (text, line, path, value) in cases.items():
+            with self.subTest(name):
+                error = self.assertRaises(ProblemsError, load_settings, self.write(text))
+                found = {problem.path: problem for problem in error.problems}[path]
+                self.assertEqual((line, value), (found.line, found.value))
+                self.assertNotEqual("", found.allowed)
+
+    def test_not_yaml(self) -> None:
+        error = self.assertRaises(ProblemsError, load_settings, self.write("a: [\n"))
+        self.assertIn("not YAML", error.problems[0].allowed)
+
+    def test_check_exits_2(self) -> None:
+        self.assertEqual(2, main(["check", str(self.write("proxy: 3\n"))]))
+        self.assertEqual(0, main(["check", str(self.write(GOOD))]))
+        self.assertEqual(2, main(["check", str(self.path.with_name("absent.yaml"))]))
--- a/orioleplank/standin/_instance.py
+++ b/orioleplank/standin/_instance.py
@@ -72,6 +72,7 @@
         self.following = ""
         self.leaving = False
         self.voting = voting
+        self._joined_term = 0
         self.log: list[Entry] = []
         self._starts: list[TermStart] = []
         self._database = Database()
@@ -138,6 +139,7 @@
         self.term = term
         self.role = Role.REPLICA
         self.following = primary
+        self._joined_term = self._joined_term or term
         return True
 
     # Statements.
@@ -171,6 +173,8 @@
         self, connection: int, ledger_id: str, payload: bytes, write: bool, boundary: Boundary
     ) -> StandinReply:
         match boundary:
+            case Boundary.AUTO if connection in self._transactions:
+                return self._step(self._transaction(connection), payload)
             case Boundary.AUTO if write:
                 return self._commit([payload], None, ledger_id)
             case Boundary.AUTO:
@@ -284,8 +288,14 @@
         for entry in entries:
             if entry.position.index == len(self.log) + 1:
                 self._replay(entry)
+        self._vote_again()
         return True
 
+    def _vote_again(self) -> None:
+        """Count towards a majority again, in a term begun since the log was lost."""
+        if self.term > self._joined_term and self.last.term == self.term:
+            self.voting = True
+
     def _truncate(self, keep_through: int) -> None:
         kept = self.log[:keep_through]
         self.log = []
--- a/orioleplank/tests/_cells.py
+++ b/orioleplank/tests/_cells.py
@@ -10,6 +10,7 @@
 
 from orioleplank._protos import orioleplank_common_pb2 as common
 from orioleplank.decision import Kind, ObjectKey, StopRequested, Switch, UpdateVerdict
+from orioleplank.standin import Entry
 from orioleplank.tests._clients import (
     Client,
     History,
@@ -31,8 +32,10 @@
 GAP_LIMIT_S = 7.0
 IN_FORCE_LIMIT_S = 4.0
 LEAVING_LIMIT_S = 3.0
+HOLD_S = 4.8
 GRACE_S = 6.0
 SAMPLE_S = 0.1
+FAR_LAG_S = 0.4
 
 
 @unique
@@ -43,12 +46,15 @@
     RESTART_PROXY = "restart proxy"
     FREEZE_PROXY = "freeze proxy"
     KILL_INSTANCE = "kill instance"
+    RESTART_INSTANCE = "restart instance empty"
     FREEZE_INSTANCE = "freeze instance"
     CUT_TO_INSTANCE = "cut proxy>instance"
     CUT_FROM_INSTANCE = "cut instance>proxy"
     CUT_BOTH = "cut proxy<>instance"
+    HOLD = "hold proxy>instance"
     CUT_GROUP = "cut instance<>group"
     CUT_GROUP_ONE_WAY = "cut instance>group"
+    SPLIT = "split proxy+instance off"
     CUT_PEERS = "cut proxy<>peers"
     DELAY = "delay"
     REORDER = "reorder"
@@ -115,7 +121,7 @@
     def keeps_majority(self) -> bool:
         """False when too few instances are left for any write to be acknowledged."""
         faults = {self.fault, self.second}
-        kills = Fault.KILL_INSTANCE in faults
+        kills = bool(faults & {Fault.KILL_INSTANCE, Fault.RESTART_INSTANCE})
         return not (kills and (self.step in _PROMOTION or len(faults - {None}) > 1))
 
 
@@ -157,6 +163,7 @@
     def __init__(self, cell: Cell, off: frozenset[Switch] = frozenset()) -> None:
         self.cell = cell
         self.world = World(cell.seed, off=off)
+        self.world.instances[0].lag = FAR_LAG_S
         self.history = History()
         self.verdict = Verdict(cell)
         self.struck_at = 0.0
@@ -219,7 +226,13 @@
             self._watch_step(step.value, node.name, primary.name)
 
     def _mark_leaving(self, node: InstanceNode) -> None:
+        """Let the platform list an instance as leaving, and the instance say so a second later."""
         node.leaving_at = self.world.fabric.now
+
+        def say_so() -> None:
+            node.instance.leaving = True
+
+        self.world.fabric.after(1.0, say_so)
         acting = self.world.proxies[0]
         self._watch_step(Step.LEAVING.value, acting.name, node.name)
 
@@ -266,6 +279,8 @@
                 fabric.freeze(node.name, 2.5)
             case Fault.KILL_INSTANCE:
                 world.kill_instance(target)
+            case Fault.RESTART_INSTANCE:
+                world.restart_instance(target)
             case Fault.FREEZE_INSTANCE:
                 fabric.freeze(target.name, 3.0)
             case Fault.CUT_TO_INSTANCE:
@@ -275,6 +290,8 @@
             case Fault.CUT_BOTH:
                 fabric.cut(node.name, target.name)
                 fabric.cut(target.name, node.name)
+            case Fault.HOLD:
+                fabric.holds[node.name, target.name] = fabric.now + HOLD_S
             case Fault.CUT_GROUP:
                 for other in others:
                     fabric.cut(target.name, other)
@@ -282,6 +299,8 @@
             case Fault.CUT_GROUP_ONE_WAY:
                 for other in others:
                     fabric.cut(target.name, other)
+            case Fault.SPLIT:
+                self._split({node.name, target.name})
             case Fault.CUT_PEERS:
                 for peer in [*world.proxies, fabric.nodes[PLATFORM]]:
                     fabric.cut(node.name, peer.name)
@@ -306,6 +325,15 @@
             case Fault.CLOCK_STEP:
                 node.wall -= 3600.0
 
+    def _split(self, side: set[str]) -> None:
+        """Cut a proxy and an instance, which still reach each other, off from all other nodes."""
+        world = self.world
+        rest = [n.name for n in (*world.proxies, *world.instances) if n.name not in side]
+        for near in side:
+            for far in (*rest, PLATFORM):
+                world.fabric.cut(near, far)
+                world.fabric.cut(far, near)
+
     # Checks.
 
     def _sample(self) -> None:
@@ -352,7 +380,7 @@
         alone = (PLATFORM, node.name) in cuts
         healed = self.struck_at + HEAL_AFTER_S
         return alone or (
-            Fault.CUT_PEERS in (self.cell.fault, self.cell.second)
+            bool({Fault.CUT_PEERS, Fault.SPLIT} & {self.cell.fault, self.cell.second})
             and healed <= self.world.fabric.now < healed + IN_FORCE_LIMIT_S
         )
 
@@ -375,12 +403,8 @@
         self._check_presets()
 
     def _count_written(self) -> Counter[str]:
-        primary = self.world.primary()
-        if primary is None:
-            survivors = [node for node in self.world.instances if node.alive]
-            primary = max(survivors, key=lambda node: node.instance.last)
         written: Counter[str] = Counter()
-        for entry in primary.instance.log:
+        for entry in self._final_log():
             ids = set()
             for payload in entry.payloads:
                 for query in common.Queries.FromString(payload).queries:
@@ -391,6 +415,13 @@
             written.update(ids - repeated)
         return written
 
+    def _final_log(self) -> list[Entry]:
+        """Return the primary's log, or without a majority the most advanced log that was kept."""
+        primary = self.world.primary()
+        if primary is None or not self.cell.keeps_majority:
+            primary = max(self.world.instances, key=lambda node: node.instance.last)
+        return primary.instance.log
+
     def _check_progress(self) -> None:
         """Check that writes were acknowledged again in time."""
         times = sorted(
@@ -405,8 +436,6 @@
             self.verdict.broken.append(f"no write was acknowledged for {self.verdict.gap:.1f} s")
 
     def _check_leaving(self) -> None:
-        if self.cell.fault is Fault.STALE_VM_LIST or self.cell.second is Fault.STALE_VM_LIST:
-            return
         for node in self.world.instances:
             late = [at for at in node.late_work if at - node.leaving_at > LEAVING_LIMIT_S]
             if late:
--- a/orioleplank/tests/_clients.py
+++ b/orioleplank/tests/_clients.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Generator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 
 from orioleplank.client import make_payload, make_query, read_rows
@@ -66,8 +66,7 @@
     def acknowledged_before(self, at: float) -> int:
         """Return how many writes that the counting reads count were acknowledged before `at`."""
         return sum(
-            write.counted
-            and write.acknowledged_at is not None and write.acknowledged_at < at
+            write.counted and write.acknowledged_at is not None and write.acknowledged_at < at
             for write in self.writes
         )
 
@@ -94,6 +93,8 @@
     repeatable: bool = False
     # True to send it to the same proxy as the request before.
     stay: bool = False
+    # True when it has been sent before.
+    sent_before: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,6 +202,7 @@
                 fabric.now + node.clock + TIMEOUT_S,
                 token,
                 ask.transaction,
+                ask.sent_before,
             )
             self.world.tell(node, RequestArrived(caller, request))
 
@@ -283,6 +285,7 @@
         told = yield ask
         if _note(written, told):
             return
+        ask = replace(ask, sent_before=True)
         yield THINK_S
     for _ in range(REPEATS):
         told = yield Ask(ask.id, "save", b"", write=True, operation=Operation.OUTCOME)
--- a/orioleplank/tests/_fabric.py
+++ b/orioleplank/tests/_fabric.py
@@ -39,6 +39,8 @@
         self.nodes: dict[str, Node] = {}
         # Pairs (from, to) that deliver nothing.
         self.cuts: set[tuple[str, str]] = set()
+        # Pairs (from, to) that deliver late, and from when on.
+        self.holds: dict[tuple[str, str], float] = {}
         # Seconds added to every delivery.
         self.delay = 0.0
         # True when replies may overtake each other.
@@ -74,6 +76,7 @@
         if (source, target) in self.cuts:
             return
         at = self.now + LINK_S * (1 + self.random.random()) + self.delay
+        at = max(at, self.holds.get((source, target), 0.0))
         if reply and self.reorder:
             at += REORDER_S * self.random.random()
         else:
--- a/orioleplank/tests/_world.py
+++ b/orioleplank/tests/_world.py
@@ -83,6 +83,18 @@
 ReplyListener = Callable[[Reply], None]
 
 
+@dataclass(frozen=True, slots=True)
+class Socket:
+    """A connection as its instance knows it."""
+
+    # Name of the proxy.
+    proxy: str
+    # Run of the proxy.
+    run: int
+    # The connection.
+    connection: ConnectionId
+
+
 @dataclass(slots=True)
 class ProxyNode(Node):
     """One proxy."""
@@ -113,11 +125,11 @@
     lag: float = 0.003
     # When it last heard its primary, in seconds of the fabric.
     heard: float = 0.0
-    # Open connections and their owners.
-    connections: dict[ConnectionId, str] = field(default_factory=dict)
+    # Open connections.
+    sockets: set[Socket] = field(default_factory=set)
     # True while a batch of entries is under way.
     pulling: bool = False
-    # Statements run after it was marked as leaving, with their time.
+    # When statements came after it was marked as leaving.
     late_work: list[float] = field(default_factory=list)
     # When it was marked as leaving, in seconds of the fabric; 0 before.
     leaving_at: float = 0.0
@@ -141,7 +153,7 @@
         self.verdicts: dict[str, UpdateVerdict | None] = {}
         # When the reply to each request left its proxy, in seconds of the fabric.
         self.released: dict[str, float] = {}
-        self._connection_numbers: dict[ConnectionId, int] = {}
+        self._socket_numbers: dict[Socket, int] = {}
         self._seen_vms: tuple[Vm, ...] = ()
         self.fabric.nodes[PLATFORM] = Node(PLATFORM)
         self.instances = [self._add_instance(f"db-{letter}", lag) for letter in "abc"]
@@ -237,21 +249,20 @@
 
     def _drop_connections_of(self, node: ProxyNode) -> None:
         for instance in self.instances:
-            for connection, owner in list(instance.connections.items()):
-                if owner == node.name:
-                    self._close_at_instance(node, instance, connection)
+            for socket in list(instance.sockets):
+                if socket.proxy == node.name:
+                    self._close_at_instance(node, instance, socket)
 
-    def _close_at_instance(
-        self, node: ProxyNode, target: InstanceNode, connection: ConnectionId
-    ) -> None:
+    def _close_at_instance(self, node: ProxyNode, target: InstanceNode, socket: Socket) -> None:
         def close() -> None:
-            if target.connections.pop(connection, None) is not None:
-                target.instance.close_connection(self._number(connection))
+            if socket in target.sockets:
+                target.sockets.discard(socket)
+                target.instance.close_connection(self._number(socket))
 
         self.fabric.deliver(node.name, target.name, close)
 
-    def _number(self, connection: ConnectionId) -> int:
-        return self._connection_numbers.setdefault(connection, len(self._connection_numbers) + 1)
+    def _number(self, socket: Socket) -> int:
+        return self._socket_numbers.setdefault(socket, len(self._socket_numbers) + 1)
 
     def _carry_out(self, node: ProxyNode, effect: Effect) -> None:
         match effect:
@@ -266,7 +277,8 @@
                 self._open(node, self.instance(address), connection)
             case CloseConnection(connection):
                 node.connections.discard(connection)
-                self._close_at_instance(node, self.instance(connection.instance), connection)
+                socket = Socket(node.name, node.run, connection)
+                self._close_at_instance(node, self.instance(connection.instance), socket)
             case SendStatement():
                 self._send_statement(node, effect)
             case WatchInstance(instance=name):
@@ -311,9 +323,10 @@
 
     def _open(self, node: ProxyNode, target: InstanceNode, connection: ConnectionId) -> None:
         node.connections.add(connection)
+        socket = Socket(node.name, node.run, connection)
 
         def opened() -> None:
-            target.connections[connection] = node.name
+            target.sockets.add(socket)
             self._answer(target, node, ConnectionOpened(connection))
 
         def arrive() -> None:
@@ -328,7 +341,7 @@
     def _give_up_opening(
         self, node: ProxyNode, target: InstanceNode, connection: ConnectionId
     ) -> None:
-        if connection not in target.connections:
+        if Socket(node.name, node.run, connection) not in target.sockets:
             self._close_at_proxy(node, connection)
 
     def _close_at_proxy(self, node: ProxyNode, connection: ConnectionId) -> None:
@@ -345,10 +358,11 @@
     def _send_statement(self, node: ProxyNode, effect: SendStatement) -> None:
         target = self.instance(effect.connection.instance)
         step = _step_of(effect)
+        socket = Socket(node.name, node.run, effect.connection)
 
         def execute() -> None:
-            if target.alive and effect.connection in target.connections:
-                self._execute(node, target, effect, step)
+            if target.alive and socket in target.sockets:
+                self._execute(node, target, effect, socket)
 
         def arrive() -> None:
             self.fabric.after(SERVICE_S, lambda: self.fabric.enter(target, execute))
@@ -357,23 +371,23 @@
         self.on_step(f"{step}.sent", node.name, target.name)
 
     def _execute(
-        self, node: ProxyNode, target: InstanceNode, effect: SendStatement, step: str
+        self, node: ProxyNode, target: InstanceNode, effect: SendStatement, socket: Socket
     ) -> None:
+        if target.leaving_at and effect.boundary in (Boundary.AUTO, Boundary.BEGIN):
+            target.late_work.append(self.fabric.now)
         if target.instance.leaving and effect.boundary in (Boundary.AUTO, Boundary.BEGIN):
             ended = StatementEnded(effect.connection, effect.statement, StatementStatus.LEAVING)
             self._answer(target, node, ended, True)
             return
-        if target.leaving_at and effect.boundary in (Boundary.AUTO, Boundary.BEGIN):
-            target.late_work.append(self.fabric.now)
         reply = target.instance.execute(
-            self._number(effect.connection),
+            self._number(socket),
             effect.term,
             effect.ledger_id,
             effect.payload,
             effect.write,
             effect.boundary,
         )
-        self.on_step(f"{step}.executed", node.name, target.name)
+        self.on_step(f"{_step_of(effect)}.executed", node.name, target.name)
         ended = StatementEnded(
             effect.connection,
             effect.statement,
@@ -461,6 +475,15 @@
             lost = InstanceUnreachable(SERVICE, target.name)
             self.fabric.deliver(target.name, node.name, lambda n=node: self.tell(n, lost))  # type: ignore[misc]
 
+    def restart_instance(self, target: InstanceNode) -> None:
+        """Start an instance again with an empty log."""
+        self.kill_instance(target)
+        target.run += 1
+        target.alive = True
+        target.pulling = False
+        target.sockets.clear()
+        target.instance = Instance(target.name, f"{target.name}-{target.run + 1}", voting=False)
+
     def _break(self, node: ProxyNode, connection: ConnectionId) -> None:
         if (connection.instance, node.name) not in self.fabric.cuts:
             self.fabric.after(0.002, lambda: self._close_at_proxy(node, connection))
--- a/orioleplank/wire/_caller.py
+++ b/orioleplank/wire/_caller.py
@@ -62,6 +62,7 @@
             now + timeout,
             token,
             message.transaction,
+            message.sent_before,
         )
     except ValueError as error:
         raise MalformedRequestError(str(error)) from error
--- /dev/null
+++ b/orioleplank/wire/tests/test_wire.py
@@ -0,0 +1,84 @@
+"""Tokens, requests and replies on the wire."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from orioleplank import MalformedRequestError, MalformedTokenError
+from orioleplank._protos import orioleplank_caller_pb2 as pb
+from orioleplank.decision import (
+    Current,
+    DidRun,
+    MaxAge,
+    Mechanism,
+    Person,
+    Position,
+    Program,
+    Reason,
+    Refusal,
+    SessionToken,
+)
+from orioleplank.wire import read_request, read_token, write_reply, write_token
+
+SERVICES = st.text(st.characters(codec="utf-8"), min_size=1, max_size=20)
+POSITIONS = st.builds(Position, st.integers(1, 2**60), st.integers(1, 2**60))
+
+
+class TokenTest(TestCase):
+    @given(st.dictionaries(SERVICES, POSITIONS, max_size=5))
+    def test_round_trip(self, positions: dict[str, Position]) -> None:
+        token = SessionToken()
+        for service, position in positions.items():
+            token = token.advance(service, position)
+        self.assertEqual(token, read_token(write_token(token)))
+
+    @given(st.binary(min_size=1, max_size=200))
+    def test_garbage_is_malformed(self, data: bytes) -> None:
+        self.assertRaises(MalformedTokenError, read_token, data)
+
+    @given(st.integers(0, 30), st.integers(1, 255))
+    def test_changed_byte_is_malformed(self, place: int, change: int) -> None:
+        data = bytearray(write_token(SessionToken().advance("quotes-1", Position(7, 9))))
+        data[place % len(data)] ^= change
+        self.assertRaises(MalformedTokenError, read_token, bytes(data))
+
+
+class RequestTest(TestCase):
+    def test_malformed(self) -> None:
+        cases = {
+            "no id": pb.CallerRequest(service="s"),
+            "id too long": pb.CallerRequest(id="x" * 129),
+            "step outside a transaction": pb.CallerRequest(id="a", operation=pb.OPERATION_STEP),
+            "age of nought": pb.CallerRequest(
+                id="a", new_session=True, freshness=pb.FRESHNESS_MAX_AGE
+            ),
+        }
+        for name, message in cases.items():
+            with self.subTest(name):
+                self.assertRaises(MalformedRequestError, read_request, message, 0.0, 5.0)
+
+    def test_lost_token_asks_for_current_data(self) -> None:
+        message = pb.CallerRequest(id="a", freshness=pb.FRESHNESS_MAX_AGE, max_age_ms=500)
+        self.assertEqual(Current(), read_request(message, 0.0, 5.0).freshness)
+        message.new_session = True
+        self.assertEqual(MaxAge(0.5), read_request(message, 0.0, 5.0).freshness)
+
+    def test_deadline(self) -> None:
+        message = pb.CallerRequest(id="a", timeout_ms=250)
+        self.assertEqual(10.25, read_request(message, 10.0, 5.0).deadline)
+        message.timeout_ms = 0
+        self.assertEqual(15.0, read_request(message, 10.0, 5.0).deadline)
+
+
+class RefusalTest(TestCase):
+    def test_says_who(self) -> None:
+        person = Refusal(Reason.PRESET, Person("bo", "c-1", 5.0), DidRun.NO, "admit")
+        message = write_reply("a", person, False).refusal
+        self.assertEqual(
+            ("bo", "c-1", "", "preset"),
+            (message.person, message.change_id, message.mechanism, message.reason),
+        )
+        program = Refusal(Reason.DEADLINE, Program(Mechanism.DEADLINE), DidRun.UNKNOWN, "run")
+        message = write_reply("a", program, True).refusal
+        self.assertEqual(("", "deadline"), (message.person, message.mechanism))
+        self.assertEqual(pb.DID_RUN_UNKNOWN, message.did_run)
--- a/orioleplank/workday/_day.py
+++ b/orioleplank/workday/_day.py
@@ -283,6 +283,7 @@
                 reply = await session.ask(self._caller.stream(), request)
                 break
             except StreamLostError:
+                request.sent_before = True
                 await self._think()
         self._note(request.id, kind, write, sent_at, reply, may)
         return _Asked(request, reply)
