Hand callers on when another proxy reaches the primary and this one does not

Cause: with one proxy cut from the primary, in one direction or with the primary split off beside it, the matrix showed 3.9 to 4.2 s without an acknowledged write: callers waited for their whole deadline at a proxy that could not serve them and still called itself ready. Reports that an instance pushes show one direction of a link only, so the proxy did not notice a cut towards the instance at all. Ruled out: the promotion (none is due: the group hears its primary). Change: an instance is reachable when it answered a round of the last second; a primary leads when a majority confirmed it in that second; a proxy without a led primary that hears of one elsewhere, or hears none of its peers, refuses what waits, asks callers to move and fails its readiness check.

--- a/orioleplank/daemon/_peers.py
+++ b/orioleplank/daemon/_peers.py
@@ -118,6 +118,7 @@
                 newest=heartbeat.newest,
                 stopping=heartbeat.stopping,
                 unreachable_services=heartbeat.unreachable_services,
+                headless_services=heartbeat.headless_services,
             )
         )
 
@@ -147,6 +148,7 @@
         message.newest,
         message.stopping,
         tuple(message.unreachable_services),
+        tuple(message.headless_services),
     )
 
 
--- a/orioleplank/decision/_effect.py
+++ b/orioleplank/decision/_effect.py
@@ -203,6 +203,8 @@
     stopping: bool
     # Services whose groups it cannot reach by majority.
     unreachable_services: tuple[str, ...]
+    # Services whose primary it cannot reach.
+    headless_services: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/decision/_group.py
+++ b/orioleplank/decision/_group.py
@@ -19,7 +19,7 @@
 REACHABLE_S = 1.0
 EVIDENCE_SPACING_S = 0.05
 EVIDENCE_LIMIT = 600
-OPEN_ROUNDS_LIMIT = 64
+ROUNDS_KEPT = 32
 
 
 @unique
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Round:
-    """A question to all instances, still open."""
+    """A question to all instances."""
 
     # Number, ascending.
     number: int
@@ -101,12 +101,14 @@
     unreachable: frozenset[str] = frozenset()
     # The log known to be on a majority, up to its last safe entry.
     committed: Lineage = EMPTY_LINEAGE
-    # Rounds still open, oldest first.
+    # The last rounds, oldest first.
     rounds: tuple[Round, ...] = ()
     # Completed rounds, oldest first, positions ascending.
     evidence: tuple[Evidence, ...] = ()
     # Number of the last round sent.
     last_round: int = 0
+    # When the last round that each instance answered was sent, in seconds.
+    answered_at: Mapping[str, float] = field(default_factory=dict)
     # Mechanisms in force; tests switch them off one at a time.
     mechanisms: Mechanisms = ALL_MECHANISMS
 
@@ -135,11 +137,21 @@
         return found
 
     def is_reachable(self, instance: str, now: float) -> bool:
-        """Tell whether `instance` has reported within the last second."""
-        seen = self.sightings.get(instance)
-        if seen is None or instance in self.unreachable:
+        """Tell whether `instance` has answered a round sent within the last second.
+
+        The reports that it pushes show only one direction of the link.
+        """
+        answered_at = self.answered_at.get(instance)
+        if answered_at is None or instance in self.unreachable:
+            return False
+        return now - answered_at <= REACHABLE_S
+
+    def is_led(self, now: float) -> bool:
+        """Tell whether a majority has confirmed a reachable primary within the last second."""
+        primary = self.primary()
+        if primary is None or not self.is_reachable(primary.instance, now):
             return False
-        return now - seen.at <= REACHABLE_S
+        return bool(self.evidence) and now - self.evidence[-1].sent_at <= REACHABLE_S
 
     def is_safe(self, position: Position) -> bool:
         """Tell whether the entry at `position` is on a majority, so that no promotion drops it."""
@@ -197,9 +209,9 @@
 
 
 def start_round(view: GroupView, now: float) -> GroupView:
-    """Open a round; the caller sends its number to all instances."""
+    """Begin a round; the caller sends its number to all instances."""
     number = view.last_round + 1
-    rounds = (*view.rounds, Round(number, now))[-OPEN_ROUNDS_LIMIT:]
+    rounds = (*view.rounds, Round(number, now))[-ROUNDS_KEPT:]
     return replace(view, rounds=rounds, last_round=number)
 
 
@@ -245,29 +257,31 @@
     for place, opened in enumerate(view.rounds):
         if opened.number == number:
             answered = replace(opened, answers={**opened.answers, report.instance: report})
-            return _complete_round(view, place, answered)
+            rounds = (*view.rounds[:place], answered, *view.rounds[place + 1 :])
+            at = max(opened.sent_at, view.answered_at.get(report.instance, opened.sent_at))
+            answered_at = {**view.answered_at, report.instance: at}
+            taken = replace(view, rounds=rounds, answered_at=answered_at)
+            return _take_evidence(taken, answered)
     return view
 
 
-def _complete_round(view: GroupView, place: int, answered: Round) -> GroupView:
-    primary = next((r for r in answered.answers.values() if r.role is Role.PRIMARY), None)
-    kept = (*view.rounds[:place], answered, *view.rounds[place + 1 :])
-    if primary is None:
-        return replace(view, rounds=kept)
-    confirming = [
-        report
-        for report in answered.answers.values()
-        if report.voting and report.term <= primary.term
-    ]
+def _take_evidence(view: GroupView, answered: Round) -> GroupView:
+    """Take a round as evidence once a majority confirms its primary."""
+    reports = answered.answers.values()
+    primaries = [report for report in reports if report.role is Role.PRIMARY]
+    if not primaries:
+        return view
+    primary = max(primaries, key=lambda report: report.term)
+    confirming = [report for report in reports if report.voting and report.term <= primary.term]
     if len(confirming) < view.majority:
-        return replace(view, rounds=kept)
+        return view
     found = Evidence(answered.sent_at, primary.term, primary.lineage.last)
-    return replace(
-        view, rounds=view.rounds[place + 1 :], evidence=_add_evidence(view.evidence, found)
-    )
+    return replace(view, evidence=_add_evidence(view.evidence, found))
 
 
 def _add_evidence(evidence: tuple[Evidence, ...], found: Evidence) -> tuple[Evidence, ...]:
+    if evidence and found.sent_at <= evidence[-1].sent_at:
+        return evidence
     if evidence and (found.position < evidence[-1].position or found.term < evidence[-1].term):
         return evidence
     if evidence and found.position == evidence[-1].position:
--- a/orioleplank/decision/_groups.py
+++ b/orioleplank/decision/_groups.py
@@ -124,6 +124,15 @@
             if _count_reachable(node.views[service], node.now) < node.views[service].majority
         )
 
+    def headless_services(self) -> tuple[str, ...]:
+        """Return the services without a primary that this proxy reaches and a majority confirms."""
+        node = self._node
+        return tuple(
+            service
+            for service in node.configuration.services()
+            if not node.views[service].is_led(node.now)
+        )
+
 
 def _count_reachable(view: GroupView, now: float) -> int:
     return sum(view.is_reachable(name, now) for name in view.members)
--- a/orioleplank/decision/_membership.py
+++ b/orioleplank/decision/_membership.py
@@ -47,6 +47,21 @@
         }
         return tuple(sorted(names | {self.proxy}))
 
+    def is_served_elsewhere(self, service: str, now: float) -> bool:
+        """Tell whether another proxy is likely to reach the primary of `service`.
+
+        A living peer says so itself. A proxy that hears none of the others on the platform's list
+        is likely to be the one that is cut off.
+        """
+        living = [
+            peer.heard
+            for peer in self.peers.values()
+            if now - peer.at <= ALIVE_S and not peer.heard.stopping
+        ]
+        if living:
+            return any(service not in heard.headless_services for heard in living)
+        return any(vm.entry and not vm.leaving and vm.name != self.proxy for vm in self.vms)
+
     def leaving_vms(self) -> frozenset[str]:
         """Return the names of VMs that the platform is taking away."""
         return frozenset(vm.name for vm in self.vms if vm.leaving)
--- a/orioleplank/decision/_message.py
+++ b/orioleplank/decision/_message.py
@@ -235,6 +235,8 @@
     stopping: bool = False
     # Services whose groups it cannot reach by majority.
     unreachable_services: tuple[str, ...] = ()
+    # Services whose primary it cannot reach.
+    headless_services: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/decision/_peers.py
+++ b/orioleplank/decision/_peers.py
@@ -61,13 +61,16 @@
         if change is not None and change != previous:
             node.note(Event.PRESET_IN_FORCE, "take objects", change.author, f"change {change.id}")
 
-    def pass_time(self, stopping: bool, unreachable: tuple[str, ...]) -> bool:
+    def pass_time(
+        self, stopping: bool, unreachable: tuple[str, ...], headless: tuple[str, ...]
+    ) -> bool:
         """Send a heartbeat when one is due; tell whether other proxies are alive than before."""
         node = self._node
         if node.now - self._sent_at >= HEARTBEAT_PERIOD_S:
             self._sent_at = node.now
             known = node.configuration
-            node.emit(Heartbeat(known.revision, known.newest, stopping, unreachable))
+            beat = Heartbeat(known.revision, known.newest, stopping, unreachable, headless)
+            node.emit(beat)
         alive = node.membership.alive(node.now)
         changed = alive != self._alive
         self._alive = alive
--- a/orioleplank/decision/_proxy.py
+++ b/orioleplank/decision/_proxy.py
@@ -103,7 +103,9 @@
     @property
     def is_ready(self) -> bool:
         """True when the balancer should send new callers."""
-        return self._stop.is_ready and self._node.configuration.revision > 0
+        if not self._stop.is_ready or self._node.configuration.revision == 0:
+            return False
+        return not self._requests.handed_on
 
     def status(self) -> ProxyStatus:
         """Return what the proxy knows, for people."""
@@ -195,8 +197,11 @@
 
     def _pass_time(self) -> None:
         node = self._node
-        if self._peers.pass_time(not self._stop.is_ready, self._groups.unreachable_services()):
+        headless = self._groups.headless_services()
+        unreachable = self._groups.unreachable_services()
+        if self._peers.pass_time(not self._stop.is_ready, unreachable, headless):
             self._groups.take_membership()
+        self._requests.hand_on(headless)
         self._groups.pass_time()
         self._keepers.pass_time()
         self._requests.pass_time()
--- a/orioleplank/decision/_requests.py
+++ b/orioleplank/decision/_requests.py
@@ -33,7 +33,14 @@
 from orioleplank.decision._refusal import DidRun, Mechanism, Program, Reason, Refusal
 from orioleplank.decision._request import TRANSACTIONAL, Operation, Outcome, Request
 from orioleplank.decision._retry import RetryBudget
-from orioleplank.decision._routing import NotYet, PositionLost, ToPrimary, ToReplica, choose_target
+from orioleplank.decision._routing import (
+    NotYet,
+    PositionLost,
+    ToPrimary,
+    ToReplica,
+    choose_target,
+    may_use_replica,
+)
 from orioleplank.decision._transaction import (
     Fate,
     Transaction,
@@ -53,9 +60,11 @@
 
 SCAN_LIMIT = 64
 ROOMLESS_LIMIT = 8
+HAND_ON_AFTER_S = 0.3
 RESOLVE_MARGIN_S = 0.5
 RESOLVE_RETRY_S = 0.05
 LEDGER_WAIT_S = 0.5
+RETRY_AFTER_S = 0.1
 BACKOFF_S = 0.002
 BACKOFF_LIMIT_S = 0.1
 TRANSACTION_IDLE_S = 30.0
@@ -89,6 +98,8 @@
         self._deadlines: list[tuple[float, int]] = []
         self._budgets: dict[str, RetryBudget] = {}
         self._service_times: dict[str, float] = {}
+        self._headless_since: dict[str, float] = {}
+        self._handed_on: set[str] = set()
         self.move = False
 
     @property
@@ -697,6 +708,44 @@
             case Resolving():
                 return Reason.DEADLINE, "resolve outcome"
 
+    @property
+    def handed_on(self) -> bool:
+        """True while callers of some service are better served by another proxy."""
+        return bool(self._handed_on)
+
+    def hand_on(self, headless: tuple[str, ...]) -> None:
+        """Refuse what waits for a primary that only other proxies reach, so that callers move."""
+        node = self._node
+        self._headless_since = {
+            service: self._headless_since.get(service, node.now)
+            for service in headless
+            if node.membership.is_served_elsewhere(service, node.now)
+        }
+        self._handed_on = {
+            service
+            for service, since in self._headless_since.items()
+            if node.now - since >= HAND_ON_AFTER_S
+        }
+        for exchange in list(self._exchanges.values()):
+            if exchange.request.service in self._handed_on:
+                self._hand_on_exchange(exchange)
+
+    def _hand_on_exchange(self, exchange: Exchange) -> None:
+        match exchange.stage:
+            case Running():
+                return
+            case Queued() if may_use_replica(exchange.request) and not exchange.primary_only:
+                return
+            case Holding():
+                exchange = replace(exchange, ambiguous=True)
+        self._refuse(
+            exchange,
+            Reason.NO_PRIMARY,
+            Mechanism.ROUTING,
+            "wait for a primary",
+            "another proxy reaches the primary and this one does not",
+        )
+
     # The end.
 
     def leave(self, caller: int) -> None:
@@ -718,7 +767,8 @@
         peer: str = "",
     ) -> None:
         did_run = DidRun.UNKNOWN if exchange.ambiguous else DidRun.NO
-        retry_after = 1.0 if reason in (Reason.NO_PRIMARY, Reason.DEADLINE) else 0.0
+        waits = reason in (Reason.NO_PRIMARY, Reason.DEADLINE)
+        retry_after = RETRY_AFTER_S if waits else 0.0
         refusal = Refusal(reason, Program(mechanism), did_run, step, peer, retry_after, detail)
         self._finish(exchange, refusal)
 
@@ -726,8 +776,9 @@
         self._remove(exchange)
         node = self._node
         elapsed = node.now - exchange.arrived
+        move = self.move or exchange.request.service in self._handed_on
         node.emit(
-            Reply(exchange.caller, exchange.request, outcome, self.move, elapsed, exchange.attempts)
+            Reply(exchange.caller, exchange.request, outcome, move, elapsed, exchange.attempts)
         )
 
     def _remove(self, exchange: Exchange) -> None:
--- a/orioleplank/tests/_scene.py
+++ b/orioleplank/tests/_scene.py
@@ -77,6 +77,19 @@
     CLOCK_STEP = "clock step"
 
 
+# Faults of a node, which strike once it has done what it is doing; others strike links at once.
+NODE_FAULTS = frozenset(
+    {
+        Fault.KILL_PROXY,
+        Fault.RESTART_PROXY,
+        Fault.FREEZE_PROXY,
+        Fault.KILL_INSTANCE,
+        Fault.RESTART_INSTANCE,
+        Fault.FREEZE_INSTANCE,
+    }
+)
+
+
 class Scene:
     """A world with callers at work."""
 
