--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: run test lint setup
+.PHONY: run test matrix lint setup
 
 setup: $(VENV)/.ready
 
@@ -18,6 +18,10 @@
 test: setup
 	$(BIN)/python -m pytest
 
+# BREAK=mechanism switches one mechanism off, to show which cells turn red.
+matrix: setup
+	@$(BIN)/python -m orioleplank.tests.matrix $(if $(BREAK),--break $(BREAK))
+
 lint: setup
 	$(BIN)/black --check --quiet .
 	$(BIN)/ruff check --quiet .
--- /dev/null
+++ b/orioleplank/tests/test_matrix.py
@@ -0,0 +1,74 @@
+"""A part of the fault matrix for every run of the tests; `make matrix` plays all of it."""
+
+from hypothesis import HealthCheck, seed, settings
+from hypothesis.stateful import run_state_machine_as_test
+from testtools import TestCase
+
+from orioleplank.decision import Switch
+from orioleplank.tests._cells import Cell, Step, list_cells, play_cell
+from orioleplank.tests._scene import Fault
+from orioleplank.tests._storm import Storm
+
+EVERY = 9
+STORM_EXAMPLES = 40
+STORM_SEED = 7
+
+# Cells that showed a fault of the product once, with what they showed.
+REGRESSIONS = {
+    "a repeat was told 'not run' although its first copy ran": (
+        Step.PROMOTION_SEALING,
+        Fault.KILL_INSTANCE,
+    ),
+    "the primary that its group does not hear was promoted again and again": (
+        Step.WRITE_EXECUTED,
+        Fault.CUT_GROUP,
+    ),
+    "callers waited at a proxy that could not reach the primary": (
+        Step.WRITE_SENT,
+        Fault.CUT_TO_INSTANCE,
+    ),
+    "a configuration accepted before the store went down stood on one proxy only": (
+        Step.CONFIGURATION_EFFECT,
+        Fault.STORE_DOWN,
+    ),
+}
+
+# For each mechanism a cell that turns red when it is switched off.
+BITES = {
+    Switch.TOMBSTONE: (Step.COMMIT_SENT, Fault.HOLD),
+    Switch.LEDGER: (Step.WRITE_SENT, Fault.KILL_PROXY),
+}
+
+
+class MatrixTest(TestCase):
+    def test_cells(self) -> None:
+        for cell in list_cells()[::EVERY]:
+            with self.subTest(cell.name):
+                verdict = play_cell(cell)
+                self.assertEqual([], verdict.broken)
+                self.assertTrue(verdict.struck)
+
+    def test_faults_found_before_stay_mended(self) -> None:
+        for name, (step, fault) in REGRESSIONS.items():
+            with self.subTest(name):
+                self.assertEqual([], play_cell(Cell(step, fault)).broken)
+
+    def test_checks_bite(self) -> None:
+        for switch, (step, fault) in BITES.items():
+            with self.subTest(switch.value):
+                verdict = play_cell(Cell(step, fault), frozenset({switch}))
+                self.assertNotEqual([], verdict.broken)
+
+    def test_a_run_is_the_same_every_time(self) -> None:
+        cell = Cell(Step.COMMIT_EXECUTED, Fault.KILL_INSTANCE)
+        self.assertEqual(play_cell(cell).gap, play_cell(cell).gap)
+
+    def test_storm(self) -> None:
+        profile = settings(
+            max_examples=STORM_EXAMPLES,
+            stateful_step_count=6,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        )
+        run_state_machine_as_test(seed(STORM_SEED)(Storm), settings=profile)
