--- a/orioleplank/daemon/_decisions.py
+++ b/orioleplank/daemon/_decisions.py
@@ -9,10 +9,12 @@
 from orioleplank.decision import (
     AskLedger,
     AskRound,
+    AskSlots,
     AskToMove,
     CloseConnection,
     Effect,
     ForgetInstance,
+    GiveSlots,
     Heartbeat,
     Message,
     Note,
@@ -88,7 +90,7 @@
                 self.kernel.find(names.UPSTREAMS).tell(effect)
             case UpdateObject():
                 self.kernel.find(names.PLATFORM).tell(effect)
-            case Heartbeat() | SendObjects():
+            case Heartbeat() | SendObjects() | AskSlots() | GiveSlots():
                 self.kernel.find(names.PEERS).tell(effect)
             case Note():
                 self.kernel.find(names.EVENTS).tell(effect)
--- a/orioleplank/daemon/_peers.py
+++ b/orioleplank/daemon/_peers.py
@@ -12,13 +12,19 @@
 from orioleplank._protos import orioleplank_peer_pb2_grpc as rpc
 from orioleplank.daemon import _names as names
 from orioleplank.decision import (
+    AskSlots,
+    Echo,
+    GiveSlots,
     Heartbeat,
+    Holding,
     Identity,
     Kind,
     ObjectKey,
     ObjectsReceived,
     PeerHeard,
     SendObjects,
+    SlotsGiven,
+    SlotsWanted,
     StoredObject,
     VmsListed,
 )
@@ -95,6 +101,9 @@
             case SendObjects(proxy=proxy):
                 if proxy in self._links:
                     self._links[proxy].send(_write_objects(message))
+            case AskSlots(proxy=proxy) | GiveSlots(proxy=proxy):
+                if proxy in self._links:
+                    self._links[proxy].send(_write_slots(self._identity.name, message))
             case VmsListed(vms):
                 entries = {vm.name: vm.address for vm in vms if vm.entry}
                 self._dial(entries)
@@ -119,6 +128,15 @@
                 stopping=heartbeat.stopping,
                 unreachable_services=heartbeat.unreachable_services,
                 headless_services=heartbeat.headless_services,
+                number=heartbeat.number,
+                echoes=[
+                    pb.PeerEcho(incarnation=echo.incarnation, number=echo.number)
+                    for echo in heartbeat.echoes
+                ],
+                holdings=[
+                    pb.PeerHolding(service=item.service, epoch=item.epoch, slots=item.slots)
+                    for item in heartbeat.holdings
+                ],
             )
         )
 
@@ -138,6 +156,20 @@
                 decisions.tell(_read_heartbeat(message.heartbeat))
             case "objects":
                 decisions.tell(_read_objects(message.objects))
+            case "wanted":
+                wanted = message.wanted
+                decisions.tell(
+                    SlotsWanted(
+                        wanted.proxy,
+                        wanted.service,
+                        wanted.instance,
+                        wanted.epoch,
+                        wanted.count,
+                    )
+                )
+            case "given":
+                given = message.given
+                decisions.tell(SlotsGiven(given.service, given.instance, given.epoch, given.count))
 
 
 def _read_heartbeat(message: pb.PeerHeartbeat) -> PeerHeard:
@@ -149,9 +181,24 @@
         message.stopping,
         tuple(message.unreachable_services),
         tuple(message.headless_services),
+        message.number,
+        tuple(Echo(echo.incarnation, echo.number) for echo in message.echoes),
+        tuple(Holding(item.service, item.epoch, item.slots) for item in message.holdings),
     )
 
 
+def _write_slots(proxy: str, effect: AskSlots | GiveSlots) -> pb.PeerMessage:
+    match effect:
+        case AskSlots(service=service, instance=instance, epoch=epoch, count=count):
+            wanted = pb.PeerSlotsWanted(
+                proxy=proxy, service=service, instance=instance, epoch=epoch, count=count
+            )
+            return pb.PeerMessage(wanted=wanted)
+        case GiveSlots(service=service, instance=instance, epoch=epoch, count=count):
+            given = pb.PeerSlotsGiven(service=service, instance=instance, epoch=epoch, count=count)
+            return pb.PeerMessage(given=given)
+
+
 def _write_objects(effect: SendObjects) -> pb.PeerMessage:
     return pb.PeerMessage(
         objects=pb.PeerObjects(
--- a/orioleplank/daemon/_upstreams.py
+++ b/orioleplank/daemon/_upstreams.py
@@ -33,6 +33,9 @@
     ("grpc.min_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 500),
     ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.keepalive_time_ms", 1000),
+    ("grpc.keepalive_timeout_ms", 2000),
+    ("grpc.http2.max_pings_without_data", 0),
 )
 
 
--- /dev/null
+++ b/orioleplank/decision/_allotments.py
@@ -0,0 +1,256 @@
+"""Keeps this proxy's slots of all services: takes epochs, asks peers for slots, hands them on."""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from dataclasses import replace
+
+from orioleplank.decision._configuration import AllotmentSpec, Participant
+from orioleplank.decision._effect import AskSlots, CloseConnection, GiveSlots
+from orioleplank.decision._mechanism import Switch
+from orioleplank.decision._membership import ALIVE_S
+from orioleplank.decision._message import ConnectionId, Holding, SlotsGiven, SlotsWanted
+from orioleplank.decision._node import InstanceKey, Node
+from orioleplank.decision._slots import (
+    Contact,
+    SlotState,
+    await_others,
+    divide_limits,
+    enter_epoch,
+    give_slots,
+    has_given_up,
+    may_use,
+    take_slots,
+)
+
+ASK_SPACING_S = 0.01
+OWED_LIMIT = 16
+LEAK_AFTER_S = 3.0
+
+
+class Allotments:
+    """The slots of all configured services on this proxy."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._own = Participant(node.identity.name, node.identity.incarnation)
+        self._states: dict[str, SlotState] = {}
+        self._given_up: defaultdict[str, int] = defaultdict(int)
+        self._asked_at: defaultdict[InstanceKey, float] = defaultdict(lambda: -1.0)
+        self._turn: defaultdict[InstanceKey, int] = defaultdict(int)
+        self._owed: defaultdict[InstanceKey, deque[str]] = defaultdict(deque)
+        self._whole_at: dict[str, float] = {}
+
+    def _state(self, service: str) -> SlotState:
+        return self._states.get(service) or SlotState(self._own)
+
+    def take_configuration(self) -> None:
+        """Enter the epochs that came with the configuration."""
+        for service in self._node.configuration.services():
+            epoch, spec = self._node.configuration.allotment(service)
+            self._states[service] = enter_epoch(self._state(service), epoch, spec)
+            self._apply(service)
+
+    def pass_time(self) -> None:
+        """Take what others have given up, and fence off slots that may not be used."""
+        node = self._node
+        for service in node.configuration.services():
+            contacts = self._contacts(service)
+            state = await_others(self._state(service), contacts, self._gone(service), node.now)
+            self._states[service] = state
+            self._apply(service)
+            self._note_given_up(service, state)
+
+    def _contacts(self, service: str) -> tuple[Contact, ...]:
+        contacts = []
+        for peer in self._node.membership.peers.values():
+            epochs = [item.epoch for item in peer.heard.holdings if item.service == service]
+            epoch = epochs[0] if epochs else 0
+            contacts.append(Contact(peer.heard.incarnation, epoch, peer.answered_at))
+        return tuple(contacts)
+
+    def _gone(self, service: str) -> frozenset[Participant]:
+        """Return who is known to have ended."""
+        state = self._state(service)
+        return frozenset(item for item in state.awaited | state.before if self._is_gone(item))
+
+    def _is_gone(self, participant: Participant) -> bool:
+        """Tell whether another run of the proxy is heard, or its VM is off the platform's list."""
+        membership = self._node.membership
+        peer = membership.peers.get(participant.proxy)
+        if peer is not None and peer.heard.incarnation != participant.incarnation:
+            return True
+        if participant.proxy == self._own.proxy:
+            return participant != self._own
+        listed = {vm.name for vm in membership.vms if vm.entry}
+        heard = peer is not None and self._node.now - peer.at <= ALIVE_S
+        return self._own.proxy in listed and participant.proxy not in listed and not heard
+
+    def _apply(self, service: str) -> None:
+        """Set the shares of the pools, and close connections above them."""
+        node, state = self._node, self._state(service)
+        usable = may_use(state, self._contacts(service), node.now)
+        if not node.mechanisms.on(Switch.SLOTS):
+            usable = True
+        for instance, pool in node.pools[service].items():
+            slots = state.count(instance) if usable else 0
+            connections = state.connections.get(instance, 0)
+            if not node.mechanisms.on(Switch.SLOTS):
+                slots, connections = self._limits(service, instance)
+            changed = replace(pool, slot_share=slots, connection_share=connections)
+            answered_at = node.views[service].answered_at.get(instance, 0.0)
+            changed = changed.settle(answered_at, node.now)
+            for number in changed.surplus():
+                changed = changed.drop(number, node.now)
+                node.emit(CloseConnection(ConnectionId(service, instance, number)))
+            node.pools[service][instance] = changed
+
+    def _limits(self, service: str, instance: str) -> tuple[int, int]:
+        spec = self._node.spec(service).instance(instance)
+        return (spec.slots, spec.connections) if spec else (0, 0)
+
+    def _note_given_up(self, service: str, state: SlotState) -> None:
+        pools = self._node.pools[service]
+        running = {name: pool.in_use for name, pool in pools.items()}
+        connections = {name: pool.size for name, pool in pools.items()}
+        if has_given_up(state, running, connections):
+            self._given_up[service] = state.epoch
+
+    def holdings(self) -> tuple[Holding, ...]:
+        """Return what this proxy tells its peers of its slots."""
+        return tuple(
+            Holding(service, self._given_up[service], self._state(service).total)
+            for service in self._node.configuration.services()
+        )
+
+    def starving_services(self) -> tuple[str, ...]:
+        """Return the services of which this proxy may use no slot at all."""
+        return tuple(
+            service
+            for service in self._node.configuration.services()
+            if not any(pool.slot_share for pool in self._node.pools[service].values())
+        )
+
+    # Between proxies.
+
+    def ask_for_wanted(self) -> None:
+        """Ask a peer for a slot of each instance that statements wait for."""
+        for key in sorted(self._node.starved):
+            if self._node.now - self._asked_at[key] >= ASK_SPACING_S:
+                self._ask(key)
+        self._node.starved.clear()
+
+    def _ask(self, key: InstanceKey) -> None:
+        node, state = self._node, self._state(key.service)
+        peers = [
+            heard.proxy
+            for heard in node.membership.running(node.now)
+            if Participant(heard.proxy, heard.incarnation) in state.participants
+        ]
+        room = self._most(key) - state.count(key.instance)
+        if not peers or room <= 0 or self._own not in state.participants:
+            return
+        self._asked_at[key] = node.now
+        self._turn[key] += 1
+        peer = peers[self._turn[key] % len(peers)]
+        node.emit(AskSlots(peer, key.service, key.instance, state.epoch, room))
+
+    def _most(self, key: InstanceKey) -> int:
+        """Return how many slots one proxy may gather, so that its loss leaves the others some."""
+        limit, _ = self._limits(key.service, key.instance)
+        alone = len(self._state(key.service).participants) <= 1
+        return limit if alone else (limit + 1) // 2
+
+    def take_wanted(self, message: SlotsWanted) -> None:
+        """Give a peer half of what is free, or what becomes free above a fair share."""
+        state = self._state(message.service)
+        key = InstanceKey(message.service, message.instance)
+        names = {item.proxy for item in state.participants}
+        if message.epoch != state.epoch or message.proxy not in names:
+            return
+        free = self._free(key)
+        if free > 0 and key not in self._node.starved:
+            self._give(key, message.proxy, min(message.count, (free + 1) // 2))
+        elif message.proxy not in self._owed[key] and len(self._owed[key]) < OWED_LIMIT:
+            self._owed[key].append(message.proxy)
+
+    def _free(self, key: InstanceKey) -> int:
+        pool = self._node.pools[key.service].get(key.instance)
+        return self._state(key.service).count(key.instance) - pool.in_use if pool else 0
+
+    def _give(self, key: InstanceKey, proxy: str, count: int) -> None:
+        state = self._state(key.service)
+        self._states[key.service] = give_slots(state, key.instance, count)
+        self._apply(key.service)
+        self._node.emit(GiveSlots(proxy, key.service, key.instance, state.epoch, count))
+
+    def pay_owed(self, service: str) -> None:
+        """Hand slots that became free to peers that have waited, down to a fair share."""
+        for key, owed in self._owed.items():
+            if key.service != service:
+                continue
+            while owed and self._free(key) > 0 and self._is_above_fair_share(key):
+                self._give(key, owed.popleft(), 1)
+
+    def _is_above_fair_share(self, key: InstanceKey) -> bool:
+        state = self._state(key.service)
+        limit, _ = self._limits(key.service, key.instance)
+        return state.count(key.instance) > limit // max(1, len(state.participants))
+
+    def take_given(self, message: SlotsGiven) -> None:
+        """Take slots that a peer handed over."""
+        state = self._state(message.service)
+        self._states[message.service] = take_slots(
+            state, message.instance, message.count, message.epoch
+        )
+        if message.service in self._node.pools:
+            self._apply(message.service)
+
+    # The allotment object.
+
+    def propose(self, service: str) -> AllotmentSpec | None:
+        """Return the allotment that should follow the one in force, None when none is due.
+
+        Only a proxy that has settled in the epoch in force may propose the next one, so that
+        nobody is left over from an earlier epoch.
+        """
+        node, state = self._node, self._state(service)
+        epoch, spec = node.configuration.allotment(service)
+        if epoch and (state.epoch != epoch or not state.settled or not self._has_say(service)):
+            return None
+        wanted = self._wanted_participants()
+        changed = frozenset(wanted) != spec.participants
+        if not changed and not self._has_leaked(service) and self._covers(service, spec):
+            return None
+        return divide_limits(node.spec(service).instances, wanted, spec.participants)
+
+    def _has_say(self, service: str) -> bool:
+        state = self._state(service)
+        takes_part = self._own in state.participants
+        return not takes_part or may_use(state, self._contacts(service), self._node.now)
+
+    def _covers(self, service: str, spec: AllotmentSpec) -> bool:
+        names = {instance.name for instance in self._node.spec(service).instances}
+        return {share.instance for share in spec.shares} == names
+
+    def _wanted_participants(self) -> tuple[Participant, ...]:
+        node = self._node
+        peers = [
+            Participant(heard.proxy, heard.incarnation)
+            for heard in node.membership.running(node.now)
+        ]
+        return tuple(sorted([self._own, *peers]))
+
+    def _has_leaked(self, service: str) -> bool:
+        """Tell whether slots have been missing from the sum over all proxies for long."""
+        node, state = self._node, self._state(service)
+        totals = {self._own: state.total}
+        for heard in node.membership.running(node.now):
+            for item in heard.holdings:
+                if item.service == service and item.epoch == state.epoch:
+                    totals[Participant(heard.proxy, heard.incarnation)] = item.slots
+        limit = sum(instance.slots for instance in node.spec(service).instances)
+        missing = totals.keys() >= state.participants and sum(totals.values()) < limit
+        if not missing:
+            self._whole_at[service] = node.now
+        return node.now - self._whole_at.setdefault(service, node.now) >= LEAK_AFTER_S
--- a/orioleplank/decision/_configuration.py
+++ b/orioleplank/decision/_configuration.py
@@ -21,6 +21,7 @@
     IN_FORCE = "in-force"
     KEEPERSHIP = "keepership"
     PRIMARY = "primary"
+    ALLOTMENT = "allotment"
 
 
 IN_FORCE_NAME = "preset"
@@ -166,7 +167,54 @@
     term: int
 
 
-Spec = ServiceSpec | PresetSpec | InForceSpec | KeepershipSpec | PrimarySpec
+@dataclass(frozen=True, slots=True, order=True)
+class Participant:
+    """One run of one proxy that has a share."""
+
+    # Name of the proxy.
+    proxy: str
+    # The run of it.
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class SlotShare:
+    """What one participant may use of one instance when the allotment comes into force."""
+
+    # Who has it.
+    participant: Participant
+    # Name of the instance.
+    instance: str
+    # Statements it may run at once.
+    slots: int
+    # Connections it may hold.
+    connections: int
+
+    def __post_init__(self) -> None:
+        if self.slots < 0 or self.connections < 0:
+            raise ValueError("a share is not negative")
+
+
+@dataclass(frozen=True, slots=True)
+class AllotmentSpec:
+    """Who may use how much of each instance of a service."""
+
+    # Shares; those of one instance add up to its limits at the most.
+    shares: tuple[SlotShare, ...] = ()
+    # Who took part in the allotment before.
+    before: tuple[Participant, ...] = ()
+
+    @property
+    def participants(self) -> frozenset[Participant]:
+        """Who has a share."""
+        return frozenset(share.participant for share in self.shares)
+
+    def of(self, incarnation: str) -> tuple[SlotShare, ...]:
+        """Return the shares of one run."""
+        return tuple(share for share in self.shares if share.participant.incarnation == incarnation)
+
+
+Spec = ServiceSpec | PresetSpec | InForceSpec | KeepershipSpec | PrimarySpec | AllotmentSpec
 
 _SPECS: Mapping[Kind, TypeAdapter[Spec]] = MappingProxyType(
     {
@@ -175,6 +223,7 @@
         Kind.IN_FORCE: TypeAdapter(InForceSpec),
         Kind.KEEPERSHIP: TypeAdapter(KeepershipSpec),
         Kind.PRIMARY: TypeAdapter(PrimarySpec),
+        Kind.ALLOTMENT: TypeAdapter(AllotmentSpec),
     }
 )
 
@@ -278,6 +327,13 @@
         spec = self.spec(ObjectKey(Kind.KEEPERSHIP, service))
         return spec if isinstance(spec, KeepershipSpec) else KeepershipSpec()
 
+    def allotment(self, service: str) -> tuple[int, AllotmentSpec]:
+        """Return the epoch and shares of `service`; epoch 0 when there are none."""
+        accepted = self.objects.get(ObjectKey(Kind.ALLOTMENT, service))
+        if accepted is None or not isinstance(accepted.spec, AllotmentSpec):
+            return 0, AllotmentSpec()
+        return accepted.stored.version, accepted.spec
+
     def in_force(self) -> tuple[PresetSpec, Change | None]:
         """Return the preset in force and the change that put it there."""
         accepted = self.objects.get(ObjectKey(Kind.IN_FORCE, IN_FORCE_NAME))
--- a/orioleplank/decision/_effect.py
+++ b/orioleplank/decision/_effect.py
@@ -6,7 +6,7 @@
 from enum import Enum, unique
 
 from orioleplank.decision._configuration import Change, ObjectKey, Spec, StoredObject
-from orioleplank.decision._message import ConnectionId
+from orioleplank.decision._message import ConnectionId, Echo, Holding
 from orioleplank.decision._request import Outcome, Request
 
 
@@ -205,6 +205,44 @@
     unreachable_services: tuple[str, ...]
     # Services whose primary it cannot reach.
     headless_services: tuple[str, ...]
+    # Number of the heartbeat, ascending in a run.
+    number: int
+    # What it has had from others.
+    echoes: tuple[Echo, ...]
+    # What it holds.
+    holdings: tuple[Holding, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AskSlots:
+    """Asks another proxy for slots."""
+
+    # Name of the other proxy.
+    proxy: str
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+    # Epoch of the allotment.
+    epoch: int
+    # How many may be taken.
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class GiveSlots:
+    """Hands slots to another proxy."""
+
+    # Name of the other proxy.
+    proxy: str
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+    # Epoch of the allotment.
+    epoch: int
+    # How many.
+    count: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,6 +279,7 @@
     PRIMARY_PROMOTED = 304
     PRIMARY_CHANGED = 305
     KEEPERSHIP_TAKEN = 306
+    SLOTS_ALLOTTED = 308
     INSTANCE_UNREACHABLE = 307
     CONNECTION_LOST = 400
     LATE_REPLY_DROPPED = 401
@@ -284,6 +323,8 @@
     | UpdateObject
     | Heartbeat
     | SendObjects
+    | AskSlots
+    | GiveSlots
     | Stopped
     | Note
 )
--- a/orioleplank/decision/_groups.py
+++ b/orioleplank/decision/_groups.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from orioleplank.decision._configuration import ServiceSpec
 from orioleplank.decision._effect import AskRound, Event, ForgetInstance, WatchInstance
 from orioleplank.decision._group import (
@@ -14,7 +12,8 @@
     start_round,
 )
 from orioleplank.decision._message import InstanceReported, InstanceUnreachable
-from orioleplank.decision._node import Node, create_pool, share_of
+from orioleplank.decision._node import Node
+from orioleplank.decision._pool import Pool
 
 ROUND_PERIOD_S = 0.1
 ROUND_SPACING_S = 0.003
@@ -50,23 +49,8 @@
         view = node.views.get(service) or GroupView(members, mechanisms=node.mechanisms)
         node.views[service] = change_members(view, members)
         pools = node.pools.setdefault(service, {})
-        proxies = len(node.membership.alive(node.now))
         for instance in spec.instances:
-            if instance.name not in pools:
-                pools[instance.name] = create_pool(instance, proxies)
-
-    def take_membership(self) -> None:
-        """Share the limits of instances among the proxies that are alive now."""
-        node = self._node
-        proxies = len(node.membership.alive(node.now))
-        for service in node.configuration.services():
-            for instance in node.spec(service).instances:
-                pool = node.pools[service][instance.name]
-                node.pools[service][instance.name] = replace(
-                    pool,
-                    connection_share=share_of(instance.connections, proxies),
-                    slot_share=share_of(instance.slots, proxies),
-                )
+            pools.setdefault(instance.name, Pool(0, 0))
 
     def take_report(self, message: InstanceReported) -> bool:
         """Take in a report; tell whether it names another primary than before."""
@@ -77,6 +61,11 @@
         before = view.primary()
         seen = observe_report(view, message.report, message.round, node.now)
         node.views[message.service] = seen
+        pools = node.pools[message.service]
+        answered_at = seen.answered_at.get(message.report.instance, 0.0)
+        if message.report.instance in pools:
+            pool = pools[message.report.instance]
+            pools[message.report.instance] = pool.settle(answered_at, node.now)
         after = seen.primary()
         if after is None or (before is not None and before.term == after.term):
             return False
--- a/orioleplank/decision/_keepers.py
+++ b/orioleplank/decision/_keepers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from orioleplank.decision._allotments import Allotments
 from orioleplank.decision._configuration import Change, Kind, ObjectKey, PrimarySpec, Spec
 from orioleplank.decision._effect import Event, UpdateObject
 from orioleplank.decision._keeper import Keeper, KeeperSurroundings, decide_keeper
@@ -16,8 +17,9 @@
 class Keepers:
     """The keepers of all configured services on this proxy."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, allotments: Allotments) -> None:
         self._node = node
+        self._allotments = allotments
         self._keepers: dict[str, Keeper] = {}
         self._changes = 0
         self._pending: dict[ObjectKey, Change] = {}
@@ -28,6 +30,7 @@
         for service in self._node.configuration.services():
             self._decide(service, Tick())
             self._keep_range(service)
+            self._keep_allotment(service)
 
     def take(self, message: SealAnswered | PromoteAnswered) -> None:
         """Take an instance's answer to a seal or promotion."""
@@ -73,6 +76,16 @@
         if proposed is not None and self._update(ObjectKey(Kind.KEEPERSHIP, service), proposed):
             node.note(Event.KEEPERSHIP_TAKEN, "reserve terms", service)
 
+    def _keep_allotment(self, service: str) -> None:
+        """Issue the slots again when proxies have come or gone, or slots were lost."""
+        node = self._node
+        keepership = node.configuration.keepership(service)
+        if not is_acting(node.membership, service, keepership, node.now):
+            return
+        proposed = self._allotments.propose(service)
+        if proposed is not None and self._update(ObjectKey(Kind.ALLOTMENT, service), proposed):
+            node.note(Event.SLOTS_ALLOTTED, "issue slots", service)
+
     def _publish(self, message: PromoteAnswered) -> None:
         spec = PrimarySpec(message.report.instance, message.term)
         self._update(ObjectKey(Kind.PRIMARY, message.service), spec)
@@ -81,7 +94,7 @@
         node = self._node
         sent_at = self._sent_at.get(key, -UPDATE_LIMIT_S)
         limit = UPDATE_LIMIT_S if key in self._pending else UPDATE_RETRY_S
-        if key.kind is Kind.KEEPERSHIP and node.now - sent_at < limit:
+        if key.kind is not Kind.PRIMARY and node.now - sent_at < limit:
             return False
         self._changes += 1
         change = Change(
--- a/orioleplank/decision/_mechanism.py
+++ b/orioleplank/decision/_mechanism.py
@@ -40,6 +40,8 @@
     RETRY_BUDGET = "retry-budget"
     # Leaving instances get no new work.
     LEAVING = "leaving"
+    # Slots and connections are shared so that the sum keeps to an instance's limits.
+    SLOTS = "slots"
     # A stopping proxy finishes what runs.
     GRACE = "grace"
 
--- a/orioleplank/decision/_membership.py
+++ b/orioleplank/decision/_membership.py
@@ -23,6 +23,8 @@
     heard: PeerHeard
     # When it came, in seconds of the proxy's clock.
     at: float
+    # When the last heartbeat that it answers was sent, in seconds; below 0 for none.
+    answered_at: float = -1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +49,12 @@
         }
         return tuple(sorted(names | {self.proxy}))
 
+    def running(self, now: float) -> tuple[PeerHeard, ...]:
+        """Return the last heartbeats of peers that run, also of those that are stopping."""
+        return tuple(
+            peer.heard for _, peer in sorted(self.peers.items()) if now - peer.at <= ALIVE_S
+        )
+
     def is_served_elsewhere(self, service: str, now: float) -> bool:
         """Tell whether another proxy is likely to reach the primary of `service`.
 
@@ -67,11 +75,17 @@
         return frozenset(vm.name for vm in self.vms if vm.leaving)
 
 
-def hear_peer(membership: Membership, heard: PeerHeard, now: float) -> Membership:
-    """Take in a heartbeat."""
+def hear_peer(
+    membership: Membership, heard: PeerHeard, now: float, answered_at: float = -1.0
+) -> Membership:
+    """Take in a heartbeat that answers one sent at `answered_at`, below 0 for none."""
     if heard.proxy == membership.proxy:
         return membership
-    return replace(membership, peers={**membership.peers, heard.proxy: Peer(heard, now)})
+    previous = membership.peers.get(heard.proxy)
+    if previous is not None and previous.heard.incarnation == heard.incarnation:
+        answered_at = max(answered_at, previous.answered_at)
+    peer = Peer(heard, now, answered_at)
+    return replace(membership, peers={**membership.peers, heard.proxy: peer})
 
 
 def rank_proxies(service: str, proxies: Iterable[str]) -> tuple[str, ...]:
--- a/orioleplank/decision/_message.py
+++ b/orioleplank/decision/_message.py
@@ -11,7 +11,7 @@
 from orioleplank.decision._request import Request
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class ConnectionId:
     """Names one connection of this proxy to an instance; numbers are never used twice."""
 
@@ -219,6 +219,58 @@
     vms: tuple[Vm, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Echo:
+    """The last heartbeat that a peer has had from a proxy."""
+
+    # Run of the proxy that sent it.
+    incarnation: str
+    # Number of the heartbeat.
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """What a proxy holds of a service's slots."""
+
+    # Name of the service.
+    service: str
+    # Epoch of the allotment that it has given everything up for.
+    epoch: int
+    # Slots held or gained, over all instances.
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotsWanted:
+    """Another proxy has statements waiting for a slot."""
+
+    # Name of the other proxy.
+    proxy: str
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+    # Epoch of its allotment.
+    epoch: int
+    # How many it may take, at least 1.
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class SlotsGiven:
+    """Another proxy handed slots over."""
+
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+    # Epoch of the allotment they belong to.
+    epoch: int
+    # How many.
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerHeard:
     """Another proxy sent a heartbeat."""
@@ -237,6 +289,12 @@
     unreachable_services: tuple[str, ...] = ()
     # Services whose primary it cannot reach.
     headless_services: tuple[str, ...] = ()
+    # Number of the heartbeat, ascending in a run.
+    number: int = 0
+    # What it has had from others.
+    echoes: tuple[Echo, ...] = ()
+    # What it holds.
+    holdings: tuple[Holding, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,6 +326,8 @@
     | UpdateEnded
     | VmsListed
     | PeerHeard
+    | SlotsWanted
+    | SlotsGiven
     | StopRequested
     | Tick
 )
--- a/orioleplank/decision/_node.py
+++ b/orioleplank/decision/_node.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from orioleplank.decision._configuration import Configuration, InstanceSpec, ServiceSpec
+from orioleplank.decision._configuration import Configuration, ServiceSpec
 from orioleplank.decision._effect import Effect, Event, Note
 from orioleplank.decision._group import GroupView
 from orioleplank.decision._mechanism import ALL_MECHANISMS, Mechanisms, Switch
@@ -28,6 +28,16 @@
     seed: int = 0
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class InstanceKey:
+    """Names an instance."""
+
+    # Name of the service.
+    service: str
+    # Name of the instance.
+    instance: str
+
+
 @dataclass(slots=True)
 class Node:
     """State that several parts of one proxy read, and the effects they add to.
@@ -49,6 +59,8 @@
     pools: dict[str, dict[str, Pool]] = field(default_factory=dict)
     # Services for which a round is wanted now.
     wanted_rounds: set[str] = field(default_factory=set)
+    # Instances that statements wait for a slot of.
+    starved: set[InstanceKey] = field(default_factory=set)
     # Proxy's monotonic clock, in seconds.
     now: float = 0.0
     # Seconds since the epoch, for the author's time of changes only.
@@ -88,13 +100,3 @@
             self.identity.zone,
             self.now,
         )
-
-
-def share_of(limit: int, proxies: int) -> int:
-    """Return one proxy's equal share of an instance's limit, at least 1."""
-    return max(1, limit // max(1, proxies))
-
-
-def create_pool(spec: InstanceSpec, proxies: int) -> Pool:
-    """Return an empty pool for one of `proxies` proxies."""
-    return Pool(share_of(spec.connections, proxies), share_of(spec.slots, proxies))
--- a/orioleplank/decision/_peers.py
+++ b/orioleplank/decision/_peers.py
@@ -8,10 +8,11 @@
 from orioleplank.decision._effect import Event, Heartbeat, SendObjects
 from orioleplank.decision._mechanism import Switch
 from orioleplank.decision._membership import hear_peer
-from orioleplank.decision._message import ObjectsReceived, PeerHeard, VmsListed
+from orioleplank.decision._message import Echo, Holding, ObjectsReceived, PeerHeard, VmsListed
 from orioleplank.decision._node import Node
 
 HEARTBEAT_PERIOD_S = 0.2
+HEARTBEATS_KEPT = 64
 
 
 class Peers:
@@ -20,14 +21,17 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._sent_at = -HEARTBEAT_PERIOD_S
-        self._alive: tuple[str, ...] = ()
+        self._number = 0
+        self._sent: dict[int, float] = {}
 
     def hear(self, message: PeerHeard) -> None:
         """Take a heartbeat; a peer that is behind gets what it lacks."""
         node = self._node
         if message.proxy not in node.membership.peers:
             node.note(Event.PEER_FOUND, "hear peer", message.proxy)
-        node.membership = hear_peer(node.membership, message, node.now)
+        echoed = [e.number for e in message.echoes if e.incarnation == node.identity.incarnation]
+        answered_at = self._sent.get(echoed[0], -1.0) if echoed else -1.0
+        node.membership = hear_peer(node.membership, message, node.now, answered_at)
         behind = message.revision < node.configuration.revision
         if behind or message.newest < node.configuration.newest:
             objects = node.configuration.newer_than(message.revision)
@@ -62,16 +66,32 @@
             node.note(Event.PRESET_IN_FORCE, "take objects", change.author, f"change {change.id}")
 
     def pass_time(
-        self, stopping: bool, unreachable: tuple[str, ...], headless: tuple[str, ...]
-    ) -> bool:
-        """Send a heartbeat when one is due; tell whether other proxies are alive than before."""
+        self,
+        stopping: bool,
+        unreachable: tuple[str, ...],
+        headless: tuple[str, ...],
+        holdings: tuple[Holding, ...],
+    ) -> None:
+        """Send a heartbeat when one is due."""
         node = self._node
         if node.now - self._sent_at >= HEARTBEAT_PERIOD_S:
             self._sent_at = node.now
+            self._number += 1
+            self._sent[self._number] = node.now
+            self._sent.pop(self._number - HEARTBEATS_KEPT, None)
             known = node.configuration
-            beat = Heartbeat(known.revision, known.newest, stopping, unreachable, headless)
+            beat = Heartbeat(
+                known.revision,
+                known.newest,
+                stopping,
+                unreachable,
+                headless,
+                self._number,
+                self._echoes(),
+                holdings,
+            )
             node.emit(beat)
-        alive = node.membership.alive(node.now)
-        changed = alive != self._alive
-        self._alive = alive
-        return changed
+
+    def _echoes(self) -> tuple[Echo, ...]:
+        peers = self._node.membership.peers.values()
+        return tuple(Echo(peer.heard.incarnation, peer.heard.number) for peer in peers)
--- a/orioleplank/decision/_pool.py
+++ b/orioleplank/decision/_pool.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, replace
 
 REOPEN_DELAY_S = 0.05
+DOUBT_S = 0.05
+DOUBT_LIMIT_S = 2.5
 REOPEN_DELAY_LIMIT_S = 1.0
 
 
@@ -24,6 +26,8 @@
     opening: frozenset[int] = frozenset()
     # Statements running.
     running: int = 0
+    # When connections were closed whose statement may still run, in seconds.
+    doubtful: tuple[float, ...] = ()
     # Number for the next connection.
     next_number: int = 1
     # Failures to open in a row.
@@ -32,8 +36,8 @@
     reopen_at: float = 0.0
 
     def __post_init__(self) -> None:
-        if self.connection_share < 1 or self.slot_share < 1:
-            raise ValueError("a share is at least 1")
+        if self.connection_share < 0 or self.slot_share < 0:
+            raise ValueError("a share is not negative")
 
     @property
     def size(self) -> int:
@@ -43,7 +47,12 @@
     @property
     def has_slot(self) -> bool:
         """True when one more statement may run."""
-        return self.running < self.slot_share
+        return self.in_use < self.slot_share
+
+    @property
+    def in_use(self) -> int:
+        """Statements that run or may still run."""
+        return self.running + len(self.doubtful)
 
     def knows(self, number: int) -> bool:
         """Tell whether a connection is still this pool's."""
@@ -66,6 +75,20 @@
         """Count a statement as ended."""
         return replace(self, running=max(0, self.running - 1))
 
+    def doubt(self, now: float) -> Pool:
+        """Count a statement as one that may still run although its connection is closed."""
+        return replace(self.end(), doubtful=(*self.doubtful, now))
+
+    def settle(self, answered_at: float, now: float) -> Pool:
+        """Forget doubts from before a round that the instance has answered, and old ones.
+
+        What was sent and not acknowledged by then is dropped by the transport's user timeout.
+        """
+        left = tuple(
+            at for at in self.doubtful if at + DOUBT_S > answered_at and now - at < DOUBT_LIMIT_S
+        )
+        return self if len(left) == len(self.doubtful) else replace(self, doubtful=left)
+
     def open(self) -> tuple[Pool, int]:
         """Begin to open a connection."""
         number = self.next_number
@@ -88,6 +111,11 @@
             reopen_at=now + delay,
         )
 
+    def surplus(self) -> tuple[int, ...]:
+        """Return the free connections to close because the share is smaller."""
+        over = self.size - self.connection_share
+        return self.idle[: max(0, over)]
+
     def wants(self, demand: int, now: float) -> int:
         """Return how many connections to open for `demand` statements waiting.
 
@@ -95,5 +123,5 @@
         """
         if now < self.reopen_at:
             return 0
-        missing = min(demand, self.slot_share) + 1 - len(self.idle) - len(self.opening)
+        missing = demand + 1 - len(self.idle) - len(self.opening)
         return max(0, min(missing, self.connection_share - self.size))
--- a/orioleplank/decision/_proxy.py
+++ b/orioleplank/decision/_proxy.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from orioleplank.decision._allotments import Allotments
 from orioleplank.decision._configuration import Configuration
 from orioleplank.decision._effect import AskToMove, Effect, Event, Stopped
 from orioleplank.decision._group import GroupView
@@ -26,6 +27,8 @@
     PromoteAnswered,
     RequestArrived,
     SealAnswered,
+    SlotsGiven,
+    SlotsWanted,
     StatementEnded,
     StopRequested,
     Tick,
@@ -80,8 +83,9 @@
         membership = Membership(identity.name, identity.incarnation)
         self._node = Node(identity, membership, mechanisms, random=Random(identity.seed))
         self._groups = Groups(self._node)
-        self._requests = Requests(self._node)
-        self._keepers = Keepers(self._node)
+        self._allotments = Allotments(self._node)
+        self._requests = Requests(self._node, self._allotments)
+        self._keepers = Keepers(self._node, self._allotments)
         self._peers = Peers(self._node)
         self._stop = Stop()
         self._callers: set[int] = set()
@@ -96,6 +100,7 @@
         self._node.wall = wall
         self._take(message)
         self._groups.send_wanted_rounds()
+        self._allotments.ask_for_wanted()
         effects = tuple(self._node.effects)
         self._node.effects.clear()
         return effects
@@ -159,6 +164,11 @@
                 self._peers.list_vms(message)
             case PeerHeard():
                 self._peers.hear(message)
+            case SlotsWanted():
+                self._allotments.take_wanted(message)
+            case SlotsGiven():
+                self._allotments.take_given(message)
+                self._take_news(message.service)
             case StopRequested(grace):
                 self._request_stop(grace)
             case Tick():
@@ -182,6 +192,7 @@
         if not self._peers.take_objects(message):
             return
         self._groups.take_configuration()
+        self._allotments.take_configuration()
         if self.is_ready and not self._was_ready:
             self._was_ready = True
             self._node.note(Event.READY, "take objects")
@@ -199,9 +210,10 @@
         node = self._node
         headless = self._groups.headless_services()
         unreachable = self._groups.unreachable_services()
-        if self._peers.pass_time(not self._stop.is_ready, unreachable, headless):
-            self._groups.take_membership()
-        self._requests.hand_on(headless)
+        holdings = self._allotments.holdings()
+        self._peers.pass_time(not self._stop.is_ready, unreachable, headless, holdings)
+        self._allotments.pass_time()
+        self._requests.hand_on(headless + self._allotments.starving_services())
         self._groups.pass_time()
         self._keepers.pass_time()
         self._requests.pass_time()
--- a/orioleplank/decision/_requests.py
+++ b/orioleplank/decision/_requests.py
@@ -8,6 +8,7 @@
 from heapq import heappop, heappush
 
 from orioleplank.decision._admission import admit
+from orioleplank.decision._allotments import Allotments
 from orioleplank.decision._effect import (
     AskLedger,
     Boundary,
@@ -29,7 +30,7 @@
     StatementEnded,
     StatementStatus,
 )
-from orioleplank.decision._node import Node
+from orioleplank.decision._node import InstanceKey, Node
 from orioleplank.decision._refusal import DidRun, Mechanism, Program, Reason, Refusal
 from orioleplank.decision._request import TRANSACTIONAL, Operation, Outcome, Request
 from orioleplank.decision._retry import RetryBudget
@@ -60,11 +61,12 @@
 
 SCAN_LIMIT = 64
 ROOMLESS_LIMIT = 8
-HAND_ON_AFTER_S = 0.3
+HAND_ON_AFTER_S = 0.6
 RESOLVE_MARGIN_S = 0.5
 RESOLVE_RETRY_S = 0.05
 LEDGER_WAIT_S = 0.5
 RETRY_AFTER_S = 0.1
+LEAST_ATTEMPT_S = 0.5
 BACKOFF_S = 0.002
 BACKOFF_LIMIT_S = 0.1
 TRANSACTION_IDLE_S = 30.0
@@ -82,8 +84,9 @@
 class Requests:
     """All requests in progress on one proxy."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, allotments: Allotments) -> None:
         self._node = node
+        self._allotments = allotments
         self._numbers = 0
         self._queries = 0
         self._statements = 0
@@ -199,6 +202,7 @@
 
     def dispatch(self, service: str) -> None:
         """Send what can be sent of the requests that wait."""
+        self._allotments.pay_owed(service)
         queue = self._queues[service]
         if not queue:
             return
@@ -248,6 +252,8 @@
     def _send(self, exchange: Exchange, instance: str, term: int, by_replica: bool) -> bool:
         request = exchange.request
         pool = self._node.pools[request.service][instance]
+        if not pool.has_slot:
+            self._node.starved.add(InstanceKey(request.service, instance))
         if not pool.has_slot or not pool.idle:
             return False
         pool, number = pool.take()
@@ -299,6 +305,8 @@
         connection = transaction.connection
         busy = connection in self._running
         pool = self._node.pools[request.service][connection.instance]
+        if not busy and not pool.has_slot:
+            self._node.starved.add(InstanceKey(request.service, connection.instance))
         if busy or not pool.has_slot or not transaction.lifecycle.accepts_steps():
             return
         if request.operation is Operation.COMMIT:
@@ -373,7 +381,7 @@
         number = self._running.pop(connection, None)
         if number is None:
             return
-        self._end_running(connection)
+        self._doubt_running(connection)
         exchange = self._exchanges[number]
         self._node.note(Event.CONNECTION_LOST, "run statement", connection.instance)
         if fate is None:
@@ -401,6 +409,10 @@
         self._node.note(Event.TRANSACTION_ABORTED, "end transaction", connection.instance)
         return transaction.lifecycle.lose()
 
+    def _doubt_running(self, connection: ConnectionId) -> None:
+        pools = self._node.pools[connection.service]
+        pools[connection.instance] = pools[connection.instance].doubt(self._node.now)
+
     def _end_running(self, connection: ConnectionId) -> None:
         pools = self._node.pools[connection.service]
         pools[connection.instance] = pools[connection.instance].end()
@@ -662,9 +674,17 @@
             view = self._node.views[connection.service]
             primary = view.primary()
             replaced = primary is not None and stage.term and primary.term > stage.term
-            if replaced or not view.is_reachable(connection.instance, self._node.now):
+            reachable = view.is_reachable(connection.instance, self._node.now)
+            if replaced or not reachable or self._is_overdue(exchange, stage):
                 self._abandon(connection)
 
+    def _is_overdue(self, exchange: Exchange, stage: Running) -> bool:
+        """Tell whether a reply is so late that another copy should be sent in what time is left."""
+        if exchange.request.operation is not Operation.RUN:
+            return False
+        half = (exchange.request.deadline - stage.sent_at) / 2
+        return half >= LEAST_ATTEMPT_S and self._node.now - stage.sent_at >= half
+
     def _pass_deadline(self, exchange: Exchange) -> None:
         if exchange.request.deadline > self._node.now:
             self._resolve_in_time(exchange)
@@ -691,7 +711,7 @@
     def _drop_running(self, connection: ConnectionId) -> None:
         """Close a connection whose statement nobody waits for any more."""
         del self._running[connection]
-        self._end_running(connection)
+        self._doubt_running(connection)
         self._abandon(connection)
 
     def _explain_delay(self, exchange: Exchange) -> tuple[Reason, str]:
--- a/orioleplank/decision/_routing.py
+++ b/orioleplank/decision/_routing.py
@@ -121,14 +121,11 @@
 def _choose_replica(
     request: Request, seen: Position, around: Surroundings, random: Random
 ) -> str | None:
-    fresh = [
-        name
-        for name in around.view.members
-        if _is_fresh_replica(name, request, seen, around) and _has_room(around.pools[name])
-    ]
+    fresh = [name for name in around.view.members if _is_fresh_replica(name, request, seen, around)]
+    roomy = [name for name in fresh if _has_room(around.pools[name])]
     if not fresh:
         return None
-    return _pick_less_loaded(fresh, around, random)
+    return _pick_less_loaded(roomy or fresh, around, random)
 
 
 def _pick_less_loaded(names: list[str], around: Surroundings, random: Random) -> str:
@@ -142,7 +139,7 @@
         pool = around.pools[name]
         spec = around.spec.instance(name)
         away = spec is not None and spec.zone != around.zone
-        return (pool.running + 1) / pool.slot_share + (ZONE_PENALTY if away else 0.0)
+        return (pool.running + 1) / max(1, pool.slot_share) + (ZONE_PENALTY if away else 0.0)
 
     return load
 
--- /dev/null
+++ b/orioleplank/decision/tests/test_slots.py
@@ -0,0 +1,136 @@
+"""Slots are never used twice, whatever is lost, late or cut off."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from orioleplank.decision import AllotmentSpec, InstanceSpec, Participant
+from orioleplank.decision._slots import (
+    Contact,
+    SlotState,
+    await_others,
+    divide_limits,
+    enter_epoch,
+    give_slots,
+    may_use,
+    take_slots,
+)
+
+A, B, C, D = (Participant(f"p{n}", f"p{n}-1") for n in range(4))
+INSTANCE = InstanceSpec("db", "db:1", "akl-a", slots=5, connections=30)
+
+
+def make_spec(*participants: Participant, before: tuple[Participant, ...] = ()) -> AllotmentSpec:
+    """Return an allotment that divides the instance among `participants`."""
+    return divide_limits((INSTANCE,), participants, frozenset(before))
+
+
+def make_settled(own: Participant, *participants: Participant) -> SlotState:
+    """Return a state that has settled in epoch 1."""
+    state = enter_epoch(SlotState(own), 1, make_spec(*participants))
+    return await_others(state, (), frozenset(), 0.0)
+
+
+class DivideTest(TestCase):
+    @given(st.integers(1, 9), st.integers(1, 40), st.integers(1, 12))
+    def test_shares_add_up_to_the_limits(self, slots: int, connections: int, parts: int) -> None:
+        instances = tuple(
+            InstanceSpec(name, f"{name}:1", "z", slots, connections) for name in ("a", "b", "c")
+        )
+        participants = tuple(Participant(f"p{n}", f"p{n}-1") for n in range(parts))
+        spec = divide_limits(instances, participants, frozenset())
+        for instance in instances:
+            shares = [share for share in spec.shares if share.instance == instance.name]
+            self.assertEqual(slots, sum(share.slots for share in shares))
+            self.assertEqual(connections, sum(share.connections for share in shares))
+
+
+class EpochTest(TestCase):
+    def test_gain_waits_for_those_who_lose(self) -> None:
+        state = enter_epoch(make_settled(A, A, B, C), 2, make_spec(A, B, before=(A, B, C)))
+        self.assertEqual(({"db": 2}, {"db": 1}), (state.held, state.gained))
+        late = Contact(B.incarnation, 1, 0.0)
+        state = await_others(state, (late,), frozenset(), 10.0)
+        self.assertEqual({"db": 2}, state.held)
+        done = (Contact(B.incarnation, 2, 0.0), Contact(C.incarnation, 2, 0.0))
+        state = await_others(state, done, frozenset(), 10.1)
+        self.assertEqual({"db": 3}, state.held)
+
+    def test_majority_and_three_seconds_do_for_one_who_is_silent(self) -> None:
+        state = enter_epoch(make_settled(A, A, B, C), 2, make_spec(A, B, before=(A, B, C)))
+        done = (Contact(B.incarnation, 2, 0.0),)
+        state = await_others(state, done, frozenset(), 10.0)
+        self.assertFalse(state.settled)
+        self.assertFalse(await_others(state, done, frozenset(), 12.9).settled)
+        self.assertTrue(await_others(state, done, frozenset(), 13.0).settled)
+
+    def test_minority_never_takes(self) -> None:
+        spec = make_spec(A, before=(A, B, C, D))
+        state = enter_epoch(make_settled(A, A, B, C, D), 2, spec)
+        done = (Contact(B.incarnation, 2, 0.0),)
+        self.assertFalse(await_others(state, done, frozenset(), 1000.0).settled)
+
+    def test_those_known_to_have_ended_are_not_awaited(self) -> None:
+        state = enter_epoch(make_settled(A, A, B), 2, make_spec(A, before=(A, B)))
+        self.assertFalse(await_others(state, (), frozenset(), 100.0).settled)
+        self.assertEqual({"db": 5}, await_others(state, (), frozenset({B}), 1.0).held)
+
+    def test_slots_of_another_epoch_are_void(self) -> None:
+        state = make_settled(A, A, B)
+        self.assertEqual(state, take_slots(state, "db", 2, 2))
+        self.assertEqual({"db": 5}, take_slots(state, "db", 2, 1).held)
+
+    def test_proxy_without_a_share_takes_none(self) -> None:
+        outsider = enter_epoch(SlotState(D), 1, make_spec(A, B))
+        self.assertEqual(outsider, take_slots(outsider, "db", 1, 1))
+
+    def test_slots_that_are_not_held_cannot_be_given(self) -> None:
+        self.assertRaises(ValueError, give_slots, make_settled(A, A, B), "db", 4)
+
+
+class FenceTest(TestCase):
+    def test_use_needs_a_majority_of_the_own_epoch(self) -> None:
+        state = make_settled(A, A, B, C)
+        cases = {
+            "near": (Contact(B.incarnation, 1, 9.0), True),
+            "silent for long": (Contact(B.incarnation, 1, 7.9), False),
+            "already in a later epoch": (Contact(B.incarnation, 2, 10.0), False),
+            "no participant": (Contact(D.incarnation, 1, 10.0), False),
+        }
+        for name, (contact, usable) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(usable, may_use(state, (contact,), 10.0))
+
+    def test_nobody_uses_what_another_has_taken(self) -> None:
+        """The one who is cut off has stopped before the others may take what it held."""
+        cut_off = make_settled(C, A, B, C)
+        acked_at = 10.0
+        heard_last = Contact(B.incarnation, 1, acked_at)
+        self.assertFalse(may_use(cut_off, (heard_last,), acked_at + 2.01))
+        taker = enter_epoch(make_settled(A, A, B, C), 2, make_spec(A, B, before=(A, B, C)))
+        done = (Contact(B.incarnation, 2, acked_at),)
+        taker = await_others(taker, done, frozenset(), acked_at)
+        self.assertFalse(await_others(taker, done, frozenset(), acked_at + 2.99).settled)
+
+
+class HandingOnTest(TestCase):
+    @settings(max_examples=200)
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, 2), st.integers(0, 2), st.integers(0, 5), st.booleans()),
+            max_size=40,
+        )
+    )
+    def test_sum_never_grows(self, moves: list[tuple[int, int, int, bool]]) -> None:
+        everybody = (A, B, C)
+        states = [make_settled(own, *everybody) for own in everybody]
+        on_the_way = 0
+        for giver, taker, count, is_lost in moves:
+            given = min(count, states[giver].count("db"))
+            states[giver] = give_slots(states[giver], "db", given)
+            if is_lost:
+                on_the_way += given
+            else:
+                states[taker] = take_slots(states[taker], "db", given, 1)
+            held = sum(state.count("db") for state in states)
+            self.assertEqual(5, held + on_the_way)
--- a/orioleplank/standin/_upstream.py
+++ b/orioleplank/standin/_upstream.py
@@ -24,6 +24,10 @@
 COALESCE_S = 0.002
 POLL_S = 0.1
 BATCH_ENTRIES = 500
+SERVER_OPTIONS = (
+    ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
+    ("grpc.http2.max_ping_strikes", 0),
+)
 
 _BOUNDARIES = {
     pb.BOUNDARY_AUTO: Boundary.AUTO,
@@ -393,7 +397,7 @@
 async def run_upstream(options: UpstreamOptions) -> None:
     """Serve one instance until the process ends."""
     service = UpstreamServer(options)
-    server = grpc.aio.server()
+    server = grpc.aio.server(options=SERVER_OPTIONS)
     rpc.add_UpstreamServicer_to_server(service, server)
     server.add_insecure_port(options.listen)
     await server.start()
--- a/orioleplank/tests/_scene.py
+++ b/orioleplank/tests/_scene.py
@@ -22,14 +22,14 @@
     run_transactions,
     write_and_read,
 )
-from orioleplank.tests._world import PLATFORM, InstanceNode, ProxyNode, World
+from orioleplank.tests._world import CONNECTIONS, PLATFORM, SLOTS, InstanceNode, ProxyNode, World
 
 READY_S = 1.5
 WORK_S = 2.0
 GAP_LIMIT_S = 7.0
 IN_FORCE_LIMIT_S = 4.0
 LEAVING_LIMIT_S = 3.0
-HOLD_S = 4.8
+HOLD_S = 1.9
 SAMPLE_S = 0.1
 FAR_LAG_S = 0.4
 SETTLE_S = 1.0
@@ -293,6 +293,7 @@
             if write.denied and count:
                 self.broken.append(f"write {write.id} ran, its caller was told it did not")
         self._check_leaving()
+        self._check_limits()
         self._check_presets()
 
     def _count_written(self) -> Counter[str]:
@@ -340,6 +341,14 @@
             if late:
                 self.broken.append(f"{node.name} got {len(late)} statements after leaving")
 
+    def _check_limits(self) -> None:
+        """Check that no instance was given more than its slots and connections."""
+        for node in self.world.instances:
+            if node.most_busy > SLOTS:
+                self.broken.append(f"{node.name} ran {node.most_busy} statements in {SLOTS} slots")
+            if node.most_connections > CONNECTIONS:
+                self.broken.append(f"{node.name} had {node.most_connections} connections")
+
     def _check_presets(self) -> None:
         """Check that the racing operators were told the truth, and that all nodes agree."""
         held = self.world.platform.objects[Kind.IN_FORCE.value, "preset"]
--- a/orioleplank/tests/_world.py
+++ b/orioleplank/tests/_world.py
@@ -9,6 +9,7 @@
 from orioleplank.decision import (
     AskLedger,
     AskRound,
+    AskSlots,
     AskToMove,
     Boundary,
     CallerGone,
@@ -19,6 +20,7 @@
     ConnectionOpened,
     Effect,
     Event,
+    GiveSlots,
     Heartbeat,
     Identity,
     InForceSpec,
@@ -49,6 +51,8 @@
     SendSeal,
     SendStatement,
     ServiceSpec,
+    SlotsGiven,
+    SlotsWanted,
     Spec,
     StatementEnded,
     StatementStatus,
@@ -75,6 +79,8 @@
 PULL_S = 0.01
 CONNECT_S = 0.012
 SERVICE_S = 0.002
+SLOTS = 5
+CONNECTIONS = 30
 WATCH_S = 0.05
 SLOW_S = 2.0
 SETTLE_S = 0.25
@@ -85,7 +91,7 @@
 ReplyListener = Callable[[Reply], None]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class Socket:
     """A connection as its instance knows it."""
 
@@ -133,6 +139,12 @@
     pulling: bool = False
     # When statements were sent to it after it was marked as leaving.
     late_work: list[float] = field(default_factory=list)
+    # Statements that run now.
+    busy: int = 0
+    # Most statements that ran at once.
+    most_busy: int = 0
+    # Most connections open at once.
+    most_connections: int = 0
     # When it was marked as leaving, in seconds of the fabric; 0 before.
     leaving_at: float = 0.0
 
@@ -206,7 +218,7 @@
 
     def _fill_platform(self) -> None:
         instances = tuple(
-            InstanceSpec(node.name, node.name, f"zone-{place}", 50, 200)
+            InstanceSpec(node.name, node.name, f"zone-{place}", SLOTS, CONNECTIONS)
             for place, node in enumerate(self.instances, 1)
         )
         kinds = (KindSpec("save", 10), KindSpec("read", 5), KindSpec("sync", 1))
@@ -251,7 +263,7 @@
 
     def _drop_connections_of(self, node: ProxyNode) -> None:
         for instance in self.instances:
-            for socket in list(instance.sockets):
+            for socket in sorted(instance.sockets):
                 if socket.proxy == node.name:
                     self._close_at_instance(node, instance, socket)
 
@@ -296,6 +308,12 @@
                 self._heartbeat(node, effect)
             case SendObjects():
                 self._send_objects(node, effect)
+            case AskSlots(peer, service, name, epoch, count):
+                wanted = SlotsWanted(node.name, service, name, epoch, count)
+                self._to_peer(node, self.proxy(peer), wanted)
+            case GiveSlots(peer, service, name, epoch, count):
+                given = SlotsGiven(service, name, epoch, count)
+                self._to_peer(node, self.proxy(peer), given)
             case Stopped():
                 node.ended = True
                 self._drop_connections_of(node)
@@ -336,6 +354,7 @@
 
         def opened() -> None:
             target.sockets.add(socket)
+            target.most_connections = max(target.most_connections, len(target.sockets))
             self._answer(target, node, ConnectionOpened(connection))
 
         def arrive() -> None:
@@ -370,10 +389,13 @@
         socket = Socket(node.name, node.run, effect.connection)
 
         def execute() -> None:
+            target.busy -= 1
             if target.alive and socket in target.sockets:
                 self._execute(node, target, effect, socket)
 
         def arrive() -> None:
+            target.busy += 1
+            target.most_busy = max(target.most_busy, target.busy)
             self.fabric.after(SERVICE_S, lambda: self.fabric.enter(target, execute))
 
         if target.leaving_at and effect.boundary in (Boundary.AUTO, Boundary.BEGIN):
@@ -478,7 +500,7 @@
         """End an instance at once; its connections break."""
         target.alive = False
         for node in self.proxies:
-            for connection in list(node.connections):
+            for connection in sorted(node.connections):
                 if connection.instance == target.name:
                     self._break(node, connection)
             lost = InstanceUnreachable(SERVICE, target.name)
@@ -490,6 +512,7 @@
         target.run += 1
         target.alive = True
         target.pulling = False
+        target.busy = 0
         target.sockets.clear()
         target.instance = Instance(target.name, f"{target.name}-{target.run + 1}", voting=False)
 
@@ -637,6 +660,9 @@
             effect.stopping,
             effect.unreachable_services,
             effect.headless_services,
+            effect.number,
+            effect.echoes,
+            effect.holdings,
         )
         for peer in self.proxies:
             if peer is not node and peer.alive:
