--- a/orioleplank/decision/_admission.py
+++ b/orioleplank/decision/_admission.py
@@ -17,22 +17,25 @@
 )
 from orioleplank.decision._request import TRANSACTIONAL, Operation, Request
 
+# Share of the time left that a request may spend waiting.
+WAIT_SHARE = 0.5
+
 
 def admit(
     request: Request,
     node: Node,
     queued: int,
-    service_time: float,
+    wait: float,
     admits: bool,
     continues: bool,
 ) -> Refusal | None:
     """Return why `request` is refused, None when it is admitted.
 
-    `queued` requests wait before it, each of which takes about `service_time` seconds of one
-    slot. `admits` is False once the proxy refuses new work; `continues` is True for a step of a
-    transaction that is open here.
+    `queued` requests of its service wait, and it would wait about `wait` seconds. `admits` is
+    False once the proxy refuses new work; `continues` is True for a step of a transaction that
+    is open here.
     """
-    refusal = _find_reason(request, node, queued, service_time, admits, continues)
+    refusal = _find_reason(request, node, queued, wait, admits, continues)
     if refusal is not None and request.may_have_run:
         return replace(refusal, did_run=DidRun.UNKNOWN)
     return refusal
@@ -42,7 +45,7 @@
     request: Request,
     node: Node,
     queued: int,
-    service_time: float,
+    wait: float,
     admits: bool,
     continues: bool,
 ) -> Refusal | None:
@@ -67,7 +70,7 @@
     preset, change = node.configuration.in_force()
     if request.kind in preset.refused_kinds and _is_new(request):
         return _refuse_by_preset(request, change)
-    return _check_load(request, node, preset, queued, service_time)
+    return _check_load(request, node, preset, queued, wait)
 
 
 def _is_new(request: Request) -> bool:
@@ -75,16 +78,14 @@
 
 
 def _check_load(
-    request: Request, node: Node, preset: PresetSpec, queued: int, service_time: float
+    request: Request, node: Node, preset: PresetSpec, queued: int, wait: float
 ) -> Refusal | None:
     if node.now >= request.deadline:
         return _refuse(Reason.DEADLINE, Mechanism.DEADLINE, "the deadline passed on the way")
-    slots = sum(pool.slot_share for pool in node.pools[request.service].values())
-    wait = queued * service_time / max(1, slots)
     if queued >= preset.queue_limit:
         return _refuse(Reason.OVERLOADED, Mechanism.ADMISSION, "the queue is full", max(wait, 0.1))
-    if node.now + wait > request.deadline:
-        detail = f"it would wait {wait:.2f} s, past its deadline"
+    if wait > (request.deadline - node.now) * WAIT_SHARE:
+        detail = f"it would wait {wait:.2f} s, too close to its deadline"
         return _refuse(Reason.OVERLOADED, Mechanism.ADMISSION, detail, wait)
     return None
 
--- a/orioleplank/decision/_proxy.py
+++ b/orioleplank/decision/_proxy.py
@@ -202,7 +202,7 @@
             self._node.note(Event.STOPPING, "stop", detail=f"grace {grace:.1f} s")
         patient = self._node.mechanisms.on(Switch.GRACE)
         self._stop.request(self._node.now, grace if patient else 0.0)
-        self._requests.move = True
+        self._requests.ask_to_move()
         for caller in sorted(self._callers):
             self._node.emit(AskToMove(caller))
 
