--- a/orioleplank/daemon/_decisions.py
+++ b/orioleplank/daemon/_decisions.py
@@ -35,6 +35,7 @@
 from orioleplank.kernel import Service, Timer, TimerTick
 
 TICK_S = 0.02
+IDLE_TICK_S = 0.08
 
 
 class Decisions(Service):
@@ -46,6 +47,7 @@
         self._grace = grace
         self._end = False
         self._ended = False
+        self._ticked_at = 0.0
 
     def start(self) -> None:
         """Subscribe to time."""
@@ -56,8 +58,8 @@
     def receive(self, message: object) -> None:
         """Take a message of the decisions, or one about them."""
         match message:
-            case TimerTick():
-                self._handle(Tick())
+            case TimerTick(now=now):
+                self._tick(now)
             case StatusWanted(number):
                 self.kernel.find(names.ADMIN).tell(StatusTold(number, self._proxy.status()))
             case DrainWanted(end, grace):
@@ -65,6 +67,12 @@
             case _:
                 self._handle(message)  # type: ignore[arg-type]
 
+    def _tick(self, now: float) -> None:
+        """Let time pass, less often while nothing is in progress."""
+        if self._proxy.is_busy or now - self._ticked_at >= IDLE_TICK_S:
+            self._ticked_at = now
+            self._handle(Tick())
+
     def _begin_stop(self, end: bool, grace: float) -> None:
         self._end = self._end or end
         self._handle(StopRequested(grace))
--- a/orioleplank/daemon/_peers.py
+++ b/orioleplank/daemon/_peers.py
@@ -95,7 +95,7 @@
         """Send to peers, or take the list of VMs."""
         match message:
             case Heartbeat():
-                sent = self._write_heartbeat(message)
+                sent = _write_heartbeat(self._identity, message)
                 for link in self._links.values():
                     link.send(sent)
             case SendObjects(proxy=proxy):
@@ -118,28 +118,6 @@
             if name not in self._links:
                 self._links[name] = _Link(address)
 
-    def _write_heartbeat(self, heartbeat: Heartbeat) -> pb.PeerMessage:
-        return pb.PeerMessage(
-            heartbeat=pb.PeerHeartbeat(
-                proxy=self._identity.name,
-                incarnation=self._identity.incarnation,
-                revision=heartbeat.revision,
-                newest=heartbeat.newest,
-                stopping=heartbeat.stopping,
-                unreachable_services=heartbeat.unreachable_services,
-                headless_services=heartbeat.headless_services,
-                number=heartbeat.number,
-                echoes=[
-                    pb.PeerEcho(incarnation=echo.incarnation, number=echo.number)
-                    for echo in heartbeat.echoes
-                ],
-                holdings=[
-                    pb.PeerHolding(service=item.service, epoch=item.epoch, slots=item.slots)
-                    for item in heartbeat.holdings
-                ],
-            )
-        )
-
     async def Link(  # noqa: N802
         self, requests: AsyncIterator[pb.PeerMessage], context: grpc.aio.ServicerContext
     ) -> AsyncIterator[pb.PeerMessage]:
@@ -172,6 +150,29 @@
                 decisions.tell(SlotsGiven(given.service, given.instance, given.epoch, given.count))
 
 
+def _write_heartbeat(identity: Identity, heartbeat: Heartbeat) -> pb.PeerMessage:
+    return pb.PeerMessage(
+        heartbeat=pb.PeerHeartbeat(
+            proxy=identity.name,
+            incarnation=identity.incarnation,
+            revision=heartbeat.revision,
+            newest=heartbeat.newest,
+            stopping=heartbeat.stopping,
+            unreachable_services=heartbeat.unreachable_services,
+            headless_services=heartbeat.headless_services,
+            number=heartbeat.number,
+            echoes=[
+                pb.PeerEcho(incarnation=echo.incarnation, number=echo.number)
+                for echo in heartbeat.echoes
+            ],
+            holdings=[
+                pb.PeerHolding(service=item.service, epoch=item.epoch, slots=item.slots)
+                for item in heartbeat.holdings
+            ],
+        )
+    )
+
+
 def _read_heartbeat(message: pb.PeerHeartbeat) -> PeerHeard:
     return PeerHeard(
         message.proxy,
--- a/orioleplank/decision/_proxy.py
+++ b/orioleplank/decision/_proxy.py
@@ -112,6 +112,11 @@
             return False
         return not self._requests.handed_on
 
+    @property
+    def is_busy(self) -> bool:
+        """True while a request or a transaction is in progress."""
+        return self._requests.busy
+
     def status(self) -> ProxyStatus:
         """Return what the proxy knows, for people."""
         node = self._node
@@ -127,7 +132,7 @@
             node.membership.alive(node.now),
             services,
             self.is_ready,
-            self._requests.busy,
+            self.is_busy,
         )
 
     def _take(self, message: Message) -> None:
--- a/orioleplank/standin/_upstream.py
+++ b/orioleplank/standin/_upstream.py
@@ -20,7 +20,7 @@
 from orioleplank.standin._instance import Entry, Instance
 from orioleplank.wire import read_position, write_position, write_report
 
-REPORT_PERIOD_S = 0.1
+REPORT_PERIOD_S = 0.4
 COALESCE_S = 0.002
 POLL_S = 0.1
 BATCH_ENTRIES = 500
@@ -183,7 +183,7 @@
     async def Control(  # noqa: N802
         self, requests: AsyncIterator[pb.ControlRequest], context: grpc.aio.ServicerContext
     ) -> None:
-        """Answer control requests, and push a report on each change and every 100 ms."""
+        """Answer control requests, and push a report on each change and every 400 ms."""
         changed = asyncio.Event()
         writing = asyncio.Lock()
         self._changed.add(changed)
--- a/orioleplank/tests/_world.py
+++ b/orioleplank/tests/_world.py
@@ -75,7 +75,7 @@
 SERVICE = "books"
 PLATFORM = "platform"
 TICK_S = 0.025
-REPORT_S = 0.1
+REPORT_S = 0.4
 PULL_S = 0.01
 CONNECT_S = 0.012
 SERVICE_S = 0.002
