--- a/orioleplank/tests/_cells.py
+++ b/orioleplank/tests/_cells.py
@@ -7,7 +7,7 @@
 from functools import partial
 from zlib import crc32
 
-from orioleplank.decision import StopRequested, Switch, UpdateVerdict
+from orioleplank.decision import Event, StopRequested, Switch, UpdateVerdict
 from orioleplank.tests._scene import NODE_FAULTS, WORK_S, Fault, Scene
 from orioleplank.tests._world import InstanceNode
 
@@ -17,6 +17,7 @@
 SETTLE_LIMIT_S = 20.0
 
 OPERATOR_S = 0.4
+TELLING_LIMIT_S = 1.0
 GRACE_S = 6.0
 
 
@@ -94,6 +95,26 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class PromotionSplit:
+    """Where the time of the first promotion went, in seconds."""
+
+    # From the kill of the primary to the suspicion.
+    noticing: float
+    # From there to the order to promote: a majority is sealed.
+    sealing: float
+    # From there until the member leads.
+    promoting: float
+    # From there until the last proxy that will know it does.
+    telling: float
+
+    def __str__(self) -> str:
+        return (
+            f"noticing {self.noticing:.3f} sealing {self.sealing:.3f}"
+            f" promoting {self.promoting:.3f} telling {self.telling:.3f}"
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """What came of a cell."""
@@ -106,6 +127,8 @@
     struck: bool
     # Longest time without an acknowledged write after the fault, in seconds.
     gap: float
+    # Where the time of a promotion went; None for other steps.
+    split: PromotionSplit | None = None
 
     @property
     def passed(self) -> bool:
@@ -134,7 +157,27 @@
         gap = self.scene.find_gap(self.struck_at, END_S)
         self.scene.check_gap(gap)
         self._check_operators()
-        return Verdict(self.cell, self.scene.broken, self.struck_at > 0, gap)
+        split = self._split_promotion() if self.cell.step in _PROMOTION else None
+        return Verdict(self.cell, self.scene.broken, self.struck_at > 0, gap, split)
+
+    def _split_promotion(self) -> PromotionSplit | None:
+        """Read the first promotion's steps from the events; None when it did not come to an end."""
+        notes = [(at, note) for at, _, note in self.scene.world.notes if at >= ARMED_S]
+        promoted = [at for at, note in notes if note.event is Event.PRIMARY_PROMOTED]
+        if not promoted:
+            return None
+        end = promoted[0]
+        before = [(at, note.event) for at, note in notes if at <= end]
+        sent = max(at for at, event in before if event is Event.PROMOTION_SENT)
+        suspected = max(at for at, event in before if event is Event.PRIMARY_SUSPECTED)
+        told = [
+            at
+            for at, note in notes
+            if note.event is Event.PRIMARY_CHANGED and end <= at <= end + TELLING_LIMIT_S
+        ]
+        return PromotionSplit(
+            suspected - ARMED_S, sent - suspected, end - sent, max(told, default=end) - end
+        )
 
     def _provoke(self) -> None:
         """Bring the run to the step at which the fault strikes."""
--- a/orioleplank/tests/matrix.py
+++ b/orioleplank/tests/matrix.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from orioleplank.decision import Switch
-from orioleplank.tests._cells import Cell, Step, cannot_arise, list_cells, play_cell
+from orioleplank.tests._cells import Cell, Step, Verdict, cannot_arise, list_cells, play_cell
 from orioleplank.tests._scene import Fault
 from orioleplank.tests._storm import Storm
 
@@ -46,7 +46,10 @@
 def _play_cells(cells: list[Cell], off: frozenset[Switch]) -> list[str]:
     failed = []
     for cell in cells:
-        verdict = play_cell(cell, off)
+        try:
+            verdict = play_cell(cell, off)
+        except Exception as error:
+            verdict = Verdict(cell, [f"a caller failed: {error!r}"], True, 0.0)
         if not verdict.passed:
             failed.append(cell.name)
         why = "" if verdict.struck else "the fault did not strike"
@@ -54,7 +57,7 @@
         outcome = "passed" if verdict.passed else f"FAILED {why}"
         print(
             f"{cell.step.value:22} {cell.fault.value:24} seed {cell.seed:10}"
-            f" gap {verdict.gap:5.2f} s {outcome}",
+            f" gap {verdict.gap:5.2f} s {outcome} {verdict.split or ''}".rstrip(),
             flush=True,
         )
     return failed
--- a/orioleplank/tests/test_processes.py
+++ b/orioleplank/tests/test_processes.py
@@ -7,10 +7,11 @@
 import sys
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from http.client import HTTPConnection
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from threading import Thread
 
 import grpc
 from testtools import TestCase
@@ -24,6 +25,9 @@
 REPLY_LIMIT_S = 10.0
 LETTERS = "abc"
 
+# The preface of HTTP/2, and the head of a frame whose body never comes.
+TRUNCATED_STREAM = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes((0, 0, 200, 0, 0, 0, 0, 0, 1))
+
 SERVICE = {
     "instances": [],
     "kinds": [{"name": "save", "weight": 10}, {"name": "read", "weight": 5}],
@@ -41,8 +45,66 @@
     return ports
 
 
+class Relay:
+    """Passes bytes on to a port, until its sockets are cut."""
+
+    def __init__(self, port: int) -> None:
+        self._target = port
+        self._sockets: list[socket.socket] = []
+        self._is_cut = False
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            if self._is_cut:
+                near.close()
+                continue
+            try:
+                far = socket.create_connection(("127.0.0.1", self._target))
+            except OSError:
+                near.close()
+                continue
+            self._sockets += [near, far]
+            for source, sink in ((near, far), (far, near)):
+                Thread(target=self._pass_on, args=(source, sink), daemon=True).start()
+
+    def _pass_on(self, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            while data := source.recv(65536):
+                sink.sendall(data)
+        except OSError:
+            pass
+        self._shut(source)
+        self._shut(sink)
+
+    def _shut(self, opened: socket.socket) -> None:
+        with suppress(OSError):
+            opened.shutdown(socket.SHUT_RDWR)
+
+    def cut(self) -> None:
+        """Cut all sockets and take no new ones."""
+        self._is_cut = True
+        for opened in self._sockets:
+            self._shut(opened)
+
+    def heal(self) -> None:
+        """Take new sockets again."""
+        self._is_cut = False
+
+    def close(self) -> None:
+        """End the relay."""
+        self.cut()
+        self._listener.close()
+
+
 class Deployment:
-    """A platform, three instances and two proxies as processes."""
+    """A platform, three instances behind relays and two proxies as processes."""
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
@@ -52,6 +114,7 @@
         self.instances = dict(zip(LETTERS, ports[1:4], strict=True))
         self.audits = dict(zip(LETTERS, ports[4:7], strict=True))
         self.proxies = [ports[7:10], ports[10:13]]
+        self.relays = {letter: Relay(port) for letter, port in self.instances.items()}
 
     def start(self) -> None:
         """Start all processes and wait for a primary."""
@@ -94,8 +157,8 @@
         for number in range(len(self.proxies)):
             self._retry(lambda number=number: self.status(number))  # type: ignore[misc]
         instances = [
-            {"name": letter, "address": f"127.0.0.1:{port}", "zone": "z"}
-            for letter, port in self.instances.items()
+            {"name": letter, "address": f"127.0.0.1:{relay.port}", "zone": "z"}
+            for letter, relay in self.relays.items()
         ]
         spec = {**SERVICE, "instances": instances}
         answer = call_admin(self.admin(0), "PUT", "objects/service/books", spec, author="ana")
@@ -147,6 +210,8 @@
         for process in self._processes.values():
             process.kill()
             process.wait()
+        for relay in self.relays.values():
+            relay.close()
 
     def ask(self, number: int, *requests: pb.CallerRequest) -> list[pb.CallerReply]:
         """Send requests on one stream and return their replies."""
@@ -230,6 +295,8 @@
         for port in ports:
             with socket.create_connection(("127.0.0.1", port), timeout=2) as opened:
                 opened.sendall(os.urandom(512))
+            with socket.create_connection(("127.0.0.1", port), timeout=2) as opened:
+                opened.sendall(TRUNCATED_STREAM)
         connection = HTTPConnection("127.0.0.1", deployment.proxies[0][2], timeout=5)
         for method, path, body, code in (
             ("GET", "/nope", b"", 404),
@@ -261,6 +328,19 @@
         read = deployment.ask(1, make_request("r4", "SELECT v FROM t ORDER BY v"))
         self.assertEqual([[("a",), ("b",)]], read_rows(read[0].answer.result))
 
+    def test_sockets_of_the_primary_cut(self) -> None:
+        with deploy() as deployment:
+            deployment.ask(0, make_request("r1", "CREATE TABLE t (v TEXT)", write=True))
+            deployment.ask(0, make_request("r2", "INSERT INTO t VALUES ('a')", write=True))
+            first = deployment.primary(0)
+            deployment.relays[first].cut()
+            saved = deployment.ask(0, make_request("r3", "INSERT INTO t VALUES ('b')", write=True))
+            self.assertEqual("answer", saved[0].WhichOneof("outcome"), str(saved))
+            self.assertNotEqual(first, deployment.primary(0))
+            deployment.relays[first].heal()
+            read = deployment.ask(1, make_request("r4", "SELECT v FROM t ORDER BY v"))
+            self.assertEqual([[("a",), ("b",)]], read_rows(read[0].answer.result))
+
     def test_caller_repeats_under_its_id_after_its_proxy_died(self) -> None:
         with deploy() as deployment:
             deployment.ask(0, make_request("r1", "CREATE TABLE t (v TEXT)", write=True))
