Report burn rates over several windows, over all proxies, also as a page

Cause: the report counted since the start only; an alert needs a short and a long window. Change: each proxy counts answers and failures in buckets of ten seconds for six hours; the report merges them, names fast and slow burn, and writes a page. Requests that name no configured kind are counted together, so that callers cannot make up labels. Conclusion: done; the page was not looked at in a browser.

--- a/orioleplank/cli/_main.py
+++ b/orioleplank/cli/_main.py
@@ -124,6 +124,7 @@
         metavar="HOST:PORT",
         help="admin address of a proxy; once for each",
     )
+    parser.add_argument("--html", type=Path, metavar="FILE", help="write a page for a browser")
     parser.set_defaults(run=_report.report_command)
 
 
--- a/orioleplank/cli/_report.py
+++ b/orioleplank/cli/_report.py
@@ -9,9 +9,11 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from orioleplank.cli._admin import call_admin, read_admin
+from orioleplank.cli._burn import describe_burn, read_burn, render_page
 from orioleplank.cli._output import ExitCode, show
 
 DEFAULT_ADMIN = "127.0.0.1:7403"
+DEFAULT_OBJECTIVE = 0.999
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,9 +49,21 @@
     reads: Counter[tuple[str, ...]] = Counter()
     for address in addresses:
         _add_metrics(address, counts, reads)
-    reports = _summarize(counts, reads, _read_objectives(addresses[0]))
+    objectives = _read_objectives(addresses[0])
+    reports = _summarize(counts, reads, objectives)
+    burns = read_burn(addresses, objectives, DEFAULT_OBJECTIVE)
     lines = [_describe(report) for report in reports]
-    show(options.output, [asdict(report) for report in reports], "\n".join(lines))
+    if options.html:
+        options.html.write_text(render_page(lines, burns), encoding="utf-8")
+    by_kind = {(burn.service, burn.kind): burn for burn in burns}
+    for place, report in enumerate(reports):
+        burn = by_kind.get((report.service, report.kind))
+        lines[place] += f"\n{describe_burn(burn)}" if burn else ""
+    shown = {
+        "kinds": [asdict(report) for report in reports],
+        "burn": [{**asdict(burn), "alert": burn.alert} for burn in burns],
+    }
+    show(options.output, shown, "\n".join(lines))
     return ExitCode.DONE
 
 
@@ -84,7 +98,9 @@
     objectives: dict[tuple[str, str], float],
 ) -> list[KindReport]:
     keys = sorted({(key[0], key[1]) for key in counts})
-    return [_summarize_kind(key, counts, reads, objectives.get(key, 0.999)) for key in keys]
+    return [
+        _summarize_kind(key, counts, reads, objectives.get(key, DEFAULT_OBJECTIVE)) for key in keys
+    ]
 
 
 def _summarize_kind(
--- a/orioleplank/daemon/_admin.py
+++ b/orioleplank/daemon/_admin.py
@@ -49,12 +49,14 @@
         registry: CollectorRegistry,
         is_ready: Callable[[], bool],
         listen: Callable[[Site, str, int], Any],
+        burn: Callable[[], object],
     ) -> None:
         super().__init__(names.ADMIN)
         self._address = address
         self._registry = registry
         self._is_ready = is_ready
         self._listen = listen
+        self.burn = burn
         self._numbers = count(1)
         self._statuses: dict[int, Deferred[StatusTold]] = {}
         self._changes: dict[str, Deferred[OperatorChangeEnded]] = {}
@@ -128,6 +130,8 @@
             case b"GET", ["metrics"]:
                 request.setHeader(b"content-type", CONTENT_TYPE_LATEST.encode())
                 return self._admin.render_metrics()
+            case b"GET", ["burn"]:
+                return _answer(request, OK, self._admin.burn())
             case b"GET", ["status"]:
                 return self._with_status(request, describe_status)
             case b"GET", ["objects"]:
--- a/orioleplank/daemon/_events.py
+++ b/orioleplank/daemon/_events.py
@@ -10,6 +10,7 @@
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
 from orioleplank.daemon import _names as names
+from orioleplank.daemon._burn import BurnCounts, KindKey
 from orioleplank.decision import (
     Answer,
     Event,
@@ -66,6 +67,11 @@
             registry=self.registry,
             buckets=_BUCKETS,
         )
+        self.unknown = Counter(
+            "orioleplank_unknown_kind_requests",
+            "Requests that name no configured service and kind.",
+            registry=self.registry,
+        )
         self.events = Counter(
             "orioleplank_events", "Numbered events.", ("event",), registry=self.registry
         )
@@ -77,6 +83,7 @@
     def __init__(self, proxy: str, level: str, end: Callable[[], None]) -> None:
         super().__init__(names.EVENTS)
         self.metrics = Metrics()
+        self.burn = BurnCounts()
         self._proxy = proxy
         self._end = end
         self._logger = Logger("orioleplank")
@@ -121,6 +128,13 @@
 
     def _count(self, reply: Reply) -> None:
         request = reply.request
+        by_person = isinstance(reply.outcome, Refusal) and isinstance(reply.outcome.party, Person)
+        if reply.known and not by_person:
+            key = KindKey(request.service, request.kind)
+            self.burn.add(key, isinstance(reply.outcome, Answer), self.kernel.now())
+        if not reply.known:
+            self.metrics.unknown.inc()
+            return
         self.metrics.seconds.labels(request.service, request.kind).observe(reply.elapsed)
         self.metrics.attempts.labels(request.service, request.kind).inc(reply.attempts)
         match reply.outcome:
--- a/orioleplank/daemon/_proxy.py
+++ b/orioleplank/daemon/_proxy.py
@@ -8,6 +8,7 @@
 
 from orioleplank._reactor import find_reactor
 from orioleplank.daemon._admin import Admin
+from orioleplank.daemon._burn import describe_burn
 from orioleplank.daemon._callers import Callers
 from orioleplank.daemon._decisions import Decisions
 from orioleplank.daemon._events import Events
@@ -68,6 +69,7 @@
                 events.metrics.registry,
                 lambda: proxy.is_ready,
                 lambda site, host, port: reactor.listenTCP(port, site, interface=host),
+                lambda: describe_burn(events.burn, kernel.now()),
             )
         )
         kernel.start()
--- /dev/null
+++ b/orioleplank/daemon/tests/test_burn.py
@@ -0,0 +1,24 @@
+"""Sliding windows of answers and failures."""
+
+from testtools import TestCase
+
+from orioleplank.daemon._burn import WINDOWS, BurnCounts, Count, KindKey
+
+KEY = KindKey("books", "save")
+
+
+class BurnCountsTest(TestCase):
+    def test_windows_slide(self) -> None:
+        counts = BurnCounts()
+        counts.add(KEY, True, 1000.0)
+        counts.add(KEY, False, 1000.0)
+        counts.add(KEY, True, 1400.0)
+        self.assertEqual(Count(1, 0), counts.count(KEY, WINDOWS[0], 1400.0))
+        self.assertEqual(Count(2, 1), counts.count(KEY, WINDOWS[1], 1400.0))
+
+    def test_old_buckets_are_forgotten(self) -> None:
+        counts = BurnCounts()
+        for hour in range(24):
+            counts.add(KEY, True, hour * 3600.0)
+        self.assertEqual(Count(6, 0), counts.count(KEY, WINDOWS[3], 23 * 3600.0))
+        self.assertLessEqual(len(counts._buckets[KEY]), 7)
--- a/orioleplank/decision/_effect.py
+++ b/orioleplank/decision/_effect.py
@@ -26,6 +26,8 @@
     elapsed: float
     # Statements sent upstream for it.
     attempts: int
+    # False when it names no configured service and kind, so that nothing is counted by its names.
+    known: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/decision/_requests.py
+++ b/orioleplank/decision/_requests.py
@@ -29,6 +29,8 @@
 RESOLVE_MARGIN_S = 0.5
 LEAST_ATTEMPT_S = 0.5
 
+_UNKNOWN = frozenset({Reason.UNKNOWN_SERVICE, Reason.UNKNOWN_KIND, Reason.NOT_CONFIGURED})
+
 
 class Requests:
     """All requests in progress on one proxy."""
@@ -73,7 +75,8 @@
             refusal = None if self._evict_lighter(request) else refusal
         if refusal is not None:
             move = self._replies.ending.move
-            self._node.emit(Reply(message.caller, request, refusal, move, 0.0, 0))
+            known = refusal.reason not in _UNKNOWN
+            self._node.emit(Reply(message.caller, request, refusal, move, 0.0, 0, known))
             return
         self._start(message)
 
--- a/orioleplank/workday/__main__.py
+++ b/orioleplank/workday/__main__.py
@@ -27,6 +27,7 @@
     options = _parse()
     _set_up(options)
     day = asyncio.run(_run_day(options))
+    _report(options)
     audit = audit_day(day.observations, tuple(options.upstream_admin))
     reasons = Counter(
         f"{sample.reason} ({'person ' + sample.person if sample.person else 'program'})"
@@ -40,6 +41,14 @@
     return 1 if audit.broken_promises else 0
 
 
+def _report(options: argparse.Namespace) -> None:
+    """Print the report on service-level burn of the proxies that still run."""
+    arguments = ["report"]
+    for admin in options.admin[:-1]:
+        arguments += ["--admin", admin]
+    run_command(arguments)
+
+
 def _parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog="workday")
     parser.add_argument("--platform", required=True)
