Keep a proxy that has just started from taking everybody's slots; count connections until they are gone

The proxy that had just started had heard nobody, took itself for the only one, and issued all slots to itself; the others gave theirs up. It also dropped the terms of the other keepers. With seven proxies two cells showed 31 connections of 30: a closed connection was counted as gone before the instance had closed it, and a proxy that is cut off kept its connections while its share went to others. Ruled out: the promotion (there was none), the delay itself (150 ms a message). Change: a participant is dropped after 2 s of silence, counted from the own start at the earliest; keepers' ranges are dropped by age only; a closed connection counts until the instance answers a later round, 2.5 s at most; a proxy that may not use its slots for half a second closes its connections; where only one or two took part, whoever is left takes over after 3 s.

--- a/orioleplank/daemon/_status.py
+++ b/orioleplank/daemon/_status.py
@@ -41,6 +41,7 @@
                 "reachable": name not in service.view.unreachable,
                 "connections": service.pools[name].size,
                 "running": service.pools[name].running,
+                "slots": service.pools[name].slot_share,
             }
             for name, seen in service.view.sightings.items()
         },
--- a/orioleplank/decision/_allotments.py
+++ b/orioleplank/decision/_allotments.py
@@ -26,6 +26,8 @@
 ASK_SPACING_S = 0.01
 OWED_LIMIT = 16
 LEAK_AFTER_S = 3.0
+ABSENT_S = 2.0
+DISCONNECT_S = 0.5
 
 
 class Allotments:
@@ -40,6 +42,8 @@
         self._turn: defaultdict[InstanceKey, int] = defaultdict(int)
         self._owed: defaultdict[InstanceKey, deque[str]] = defaultdict(deque)
         self._whole_at: dict[str, float] = {}
+        self._started_at: float | None = None
+        self._usable_at: dict[str, float] = {}
 
     def _state(self, service: str) -> SlotState:
         return self._states.get(service) or SlotState(self._own)
@@ -54,6 +58,8 @@
     def pass_time(self) -> None:
         """Take what others have given up, and fence off slots that may not be used."""
         node = self._node
+        if self._started_at is None:
+            self._started_at = node.now
         for service in node.configuration.services():
             contacts = self._contacts(service)
             state = await_others(self._state(service), contacts, self._gone(service), node.now)
@@ -92,9 +98,10 @@
         usable = may_use(state, self._contacts(service), node.now)
         if not node.mechanisms.on(Switch.SLOTS):
             usable = True
+        connectable = self._may_stay_connected(service, usable)
         for instance, pool in node.pools[service].items():
             slots = state.count(instance) if usable else 0
-            connections = state.connections.get(instance, 0)
+            connections = state.connections.get(instance, 0) if connectable else 0
             if not node.mechanisms.on(Switch.SLOTS):
                 slots, connections = self._limits(service, instance)
             changed = replace(pool, slot_share=slots, connection_share=connections)
@@ -105,6 +112,13 @@
                 node.emit(CloseConnection(ConnectionId(service, instance, number)))
             node.pools[service][instance] = changed
 
+    def _may_stay_connected(self, service: str, usable: bool) -> bool:
+        """Tell whether connections may stay: a short pause closes none of them."""
+        now = self._node.now
+        if usable:
+            self._usable_at[service] = now
+        return now - self._usable_at.setdefault(service, now) < DISCONNECT_S
+
     def _limits(self, service: str, instance: str) -> tuple[int, int]:
         spec = self._node.spec(service).instance(instance)
         return (spec.slots, spec.connections) if spec else (0, 0)
@@ -218,7 +232,7 @@
         epoch, spec = node.configuration.allotment(service)
         if epoch and (state.epoch != epoch or not state.settled or not self._has_say(service)):
             return None
-        wanted = self._wanted_participants()
+        wanted = self._wanted_participants(spec)
         changed = frozenset(wanted) != spec.participants
         if not changed and not self._has_leaked(service) and self._covers(service, spec):
             return None
@@ -233,13 +247,27 @@
         names = {instance.name for instance in self._node.spec(service).instances}
         return {share.instance for share in spec.shares} == names
 
-    def _wanted_participants(self) -> tuple[Participant, ...]:
+    def _wanted_participants(self, spec: AllotmentSpec) -> tuple[Participant, ...]:
+        """Return who runs, and who takes part and was heard, or not yet missed, for a while."""
         node = self._node
-        peers = [
+        running = {
             Participant(heard.proxy, heard.incarnation)
             for heard in node.membership.running(node.now)
-        ]
-        return tuple(sorted([self._own, *peers]))
+        }
+        staying = {item for item in spec.participants if not self._is_absent(item)}
+        return tuple(sorted({self._own} | running | staying))
+
+    def _is_absent(self, participant: Participant) -> bool:
+        """Tell whether a participant has ended, or has not been heard for long.
+
+        A proxy that has just started has heard nobody yet, and takes nobody for absent.
+        """
+        if self._is_gone(participant):
+            return True
+        peer = self._node.membership.peers.get(participant.proxy)
+        since = peer.at if peer is not None else self._started_at
+        absent = since is not None and self._node.now - since > ABSENT_S
+        return participant != self._own and absent
 
     def _has_leaked(self, service: str) -> bool:
         """Tell whether slots have been missing from the sum over all proxies for long."""
--- a/orioleplank/decision/_membership.py
+++ b/orioleplank/decision/_membership.py
@@ -143,7 +143,5 @@
     added = KeeperRange(
         membership.proxy, membership.incarnation, first, first + TERMS_PER_RANGE - 1
     )
-    kept = [
-        entry for entry in spec.ranges if entry.proxy != membership.proxy and entry.proxy in alive
-    ]
+    kept = [entry for entry in spec.ranges if entry.proxy != membership.proxy]
     return KeepershipSpec((*kept[-(RANGES_KEPT - 1) :], added))
--- a/orioleplank/decision/_pool.py
+++ b/orioleplank/decision/_pool.py
@@ -28,6 +28,8 @@
     running: int = 0
     # When connections were closed whose statement may still run, in seconds.
     doubtful: tuple[float, ...] = ()
+    # When connections were closed that the instance may still hold, in seconds.
+    closing: tuple[float, ...] = ()
     # Number for the next connection.
     next_number: int = 1
     # Failures to open in a row.
@@ -41,8 +43,8 @@
 
     @property
     def size(self) -> int:
-        """Connections open or being opened."""
-        return len(self.idle) + len(self.taken) + len(self.opening)
+        """Connections open, being opened, or closed so lately that the instance may hold them."""
+        return len(self.idle) + len(self.taken) + len(self.opening) + len(self.closing)
 
     @property
     def has_slot(self) -> bool:
@@ -84,10 +86,11 @@
 
         What was sent and not acknowledged by then is dropped by the transport's user timeout.
         """
-        left = tuple(
-            at for at in self.doubtful if at + DOUBT_S > answered_at and now - at < DOUBT_LIMIT_S
-        )
-        return self if len(left) == len(self.doubtful) else replace(self, doubtful=left)
+        doubtful = _still_open(self.doubtful, answered_at, now)
+        closing = _still_open(self.closing, answered_at, now)
+        if len(doubtful) == len(self.doubtful) and len(closing) == len(self.closing):
+            return self
+        return replace(self, doubtful=doubtful, closing=closing)
 
     def open(self) -> tuple[Pool, int]:
         """Begin to open a connection."""
@@ -100,20 +103,22 @@
 
     def drop(self, number: int, now: float) -> Pool:
         """Forget a connection; a failure to open delays the next try."""
+        closing = (*self.closing, now)
         if number not in self.opening:
             idle = tuple(kept for kept in self.idle if kept != number)
-            return replace(self, idle=idle, taken=self.taken - {number})
+            return replace(self, idle=idle, taken=self.taken - {number}, closing=closing)
         delay = min(REOPEN_DELAY_LIMIT_S, REOPEN_DELAY_S * 2**self.failures)
         return replace(
             self,
             opening=self.opening - {number},
+            closing=closing,
             failures=min(self.failures + 1, 10),
             reopen_at=now + delay,
         )
 
     def surplus(self) -> tuple[int, ...]:
         """Return the free connections to close because the share is smaller."""
-        over = self.size - self.connection_share
+        over = self.size - len(self.closing) - self.connection_share
         return self.idle[: max(0, over)]
 
     def wants(self, demand: int, now: float) -> int:
@@ -125,3 +130,7 @@
             return 0
         missing = demand + 1 - len(self.idle) - len(self.opening)
         return max(0, min(missing, self.connection_share - self.size))
+
+
+def _still_open(closed: tuple[float, ...], answered_at: float, now: float) -> tuple[float, ...]:
+    return tuple(at for at in closed if at + DOUBT_S > answered_at and now - at < DOUBT_LIMIT_S)
--- a/orioleplank/decision/_slots.py
+++ b/orioleplank/decision/_slots.py
@@ -23,6 +23,7 @@
 
 CONTACT_S = 2.0
 TAKE_AFTER_S = 3.0
+FEW = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,7 +119,8 @@
 
     `gone` are runs that are known to have ended. Once a majority of the epoch before is in this
     one or gone, nobody finds a majority in the epoch before, so that after `TAKE_AFTER_S` whoever
-    has not answered has stopped to use its slots.
+    has not answered has stopped to use its slots. Where one or two took part, whoever is left
+    takes over after the same time, and counts on the upstream's own limit.
     """
     if state.settled:
         return state
@@ -127,7 +129,8 @@
     awaited = state.awaited - done
     ready = (done | {state.own}) & state.before
     majority_at = state.majority_at
-    if len(ready) * 2 > len(state.before) and majority_at is None:
+    is_majority = len(ready) * 2 > len(state.before) or len(state.before) <= FEW
+    if is_majority and majority_at is None:
         majority_at = now
     waited = majority_at is not None and now - majority_at >= TAKE_AFTER_S
     if awaited and not waited:
@@ -154,7 +157,7 @@
     """
     if state.own not in state.participants:
         return False
-    if len(state.participants) <= 2:
+    if len(state.participants) <= FEW:
         return True
     near = {
         contact.incarnation
--- a/orioleplank/tests/_world.py
+++ b/orioleplank/tests/_world.py
@@ -79,6 +79,7 @@
 PULL_S = 0.01
 CONNECT_S = 0.012
 SERVICE_S = 0.002
+KEEPALIVE_S = 2.0
 SLOTS = 5
 CONNECTIONS = 30
 WATCH_S = 0.05
@@ -277,6 +278,7 @@
             self.fabric.after(SERVICE_S, lambda: self.fabric.enter(target, close))
 
         self.fabric.deliver(node.name, target.name, arrive)
+        self.fabric.after(KEEPALIVE_S, lambda: self.fabric.enter(target, close))
 
     def _number(self, socket: Socket) -> int:
         return self._socket_numbers.setdefault(socket, len(self._socket_numbers) + 1)
