--- a/orioleplank/decision/__init__.py
+++ b/orioleplank/decision/__init__.py
@@ -1,33 +1,12 @@
 """The decisions of a proxy, free of I/O: messages and a time go in, effects come out."""
 
 from orioleplank.decision._configuration import (
-    IN_FORCE_NAME,
     Accepted,
-    AllotmentSpec,
-    Change,
     Configuration,
-    InForceSpec,
-    InstanceSpec,
-    KeeperRange,
-    KeepershipSpec,
-    Kind,
-    KindSpec,
-    ObjectBody,
-    ObjectKey,
-    Participant,
-    PresetSpec,
-    PrimarySpec,
-    ServiceSpec,
-    SlotShare,
-    Spec,
     StoredObject,
     UpdateVerdict,
-    dump_body,
-    dump_spec,
     judge_update,
     merge_objects,
-    parse_body,
-    parse_spec,
 )
 from orioleplank.decision._effect import (
     AskLedger,
@@ -67,7 +46,6 @@
 )
 from orioleplank.decision._keeper import (
     Keeper,
-    KeeperSurroundings,
     Promoting,
     Sealing,
     Watching,
@@ -151,6 +129,34 @@
     Request,
     SessionFreshness,
 )
+from orioleplank.decision._specs import (
+    IN_FORCE_NAME,
+    AllotmentSpec,
+    Change,
+    InForceSpec,
+    InstanceSpec,
+    KeeperRange,
+    KeepershipSpec,
+    Kind,
+    KindSpec,
+    ObjectBody,
+    ObjectKey,
+    Participant,
+    PresetSpec,
+    PrimarySpec,
+    ServiceSpec,
+    SlotShare,
+    Spec,
+    dump_body,
+    dump_spec,
+    parse_body,
+    parse_spec,
+)
+from orioleplank.decision._suspicion import (
+    KeeperSurroundings,
+    Suspicion,
+    suspect_primary,
+)
 from orioleplank.decision._token import (
     EMPTY_TOKEN,
     SessionToken,
@@ -260,6 +266,7 @@
     "StopRequested",
     "Stopped",
     "StoredObject",
+    "Suspicion",
     "Switch",
     "TRANSACTIONAL",
     "TermStart",
@@ -288,4 +295,5 @@
     "propose_keepership",
     "rank_proxies",
     "start_round",
+    "suspect_primary",
 ]
--- a/orioleplank/decision/_admission.py
+++ b/orioleplank/decision/_admission.py
@@ -4,7 +4,6 @@
 
 from dataclasses import replace
 
-from orioleplank.decision._configuration import Change, PresetSpec
 from orioleplank.decision._node import Node
 from orioleplank.decision._refusal import (
     DidRun,
@@ -16,6 +15,7 @@
     Refusal,
 )
 from orioleplank.decision._request import TRANSACTIONAL, Operation, Request
+from orioleplank.decision._specs import Change, PresetSpec
 
 # Share of the time left that a request may spend waiting.
 WAIT_SHARE = 0.5
--- a/orioleplank/decision/_allotments.py
+++ b/orioleplank/decision/_allotments.py
@@ -5,7 +5,6 @@
 from collections import defaultdict, deque
 from dataclasses import replace
 
-from orioleplank.decision._configuration import AllotmentSpec, Participant
 from orioleplank.decision._effect import AskSlots, CloseConnection, GiveSlots
 from orioleplank.decision._mechanism import Switch
 from orioleplank.decision._membership import ALIVE_S
@@ -22,6 +21,7 @@
     may_use,
     take_slots,
 )
+from orioleplank.decision._specs import AllotmentSpec, Participant
 
 ASK_SPACING_S = 0.01
 OWED_LIMIT = 16
--- a/orioleplank/decision/_groups.py
+++ b/orioleplank/decision/_groups.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from orioleplank.decision._configuration import ServiceSpec
 from orioleplank.decision._effect import AskRound, Event, ForgetInstance, WatchInstance
 from orioleplank.decision._group import (
     GroupView,
@@ -14,6 +13,7 @@
 from orioleplank.decision._message import InstanceReported, InstanceUnreachable
 from orioleplank.decision._node import Node
 from orioleplank.decision._pool import Pool
+from orioleplank.decision._specs import ServiceSpec
 
 ROUND_PERIOD_S = 0.1
 ROUND_SPACING_S = 0.003
--- a/orioleplank/decision/_keeper.py
+++ b/orioleplank/decision/_keeper.py
@@ -9,17 +9,19 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
-from random import Random
 
-from orioleplank.decision._configuration import KeeperRange, ServiceSpec
 from orioleplank.decision._effect import Effect, Event, Note, SendFollow, SendPromote, SendSeal
-from orioleplank.decision._group import GroupView, Report, Role
+from orioleplank.decision._group import Report, Role
 from orioleplank.decision._mechanism import Switch
 from orioleplank.decision._message import PromoteAnswered, SealAnswered, Tick
+from orioleplank.decision._suspicion import (
+    KeeperSurroundings,
+    Suspicion,
+    find_newcomer,
+    fresh_report,
+    suspect_primary,
+)
 
-SUSPECT_AFTER_S = 0.6
-CUT_OFF_AFTER_S = 0.8
-PATIENCE_S = 3.0
 SETTLE_S = 0.5
 RESEND_S = 0.25
 STEP_LIMIT_S = 1.0
@@ -38,16 +40,6 @@
     not_before: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Suspicion:
-    """Why a promotion is due."""
-
-    # One sentence.
-    why: str
-    # Member to pass over, because the group or the keeper does not hear it; empty for none.
-    avoid: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class Sealing:
     """Seals the members at a new term."""
@@ -101,26 +93,6 @@
     admitted_at: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class KeeperSurroundings:
-    """What a keeper looks at besides its state."""
-
-    # The service.
-    spec: ServiceSpec
-    # Its group.
-    view: GroupView
-    # Members that are leaving by the platform's list.
-    leaving: frozenset[str]
-    # Terms reserved for this run of this proxy; None when there are none.
-    terms: KeeperRange | None
-    # True when no keeper that goes before this one is alive.
-    acting: bool
-    # Proxy's monotonic clock, in seconds.
-    now: float
-    # Generator for backoff.
-    random: Random
-
-
 Step = tuple[Keeper, tuple[Effect, ...]]
 
 
@@ -149,7 +121,7 @@
         return keeper, ()
     suspicion = suspect_primary(around)
     if suspicion is None and around.now - keeper.admitted_at >= ADMIT_S:
-        suspicion = _find_newcomer(around)
+        suspicion = find_newcomer(around)
         keeper = replace(keeper, admitted_at=around.now) if suspicion else keeper
     if suspicion is None:
         return _repair(replace(keeper, suspected_at=0.0), around)
@@ -168,83 +140,6 @@
     return sealing, (suspicion, *_seals(keeper.service, term, stage.granted, around))
 
 
-def suspect_primary(around: KeeperSurroundings) -> Suspicion | None:
-    """Return why a promotion is due, None when it is not."""
-    view = around.view
-    voters = [name for name in view.members if view.is_reachable(name, around.now)]
-    if len(voters) < view.majority:
-        return None
-    primary = view.primary()
-    if primary is None or primary.term < view.committed.last.term:
-        return Suspicion("the group has no primary")
-    if _stranded(primary, around):
-        return Suspicion(f"a member is sealed above term {primary.term}")
-    if primary.leaving or primary.instance in around.leaving:
-        if not _has_successor(around):
-            return None
-        return Suspicion(f"primary {primary.instance} is leaving", primary.instance)
-    return _suspect_silence(primary, around)
-
-
-def _find_newcomer(around: KeeperSurroundings) -> Suspicion | None:
-    """Return which member that lost its log has caught up, and needs a new term to vote again.
-
-    Such a member has forgotten what it acknowledged and promised. In a term that a majority of
-    the others seals after it came back, nothing depends on what it forgot.
-    """
-    primary = around.view.primary()
-    for name in around.view.members:
-        report = _fresh_report(name, around)
-        if report is None or primary is None or report.voting:
-            continue
-        follows = report.term == primary.term and report.following == primary.instance
-        if follows and report.lineage.contains(around.view.committed.last):
-            return Suspicion(f"member {name} has caught up and is to vote again")
-    return None
-
-
-def _suspect_silence(primary: Report, around: KeeperSurroundings) -> Suspicion | None:
-    view = around.view
-    others = [name for name in view.members if name != primary.instance]
-    fresh = [report for name in others if (report := _fresh_report(name, around)) is not None]
-    deaf = [report for report in fresh if report.primary_silence > CUT_OFF_AFTER_S]
-    if len(view.members) - len(deaf) < view.majority and len(deaf) >= view.majority:
-        why = f"primary {primary.instance} is cut off from its replicas"
-        return Suspicion(why, primary.instance)
-    silence = around.now - view.sightings[primary.instance].at
-    if primary.instance not in view.unreachable and silence <= SUSPECT_AFTER_S:
-        return None
-    hearing = [report for report in fresh if report.primary_silence < SUSPECT_AFTER_S / 2]
-    if len(hearing) + 1 >= view.majority and silence < PATIENCE_S:
-        return None
-    why = f"primary {primary.instance} has been silent for {silence:.2f} s"
-    return Suspicion(why, primary.instance)
-
-
-def _fresh_report(name: str, around: KeeperSurroundings) -> Report | None:
-    if not around.view.is_reachable(name, around.now):
-        return None
-    return around.view.report(name)
-
-
-def _stranded(primary: Report, around: KeeperSurroundings) -> bool:
-    """Tell whether a reachable member cannot follow because its seal is above the primary's."""
-    reports = (_fresh_report(name, around) for name in around.view.members)
-    return any(report is not None and report.term > primary.term for report in reports)
-
-
-def _has_successor(around: KeeperSurroundings) -> bool:
-    staying = [
-        name
-        for name in around.view.members
-        if (report := _fresh_report(name, around)) is not None
-        and not report.leaving
-        and report.voting
-        and name not in around.leaving
-    ]
-    return len(staying) >= around.view.majority
-
-
 def _next_term(keeper: Keeper, around: KeeperSurroundings) -> int | None:
     if around.terms is None:
         return None
@@ -389,7 +284,7 @@
         name
         for name in around.view.members
         if name != primary.instance
-        and (report := _fresh_report(name, around)) is not None
+        and (report := fresh_report(name, around)) is not None
         and _is_stray(report, primary)
     )
     repaired = replace(keeper, repaired_at=around.now)
--- a/orioleplank/decision/_keepers.py
+++ b/orioleplank/decision/_keepers.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from orioleplank.decision._allotments import Allotments
-from orioleplank.decision._configuration import Change, Kind, ObjectKey, PrimarySpec, Spec
 from orioleplank.decision._effect import Event, UpdateObject
-from orioleplank.decision._keeper import Keeper, KeeperSurroundings, decide_keeper
+from orioleplank.decision._keeper import Keeper, decide_keeper
 from orioleplank.decision._membership import find_own_range, is_acting, propose_keepership
 from orioleplank.decision._message import PromoteAnswered, SealAnswered, Tick, UpdateEnded
 from orioleplank.decision._node import Node
+from orioleplank.decision._specs import Change, Kind, ObjectKey, PrimarySpec, Spec
+from orioleplank.decision._suspicion import KeeperSurroundings
 
 UPDATE_RETRY_S = 1.0
 UPDATE_LIMIT_S = 10.0
--- a/orioleplank/decision/_routing.py
+++ b/orioleplank/decision/_routing.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass
 from random import Random
 
-from orioleplank.decision._configuration import ServiceSpec
 from orioleplank.decision._group import GroupView, Report, Role
 from orioleplank.decision._mechanism import Switch
 from orioleplank.decision._pool import Pool
 from orioleplank.decision._position import Position
 from orioleplank.decision._request import Current, MaxAge, Operation, Request, SessionFreshness
+from orioleplank.decision._specs import ServiceSpec
 
 ZONE_PENALTY = 0.5
 AGE_MARGIN_S = 0.05
--- /dev/null
+++ b/orioleplank/decision/_suspicion.py
@@ -0,0 +1,121 @@
+"""Why a promotion is due: the primary is gone, cut off or leaving, or a member comes back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from orioleplank.decision._group import GroupView, Report
+from orioleplank.decision._specs import KeeperRange, ServiceSpec
+
+SUSPECT_AFTER_S = 0.6
+CUT_OFF_AFTER_S = 0.8
+PATIENCE_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Why a promotion is due."""
+
+    # One sentence.
+    why: str
+    # Member to pass over, because the group or the keeper does not hear it; empty for none.
+    avoid: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperSurroundings:
+    """What a keeper looks at besides its state."""
+
+    # The service.
+    spec: ServiceSpec
+    # Its group.
+    view: GroupView
+    # Members that are leaving by the platform's list.
+    leaving: frozenset[str]
+    # Terms reserved for this run of this proxy; None when there are none.
+    terms: KeeperRange | None
+    # True when no keeper that goes before this one is alive.
+    acting: bool
+    # Proxy's monotonic clock, in seconds.
+    now: float
+    # Generator for backoff.
+    random: Random
+
+
+def suspect_primary(around: KeeperSurroundings) -> Suspicion | None:
+    """Return why a promotion is due, None when it is not."""
+    view = around.view
+    voters = [name for name in view.members if view.is_reachable(name, around.now)]
+    if len(voters) < view.majority:
+        return None
+    primary = view.primary()
+    if primary is None or primary.term < view.committed.last.term:
+        return Suspicion("the group has no primary")
+    if _stranded(primary, around):
+        return Suspicion(f"a member is sealed above term {primary.term}")
+    if primary.leaving or primary.instance in around.leaving:
+        if not _has_successor(around):
+            return None
+        return Suspicion(f"primary {primary.instance} is leaving", primary.instance)
+    return _suspect_silence(primary, around)
+
+
+def find_newcomer(around: KeeperSurroundings) -> Suspicion | None:
+    """Return which member that lost its log has caught up, and needs a new term to vote again.
+
+    Such a member has forgotten what it acknowledged and promised. In a term that a majority of
+    the others seals after it came back, nothing depends on what it forgot.
+    """
+    primary = around.view.primary()
+    for name in around.view.members:
+        report = fresh_report(name, around)
+        if report is None or primary is None or report.voting:
+            continue
+        follows = report.term == primary.term and report.following == primary.instance
+        if follows and report.lineage.contains(around.view.committed.last):
+            return Suspicion(f"member {name} has caught up and is to vote again")
+    return None
+
+
+def _suspect_silence(primary: Report, around: KeeperSurroundings) -> Suspicion | None:
+    view = around.view
+    others = [name for name in view.members if name != primary.instance]
+    fresh = [report for name in others if (report := fresh_report(name, around)) is not None]
+    deaf = [report for report in fresh if report.primary_silence > CUT_OFF_AFTER_S]
+    if len(view.members) - len(deaf) < view.majority and len(deaf) >= view.majority:
+        why = f"primary {primary.instance} is cut off from its replicas"
+        return Suspicion(why, primary.instance)
+    silence = around.now - view.sightings[primary.instance].at
+    if primary.instance not in view.unreachable and silence <= SUSPECT_AFTER_S:
+        return None
+    hearing = [report for report in fresh if report.primary_silence < SUSPECT_AFTER_S / 2]
+    if len(hearing) + 1 >= view.majority and silence < PATIENCE_S:
+        return None
+    why = f"primary {primary.instance} has been silent for {silence:.2f} s"
+    return Suspicion(why, primary.instance)
+
+
+def fresh_report(name: str, around: KeeperSurroundings) -> Report | None:
+    """Return the report of a member that is reachable, None for others."""
+    if not around.view.is_reachable(name, around.now):
+        return None
+    return around.view.report(name)
+
+
+def _stranded(primary: Report, around: KeeperSurroundings) -> bool:
+    """Tell whether a reachable member cannot follow because its seal is above the primary's."""
+    reports = (fresh_report(name, around) for name in around.view.members)
+    return any(report is not None and report.term > primary.term for report in reports)
+
+
+def _has_successor(around: KeeperSurroundings) -> bool:
+    staying = [
+        name
+        for name in around.view.members
+        if (report := fresh_report(name, around)) is not None
+        and not report.leaving
+        and report.voting
+        and name not in around.leaving
+    ]
+    return len(staying) >= around.view.majority
--- a/orioleplank/standin/_upstream.py
+++ b/orioleplank/standin/_upstream.py
@@ -3,21 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import uuid
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import grpc
-from twisted.web.resource import Resource
-from twisted.web.server import Request, Site
+from twisted.web.server import Site
 
-from orioleplank._http import read_body
 from orioleplank._protos import orioleplank_upstream_pb2 as pb
 from orioleplank._protos import orioleplank_upstream_pb2_grpc as rpc
 from orioleplank._reactor import find_reactor
 from orioleplank.decision import Boundary, LedgerState, Lineage, Role, StatementStatus, TermStart
 from orioleplank.standin._instance import Entry, Instance
+from orioleplank.standin._orders import Counters, Faults, Orders
 from orioleplank.wire import read_position, write_position, write_report
 
 REPORT_PERIOD_S = 0.4
@@ -73,43 +71,12 @@
     lag: float = 0.004
 
 
-@dataclass(slots=True)
-class Counters:
-    """What an audit shows besides the log."""
-
-    # Connections open now.
-    connections: int = 0
-    # Slots busy now.
-    busy: int = 0
-    # Most connections open at once.
-    most_connections: int = 0
-    # Most slots busy at once.
-    most_busy: int = 0
-    # Statements refused because all slots were busy.
-    slots_exceeded: int = 0
-    # Connections refused because all were taken.
-    connections_exceeded: int = 0
-    # Statements run.
-    statements: int = 0
-
-
-@dataclass(slots=True)
-class Faults:
-    """What an order may change while the instance runs."""
-
-    # Seconds by which replication lags.
-    lag: float = 0.0
-    # True when the instance neither sends nor takes log entries.
-    cut_from_group: bool = False
-    # Replicas pulling now, for waking them.
-    news: asyncio.Event = field(default_factory=asyncio.Event)
-
-
 class UpstreamServer(rpc.UpstreamServicer):
     """Serves the upstream protocol for one instance."""
 
     def __init__(self, options: UpstreamOptions) -> None:
         self.options = options
+        self.slots = options.slots
         self.instance = Instance(options.name, uuid.uuid4().hex)
         self.counters = Counters()
         self.faults = Faults(options.lag)
@@ -345,56 +312,6 @@
         )
 
 
-class _Orders(Resource):
-    """GET shows an audit; POST changes lag, leaving and the cut from the group."""
-
-    isLeaf = True  # noqa: N815
-
-    def __init__(self, server: UpstreamServer) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
-        self._server = server
-
-    def render_GET(self, request: Request) -> bytes:  # noqa: N802
-        """Return the log and the counters as JSON."""
-        instance, counters = self._server.instance, self._server.counters
-        brief = b"brief" in (request.args or {})
-        entries = [
-            {
-                "term": entry.position.term,
-                "index": entry.position.index,
-                "id": entry.ledger_id,
-                "tombstone": entry.tombstone,
-                "payloads": [payload.hex() for payload in entry.payloads],
-            }
-            for entry in ([] if brief else instance.log)
-        ]
-        audit = {
-            "name": instance.name,
-            "term": instance.term,
-            "role": instance.role.value,
-            "following": instance.following,
-            "log": entries,
-            "slots": self._server.options.slots,
-            "most_busy": counters.most_busy,
-            "slots_exceeded": counters.slots_exceeded,
-            "connections": counters.connections,
-            "most_connections": counters.most_connections,
-            "connections_exceeded": counters.connections_exceeded,
-            "statements": counters.statements,
-        }
-        return json.dumps(audit).encode()
-
-    def render_POST(self, request: Request) -> bytes:  # noqa: N802
-        """Change how the instance behaves."""
-        order = json.loads(read_body(request))
-        self._server.faults.lag = order.get("lag", self._server.faults.lag)
-        self._server.instance.leaving = order.get("leaving", self._server.instance.leaving)
-        self._server.faults.cut_from_group = order.get(
-            "cut_from_group", self._server.faults.cut_from_group
-        )
-        return b"{}"
-
-
 async def run_upstream(options: UpstreamOptions) -> None:
     """Serve one instance until the process ends."""
     service = UpstreamServer(options)
@@ -403,5 +320,5 @@
     server.add_insecure_port(options.listen)
     await server.start()
     host, port = options.admin.rsplit(":", 1)
-    find_reactor().listenTCP(int(port), Site(_Orders(service)), interface=host)
+    find_reactor().listenTCP(int(port), Site(Orders(service)), interface=host)
     await server.wait_for_termination()
--- a/orioleplank/tests/_cells.py
+++ b/orioleplank/tests/_cells.py
@@ -8,8 +8,8 @@
 from zlib import crc32
 
 from orioleplank.decision import Event, StopRequested, Switch, UpdateVerdict
+from orioleplank.tests._nodes import InstanceNode
 from orioleplank.tests._scene import NODE_FAULTS, WORK_S, Fault, Scene
-from orioleplank.tests._world import InstanceNode
 
 ARMED_S = 2.5
 HEAL_AFTER_S = 7.5
@@ -189,8 +189,8 @@
         if step in _PROMOTION:
             world.kill_instance(primary)
         elif step in _CONFIGURATION:
-            world.change_preset(world.proxies[0], "maintenance", "bo", "change-1")
-            world.change_preset(world.proxies[1], "ordinary", "cy", "change-2")
+            world.store.change_preset(world.proxies[0], "maintenance", "bo", "change-1")
+            world.store.change_preset(world.proxies[1], "ordinary", "cy", "change-2")
             for place, preset in enumerate(("ordinary", "maintenance", "ordinary"), 1):
                 world.fabric.after(place * OPERATOR_S, partial(self._change_again, preset))
         elif step is Step.DRAIN:
@@ -210,7 +210,7 @@
         world = self.scene.world
         healthy = [node for node in world.proxies if node.alive and not node.frozen]
         change_id = f"change-at-{world.fabric.now:.3f}"
-        world.change_preset(healthy[-1], preset, "di", change_id)
+        world.store.change_preset(healthy[-1], preset, "di", change_id)
 
     def _watch_step(self, step: str, proxy: str, instance: str) -> None:
         world = self.scene.world
@@ -232,7 +232,7 @@
     def _check_operators(self) -> None:
         """Check that of two operators who race for a version at most one is told that it won."""
         world = self.scene.world
-        told = [world.verdicts.get(f"change-{number}") for number in (1, 2)]
+        told = [world.store.verdicts.get(f"change-{number}") for number in (1, 2)]
         if self.cell.step in _CONFIGURATION and told.count(UpdateVerdict.ACCEPTED) > 1:
             self.scene.broken.append("both operators were told that they won the same version")
 
--- a/orioleplank/tests/_scene.py
+++ b/orioleplank/tests/_scene.py
@@ -10,10 +10,9 @@
 from orioleplank._protos import orioleplank_common_pb2 as common
 from orioleplank.decision import Kind, ObjectKey, Switch, UpdateVerdict
 from orioleplank.standin import Entry
-from orioleplank.tests._clients import (
-    Client,
-    History,
-    Script,
+from orioleplank.tests._clients import Client, History, Script
+from orioleplank.tests._nodes import InstanceNode, ProxyNode
+from orioleplank.tests._scripts import (
     create_tables,
     push_receipts,
     read_aged,
@@ -22,7 +21,8 @@
     run_transactions,
     write_and_read,
 )
-from orioleplank.tests._world import CONNECTIONS, PLATFORM, SLOTS, InstanceNode, ProxyNode, World
+from orioleplank.tests._store import PLATFORM
+from orioleplank.tests._world import CONNECTIONS, SLOTS, World
 
 READY_S = 1.5
 WORK_S = 2.0
@@ -148,8 +148,8 @@
     def heal(self) -> None:
         """Undo what can be undone."""
         self.world.fabric.heal()
-        self.world.platform_mode = "normal"
-        self.world.vms_frozen = False
+        self.world.store.mode = "normal"
+        self.world.store.vms_frozen = False
         self._healed_at = self.world.fabric.now
 
     def mark_leaving(self, node: InstanceNode) -> None:
@@ -212,15 +212,15 @@
                 fabric.cut(target.name, node.name)
                 fabric.after(0.02, lambda: fabric.cuts.discard((target.name, node.name)))
             case Fault.STORE_DOWN:
-                world.platform_mode = "down"
+                world.store.mode = "down"
             case Fault.STORE_SLOW:
-                world.platform_mode = "slow"
+                world.store.mode = "slow"
             case Fault.STORE_READS_LATE:
-                world.platform_mode = "reads-late"
+                world.store.mode = "reads-late"
             case Fault.STORE_LOSES_ANSWERS:
-                world.platform_mode = "lose-answers"
+                world.store.mode = "lose-answers"
             case Fault.STALE_VM_LIST:
-                world.vms_frozen = True
+                world.store.vms_frozen = True
             case Fault.CLOCK_STEP:
                 node.wall -= 3600.0
 
@@ -251,11 +251,11 @@
         self._note_accepted()
 
     def _note_accepted(self) -> None:
-        held = self.world.platform.objects[Kind.IN_FORCE.value, "preset"]
+        held = self.world.store.platform.objects[Kind.IN_FORCE.value, "preset"]
         known = {version for _, version in self._accepted}
         told = any(
             verdict is UpdateVerdict.ACCEPTED
-            for change, verdict in self.world.verdicts.items()
+            for change, verdict in self.world.store.verdicts.items()
             if change.startswith("change-")
         )
         if told and held.version not in known:
@@ -353,7 +353,7 @@
 
     def _check_presets(self) -> None:
         """Check that the racing operators were told the truth, and that all nodes agree."""
-        held = self.world.platform.objects[Kind.IN_FORCE.value, "preset"]
+        held = self.world.store.platform.objects[Kind.IN_FORCE.value, "preset"]
         for node in self.world.proxies:
             if node.alive and not node.ended:
                 version = self._versions.get(f"{node.name}/{node.run}", 0)
--- a/orioleplank/tests/_storm.py
+++ b/orioleplank/tests/_storm.py
@@ -6,8 +6,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from orioleplank.decision import StopRequested
-from orioleplank.tests._clients import read_aged, read_current, run_transactions, write_and_read
 from orioleplank.tests._scene import GAP_LIMIT_S, Fault, Scene
+from orioleplank.tests._scripts import read_aged, read_current, run_transactions, write_and_read
 
 SCRIPTS = (write_and_read, read_current, read_aged, run_transactions)
 GRACE_S = 3.0
@@ -72,8 +72,8 @@
         world = self.scene.world
         node = world.proxies[proxy]
         if node.alive and not node.frozen and not node.ended:
-            change_id = f"change-{len(world.verdicts)}-{world.fabric.now:.3f}"
-            world.change_preset(node, preset, "bo", change_id)
+            change_id = f"change-{len(world.store.verdicts)}-{world.fabric.now:.3f}"
+            world.store.change_preset(node, preset, "bo", change_id)
 
     @rule(proxy=PLACES)
     def stop(self, proxy: int) -> None:
--- a/orioleplank/tests/_world.py
+++ b/orioleplank/tests/_world.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from functools import partial
 
 from orioleplank.decision import (
@@ -13,7 +12,6 @@
     AskToMove,
     Boundary,
     CallerGone,
-    Change,
     CloseConnection,
     ConnectionClosed,
     ConnectionId,
@@ -24,27 +22,20 @@
     Heartbeat,
     Identity,
     InForceSpec,
-    InstanceReported,
     InstanceSpec,
     InstanceUnreachable,
     Kind,
     KindSpec,
-    LedgerAnswered,
-    LedgerState,
     Mechanisms,
     Message,
     Note,
-    ObjectKey,
     ObjectsReceived,
     OpenConnection,
     PeerHeard,
     PresetSpec,
-    PromoteAnswered,
     Proxy,
     Reply,
-    Report,
     Role,
-    SealAnswered,
     SendFollow,
     SendObjects,
     SendPromote,
@@ -53,27 +44,20 @@
     ServiceSpec,
     SlotsGiven,
     SlotsWanted,
-    Spec,
     StatementEnded,
     StatementStatus,
     Stopped,
-    StoredObject,
     Switch,
     Tick,
-    UpdateEnded,
     UpdateObject,
-    UpdateVerdict,
-    Vm,
-    VmsListed,
     WatchInstance,
-    dump_body,
-    judge_update,
 )
-from orioleplank.standin import Instance, PlatformState
+from orioleplank.standin import Instance
 from orioleplank.tests._fabric import Fabric, Node
+from orioleplank.tests._group_links import SERVICE, GroupLinks
+from orioleplank.tests._nodes import InstanceNode, ProxyNode, Socket
+from orioleplank.tests._store import PLATFORM, WALL_S, StepListener, Store
 
-SERVICE = "books"
-PLATFORM = "platform"
 TICK_S = 0.025
 REPORT_S = 0.4
 PULL_S = 0.01
@@ -83,73 +67,11 @@
 SLOTS = 5
 CONNECTIONS = 30
 WATCH_S = 0.05
-SLOW_S = 2.0
-SETTLE_S = 0.25
-WALL_S = 1_800_000_000.0
 EPOCH_S = 1000.0
 
-StepListener = Callable[[str, str, str], None]
 ReplyListener = Callable[[Reply], None]
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Socket:
-    """A connection as its instance knows it."""
-
-    # Name of the proxy.
-    proxy: str
-    # Run of the proxy.
-    run: int
-    # The connection.
-    connection: ConnectionId
-
-
-@dataclass(slots=True)
-class ProxyNode(Node):
-    """One proxy."""
-
-    # Its decisions.
-    proxy: Proxy = field(init=False)
-    # Added to the fabric's time for its monotonic clock, in seconds.
-    clock: float = 0.0
-    # Added to its wall clock, in seconds.
-    wall: float = 0.0
-    # Instances it watches.
-    watched: set[str] = field(default_factory=set)
-    # Connections it has open.
-    connections: set[ConnectionId] = field(default_factory=set)
-    # Revision up to which it has read the platform.
-    revision: int = 0
-    # True once it has stopped gracefully.
-    ended: bool = False
-
-
-@dataclass(slots=True)
-class InstanceNode(Node):
-    """One instance."""
-
-    # Its log, role and data.
-    instance: Instance = field(init=False)
-    # Seconds by which it applies entries late.
-    lag: float = 0.003
-    # When it last heard its primary, in seconds of the fabric.
-    heard: float = 0.0
-    # Open connections.
-    sockets: set[Socket] = field(default_factory=set)
-    # True while a batch of entries is under way.
-    pulling: bool = False
-    # When statements were sent to it after it was marked as leaving.
-    late_work: list[float] = field(default_factory=list)
-    # Statements that run now.
-    busy: int = 0
-    # Most statements that ran at once.
-    most_busy: int = 0
-    # Most connections open at once.
-    most_connections: int = 0
-    # When it was marked as leaving, in seconds of the fabric; 0 before.
-    leaving_at: float = 0.0
-
-
 class World:
     """All nodes of one run."""
 
@@ -158,26 +80,27 @@
     ) -> None:
         self.fabric = Fabric(seed)
         self.mechanisms = Mechanisms(off)
-        self.platform = PlatformState()
-        self.platform_mode = "normal"
-        self.vms_frozen = False
         self.on_step: StepListener = lambda step, proxy, instance: None
         self.reply_listeners: dict[int, ReplyListener] = {}
         self.move_listeners: dict[int, Callable[[], None]] = {}
         self.notes: list[tuple[float, str, Note]] = []
-        self.verdicts: dict[str, UpdateVerdict | None] = {}
         # When the reply to each request left its proxy, in seconds of the fabric.
         self.released: dict[str, float] = {}
         self._socket_numbers: dict[Socket, int] = {}
-        self._seen_vms: tuple[Vm, ...] = ()
         self.fabric.nodes[PLATFORM] = Node(PLATFORM)
+        self.store = Store(self.fabric, self.tell, lambda *step: self.on_step(*step))
+        self.group = GroupLinks(
+            self.fabric, self.mechanisms, self.tell, lambda *step: self.on_step(*step)
+        )
         self.instances = [self._add_instance(f"db-{letter}", lag) for letter in "abc"]
+        self.group.instances = self.instances
         self.proxies = [self._add_proxy(f"entry-{n}") for n in range(1, proxies + 1)]
+        self.group.proxies = self.proxies
         self._fill_platform()
         for proxy in self.proxies:
             self._start_proxy(proxy)
-        self.fabric.every(PULL_S, self._pull_all)
-        self.fabric.every(REPORT_S, self._report_all)
+        self.fabric.every(PULL_S, self.group.pull_all)
+        self.fabric.every(REPORT_S, self.group.report_all)
 
     # Building.
 
@@ -210,8 +133,8 @@
             self.fabric.after(self.fabric.random.random() * seconds, again)
 
         repeat(TICK_S, lambda: self._tick(node))
-        repeat(WATCH_S, lambda: self._watch(node))
-        repeat(1.0, lambda: self._list_vms(node))
+        repeat(WATCH_S, lambda: self.store.watch(node))
+        repeat(1.0, lambda: self.store.list_vms(node, self.proxies, self.instances))
 
     def _tick(self, node: ProxyNode) -> None:
         if not node.frozen:
@@ -223,17 +146,10 @@
             for place, node in enumerate(self.instances, 1)
         )
         kinds = (KindSpec("save", 10), KindSpec("read", 5), KindSpec("sync", 1))
-        self.put(Kind.SERVICE, SERVICE, ServiceSpec(instances, kinds))
-        self.put(Kind.PRESET, "ordinary", PresetSpec())
-        self.put(Kind.PRESET, "maintenance", PresetSpec(refused_kinds=("sync",)))
-        self.put(Kind.IN_FORCE, "preset", InForceSpec("ordinary"))
-
-    def put(self, kind: Kind, name: str, spec: Spec) -> None:
-        """Put an object into the platform as its operator."""
-        held = self.platform.objects.get((kind.value, name))
-        change = Change(f"setup-{kind.value}-{name}", "ana", WALL_S)
-        version = held.version if held else 0
-        self.platform.put(kind.value, name, version, dump_body(change, spec))
+        self.store.put(Kind.SERVICE, SERVICE, ServiceSpec(instances, kinds))
+        self.store.put(Kind.PRESET, "ordinary", PresetSpec())
+        self.store.put(Kind.PRESET, "maintenance", PresetSpec(refused_kinds=("sync",)))
+        self.store.put(Kind.IN_FORCE, "preset", InForceSpec("ordinary"))
 
     # Proxies.
 
@@ -303,9 +219,9 @@
             case WatchInstance(instance=name):
                 node.watched.add(name)
             case AskRound() | AskLedger() | SendSeal() | SendPromote() | SendFollow():
-                self._send_control(node, effect)
+                self.group.send_control(node, effect)
             case UpdateObject():
-                self._update(node, effect)
+                self.store.update(node, effect)
             case Heartbeat():
                 self._heartbeat(node, effect)
             case SendObjects():
@@ -357,7 +273,7 @@
         def opened() -> None:
             target.sockets.add(socket)
             target.most_connections = max(target.most_connections, len(target.sockets))
-            self._answer(target, node, ConnectionOpened(connection))
+            self.group.answer(target, node, ConnectionOpened(connection))
 
         def arrive() -> None:
             self.fabric.after(CONNECT_S, opened)
@@ -379,12 +295,6 @@
             node.connections.discard(connection)
             self.fabric.enter(node, lambda: self.tell(node, ConnectionClosed(connection)))
 
-    def _answer(
-        self, source: InstanceNode, node: ProxyNode, message: Message, reply: bool = False
-    ) -> None:
-        if source.alive:
-            self.fabric.deliver(source.name, node.name, lambda: self.tell(node, message), reply)
-
     def _send_statement(self, node: ProxyNode, effect: SendStatement) -> None:
         target = self.instance(effect.connection.instance)
         step = _step_of(effect)
@@ -410,7 +320,7 @@
     ) -> None:
         if target.instance.leaving and effect.boundary in (Boundary.AUTO, Boundary.BEGIN):
             ended = StatementEnded(effect.connection, effect.statement, StatementStatus.LEAVING)
-            self._answer(target, node, ended, True)
+            self.group.answer(target, node, ended, True)
             return
         reply = target.instance.execute(
             self._number(socket),
@@ -429,74 +339,7 @@
             reply.result,
             reply.detail,
         )
-        self._answer(target, node, ended, True)
-
-    # Control.
-
-    def _send_control(
-        self,
-        node: ProxyNode,
-        effect: AskRound | AskLedger | SendSeal | SendPromote | SendFollow,
-    ) -> None:
-        target = self.instance(effect.instance)
-
-        def arrive() -> None:
-            message = self._control(target, effect)
-            if isinstance(effect, SendSeal):
-                self.on_step("promotion.sealing", node.name, target.name)
-            if message is not None:
-                self._answer(target, node, message)
-
-        if target.alive:
-            self.fabric.deliver(node.name, target.name, arrive)
-        elif isinstance(effect, AskLedger):
-            state = LedgerState.UNREACHABLE
-            answer = LedgerAnswered(effect.service, effect.instance, effect.query, state)
-            self.fabric.after(0.002, lambda: self.tell(node, answer))
-
-    def _control(
-        self,
-        target: InstanceNode,
-        effect: AskRound | AskLedger | SendSeal | SendPromote | SendFollow,
-    ) -> Message | None:
-        instance = target.instance
-        match effect:
-            case AskRound():
-                return InstanceReported(SERVICE, self._report(target), effect.round)
-            case AskLedger():
-                state, entry = instance.look_up(effect.ledger_id, effect.term, effect.tombstone)
-                outcome = instance.outcome(effect.ledger_id)
-                return LedgerAnswered(
-                    SERVICE, target.name, effect.query, state, entry.position, outcome
-                )
-            case SendSeal():
-                granted = instance.seal(effect.term)
-                return SealAnswered(SERVICE, effect.term, granted, self._report(target))
-            case SendPromote():
-                if self.mechanisms.on(Switch.SEALING):
-                    granted = instance.promote(effect.term)
-                else:
-                    granted = instance.promote_unsealed(effect.term)
-                return PromoteAnswered(SERVICE, effect.term, granted, self._report(target))
-            case SendFollow():
-                target.heard = self.fabric.now
-                instance.follow(effect.term, effect.primary)
-                return InstanceReported(SERVICE, self._report(target))
-
-    def _report(self, target: InstanceNode) -> Report:
-        return target.instance.report(self.fabric.now - target.heard)
-
-    def _report_all(self) -> None:
-        for target in self.instances:
-            if target.alive and not target.frozen:
-                self.push_report(target)
-
-    def push_report(self, target: InstanceNode) -> None:
-        """Send an instance's report to all that watch it."""
-        message = InstanceReported(SERVICE, self._report(target))
-        for node in self.proxies:
-            if target.name in node.watched:
-                self._answer(target, node, message)
+        self.group.answer(target, node, ended, True)
 
     def kill_instance(self, target: InstanceNode) -> None:
         """End an instance at once; its connections break."""
@@ -522,135 +365,6 @@
         if (connection.instance, node.name) not in self.fabric.cuts:
             self.fabric.after(0.002, lambda: self._close_at_proxy(node, connection))
 
-    # Replication.
-
-    def _pull_all(self) -> None:
-        for replica in self.instances:
-            if replica.instance.role is Role.REPLICA and replica.alive and not replica.frozen:
-                self._pull(replica)
-
-    def _pull(self, replica: InstanceNode) -> None:
-        primary = self.instance(replica.instance.following)
-        if replica.pulling or not primary.alive or primary.frozen:
-            return
-        cuts = self.fabric.cuts
-        if (replica.name, primary.name) in cuts or (primary.name, replica.name) in cuts:
-            return
-        if primary.instance.role is not Role.PRIMARY:
-            return
-        if primary.instance.term != replica.instance.term:
-            return
-        keep = primary.instance.agree(replica.instance.lineage)
-        entries = list(primary.instance.log[keep:])
-        term = primary.instance.term
-        if not entries and keep == len(replica.instance.log):
-            replica.heard = self.fabric.now
-            return
-        replica.pulling = True
-
-        def apply() -> None:
-            replica.pulling = False
-            replica.heard = self.fabric.now
-            if replica.alive and replica.instance.take_entries(term, keep, entries):
-                self.push_report(replica)
-
-        def arrive() -> None:
-            self.fabric.enter(replica, apply)
-
-        self.fabric.after(replica.lag + self.fabric.delay, arrive)
-
-    # The platform.
-
-    def _watch(self, node: ProxyNode) -> None:
-        if node.frozen or self._is_platform_cut(node) or node.revision >= self.platform.revision:
-            return
-        objects = tuple(
-            StoredObject(ObjectKey(Kind(held.kind), held.name), held.version, held.body)
-            for held in self.platform.since(node.revision)
-        )
-        revision = node.revision = self.platform.revision
-
-        def arrive() -> None:
-            self.tell(node, ObjectsReceived(revision, objects))
-
-        late = self.platform_mode in ("slow", "reads-late")
-        delay = SLOW_S * self.fabric.random.random() if late else 0.002
-        run = node.run
-        self.fabric.after(
-            delay, lambda: self.fabric.enter(node, arrive) if node.run == run else None
-        )
-
-    def _is_platform_cut(self, node: ProxyNode) -> bool:
-        if self.platform_mode == "down":
-            return True
-        cuts = self.fabric.cuts
-        return (node.name, PLATFORM) in cuts or (PLATFORM, node.name) in cuts
-
-    def _list_vms(self, node: ProxyNode) -> None:
-        if node.frozen or self._is_platform_cut(node):
-            return
-        if not self.vms_frozen:
-            entries = [Vm(p.name, p.name, "zone", p.ended) for p in self.proxies if p.alive]
-            upstreams = [
-                Vm(i.name, i.name, "zone", bool(i.leaving_at), False) for i in self.instances
-            ]
-            self._seen_vms = (*entries, *upstreams)
-        self.tell(node, VmsListed(self._seen_vms))
-
-    def _update(self, node: ProxyNode, effect: UpdateObject) -> None:
-        self.on_step("configuration.sent", node.name, "")
-        delay = SLOW_S if self.platform_mode == "slow" else 0.003
-        self.fabric.after(delay, lambda: self._take_update(node, effect))
-
-    def _take_update(self, node: ProxyNode, effect: UpdateObject) -> None:
-        if self._is_platform_cut(node):
-            self._settle(node, effect, 0)
-            return
-        key = effect.key
-        body = dump_body(effect.change, effect.spec)
-        held = self.platform.put(key.kind.value, key.name, effect.version, body)
-        self.on_step("configuration.effect", node.name, "")
-        if self.platform_mode == "lose-answers":
-            self._settle(node, effect, 0)
-            return
-        verdict = UpdateVerdict.ACCEPTED if held else UpdateVerdict.SUPERSEDED
-        self._end_update(node, effect, verdict)
-        if held is not None and node.alive:
-            stored = StoredObject(key, held.version, held.body)
-            taken = ObjectsReceived(0, (stored,))
-            self.fabric.enter(node, lambda: self.tell(node, taken))
-
-    def _settle(self, node: ProxyNode, effect: UpdateObject, tries: int) -> None:
-        def read() -> None:
-            if self._is_platform_cut(node):
-                if tries < 60:
-                    self._settle(node, effect, tries + 1)
-                else:
-                    self._end_update(node, effect, None)
-                return
-            held = self.platform.objects.get((effect.key.kind.value, effect.key.name))
-            found = StoredObject(effect.key, held.version, held.body) if held else None
-            verdict = judge_update(effect.change.id, effect.version, found)
-            self._end_update(node, effect, verdict)
-
-        self.fabric.after(SETTLE_S, read)
-
-    def _end_update(
-        self, node: ProxyNode, effect: UpdateObject, verdict: UpdateVerdict | None
-    ) -> None:
-        self.verdicts[effect.change.id] = verdict
-        if node.alive:
-            ended = UpdateEnded(effect.change.id, verdict)
-            self.fabric.enter(node, lambda: self.tell(node, ended))
-
-    def change_preset(self, node: ProxyNode, preset: str, author: str, change_id: str) -> None:
-        """Let an operator put a preset in force through a proxy."""
-        key = ObjectKey(Kind.IN_FORCE, "preset")
-        accepted = node.proxy.status().configuration.objects.get(key)
-        change = Change(change_id, author, WALL_S + self.fabric.now)
-        version = accepted.stored.version if accepted else 0
-        self._update(node, UpdateObject(key, version, change, InForceSpec(preset)))
-
     # Peers.
 
     def _heartbeat(self, node: ProxyNode, effect: Heartbeat) -> None:
