--- a/orioleplank/standin/_database.py
+++ b/orioleplank/standin/_database.py
@@ -8,8 +8,7 @@
 from google.protobuf.message import DecodeError
 
 from orioleplank._protos import orioleplank_common_pb2 as common
-
-SqlValue = int | float | str | bytes | None
+from orioleplank.wire import read_value, write_value
 
 
 class StatementError(Exception):
@@ -121,37 +120,9 @@
         return common.Result(sets=sets).SerializeToString()
 
     def _run(self, query: common.Query) -> common.ResultSet:
-        arguments = [_read_value(value) for value in query.args]
+        arguments = [read_value(value) for value in query.args]
         cursor = self._connection.execute(query.sql, arguments)
         rows = [
-            common.Row(values=[_write_value(value) for value in row]) for row in cursor.fetchall()
+            common.Row(values=[write_value(value) for value in row]) for row in cursor.fetchall()
         ]
         return common.ResultSet(rows=rows, changed=max(0, cursor.rowcount))
-
-
-def _read_value(value: common.Value) -> SqlValue:
-    match value.WhichOneof("value"):
-        case "integer":
-            return value.integer
-        case "real":
-            return value.real
-        case "text":
-            return value.text
-        case "blob":
-            return value.blob
-        case _:
-            return None
-
-
-def _write_value(value: SqlValue) -> common.Value:
-    match value:
-        case int():
-            return common.Value(integer=value)
-        case float():
-            return common.Value(real=value)
-        case str():
-            return common.Value(text=value)
-        case bytes():
-            return common.Value(blob=value)
-        case None:
-            return common.Value(null=True)
--- a/orioleplank/tests/_scene.py
+++ b/orioleplank/tests/_scene.py
@@ -21,7 +21,7 @@
     run_transactions,
     write_and_read,
 )
-from orioleplank.tests._store import PLATFORM
+from orioleplank.tests._store import PLATFORM, Mode
 from orioleplank.tests._world import CONNECTIONS, SLOTS, World
 
 READY_S = 1.5
@@ -148,7 +148,7 @@
     def heal(self) -> None:
         """Undo what can be undone."""
         self.world.fabric.heal()
-        self.world.store.mode = "normal"
+        self.world.store.mode = Mode.NORMAL
         self.world.store.vms_frozen = False
         self._healed_at = self.world.fabric.now
 
@@ -212,13 +212,13 @@
                 fabric.cut(target.name, node.name)
                 fabric.after(0.02, lambda: fabric.cuts.discard((target.name, node.name)))
             case Fault.STORE_DOWN:
-                world.store.mode = "down"
+                world.store.mode = Mode.DOWN
             case Fault.STORE_SLOW:
-                world.store.mode = "slow"
+                world.store.mode = Mode.SLOW
             case Fault.STORE_READS_LATE:
-                world.store.mode = "reads-late"
+                world.store.mode = Mode.READS_LATE
             case Fault.STORE_LOSES_ANSWERS:
-                world.store.mode = "lose-answers"
+                world.store.mode = Mode.LOSE_ANSWERS
             case Fault.STALE_VM_LIST:
                 world.store.vms_frozen = True
             case Fault.CLOCK_STEP:
--- a/orioleplank/tests/_store.py
+++ b/orioleplank/tests/_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum, unique
 
 from orioleplank.decision import (
     Change,
@@ -35,14 +36,28 @@
 StepListener = Callable[[str, str, str], None]
 
 
+@unique
+class Mode(Enum):
+    """How the platform behaves."""
+
+    NORMAL = "normal"
+    # It neither answers nor takes effect.
+    DOWN = "down"
+    # Updates take two seconds, and reads up to two.
+    SLOW = "slow"
+    # What a watch reads comes late and out of order.
+    READS_LATE = "reads-late"
+    # Updates take effect, and their answers are lost.
+    LOSE_ANSWERS = "lose-answers"
+
+
 class Store:
     """The platform's state and how it behaves now."""
 
     def __init__(self, fabric: Fabric, tell: Tell, on_step: StepListener) -> None:
         self.fabric = fabric
         self.platform = PlatformState()
-        # "normal", "down", "slow", "reads-late" or "lose-answers".
-        self.mode = "normal"
+        self.mode = Mode.NORMAL
         self.vms_frozen = False
         # What became of each change.
         self.verdicts: dict[str, UpdateVerdict | None] = {}
@@ -70,7 +85,7 @@
         def arrive() -> None:
             self._tell(node, ObjectsReceived(revision, objects))
 
-        late = self.mode in ("slow", "reads-late")
+        late = self.mode in (Mode.SLOW, Mode.READS_LATE)
         delay = SLOW_S * self.fabric.random.random() if late else 0.002
         run = node.run
         self.fabric.after(
@@ -78,7 +93,7 @@
         )
 
     def _is_platform_cut(self, node: ProxyNode) -> bool:
-        if self.mode == "down":
+        if self.mode == Mode.DOWN:
             return True
         cuts = self.fabric.cuts
         return (node.name, PLATFORM) in cuts or (PLATFORM, node.name) in cuts
@@ -98,7 +113,7 @@
     def update(self, node: ProxyNode, effect: UpdateObject) -> None:
         """Carry out a proxy's update."""
         self._on_step("configuration.sent", node.name, "")
-        delay = SLOW_S if self.mode == "slow" else 0.003
+        delay = SLOW_S if self.mode == Mode.SLOW else 0.003
         self.fabric.after(delay, lambda: self._take_update(node, effect))
 
     def _take_update(self, node: ProxyNode, effect: UpdateObject) -> None:
@@ -109,7 +124,7 @@
         body = dump_body(effect.change, effect.spec)
         held = self.platform.put(key.kind.value, key.name, effect.version, body)
         self._on_step("configuration.effect", node.name, "")
-        if self.mode == "lose-answers":
+        if self.mode == Mode.LOSE_ANSWERS:
             self._settle(node, effect, 0)
             return
         verdict = UpdateVerdict.ACCEPTED if held else UpdateVerdict.SUPERSEDED
--- a/orioleplank/wire/__init__.py
+++ b/orioleplank/wire/__init__.py
@@ -11,17 +11,21 @@
     write_report,
     write_statement,
 )
+from orioleplank.wire._value import SqlValue, read_value, write_value
 
 __all__ = [
+    "SqlValue",
     "read_ledger",
     "read_position",
     "read_report",
     "read_request",
     "read_statement_reply",
     "read_token",
+    "read_value",
     "write_position",
     "write_reply",
     "write_report",
     "write_statement",
     "write_token",
+    "write_value",
 ]
--- /dev/null
+++ b/orioleplank/wire/_value.py
@@ -0,0 +1,37 @@
+"""SQL values on the wire."""
+
+from __future__ import annotations
+
+from orioleplank._protos import orioleplank_common_pb2 as common
+
+SqlValue = int | float | str | bytes | None
+
+
+def write_value(value: SqlValue) -> common.Value:
+    """Return the message of a value."""
+    match value:
+        case int():
+            return common.Value(integer=value)
+        case float():
+            return common.Value(real=value)
+        case str():
+            return common.Value(text=value)
+        case bytes():
+            return common.Value(blob=value)
+        case None:
+            return common.Value(null=True)
+
+
+def read_value(message: common.Value) -> SqlValue:
+    """Return a value from its message; an empty message is NULL."""
+    match message.WhichOneof("value"):
+        case "integer":
+            return message.integer
+        case "real":
+            return message.real
+        case "text":
+            return message.text
+        case "blob":
+            return message.blob
+        case _:
+            return None
