--- /dev/null
+++ b/orioleplank/cli/tests/test_cli.py
@@ -0,0 +1,65 @@
+"""Exit codes, and the burn that the report shows."""
+
+from contextlib import redirect_stderr, redirect_stdout
+from io import StringIO
+from pathlib import Path
+
+from testtools import TestCase
+
+from orioleplank.cli import main
+from orioleplank.cli._burn import KindBurn, describe_burn, render_page
+from orioleplank.settings import read_documents
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+NOWHERE = "127.0.0.1:1"
+
+
+def run(*arguments: str) -> int:
+    """Run a command quietly; return its exit code."""
+    with redirect_stdout(StringIO()), redirect_stderr(StringIO()):
+        return main(list(arguments))
+
+
+class ExitCodeTest(TestCase):
+    def test_codes(self) -> None:
+        services = str(EXAMPLES / "services.yaml")
+        cases = {
+            "good settings": (["check", str(EXAMPLES / "proxy-1.yaml")], 0),
+            "settings of another kind": (["check", services], 2),
+            "no proxy there": (["status", "--admin", NOWHERE], 4),
+            "nobody to apply to": (["apply", services, "--author", "a", "--admin", NOWHERE], 4),
+            "a preset without an author": (["preset", "peak", "--admin", NOWHERE], 2),
+            "a call without a statement": (["call", "--service", "s", "--kind", "k"], 2),
+            "a token that is no token": (
+                ["call", "--service", "s", "--kind", "k", "--token", "xy", "SELECT 1"],
+                2,
+            ),
+            "objects that are not valid": (
+                ["apply", str(EXAMPLES / "load.yaml"), "--author", "a", "--admin", NOWHERE],
+                2,
+            ),
+        }
+        for name, (arguments, code) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(code, run(*arguments))
+
+    def test_example_services_are_documents(self) -> None:
+        self.assertEqual(4, len(read_documents(EXAMPLES / "services.yaml")))
+
+
+class BurnTest(TestCase):
+    def test_alerts_need_a_short_and_a_long_window(self) -> None:
+        cases = {
+            "": {"5m": 20.0, "1h": 1.0, "30m": 7.0, "6h": 1.0},
+            "fast": {"5m": 15.0, "1h": 15.0, "30m": 15.0, "6h": 3.0},
+            "slow": {"5m": 1.0, "1h": 7.0, "30m": 7.0, "6h": 6.5},
+        }
+        for alert, rates in cases.items():
+            with self.subTest(alert):
+                self.assertEqual(alert, KindBurn("s", "k", rates, 0.5).alert)
+
+    def test_page_escapes_names(self) -> None:
+        burn = KindBurn("<s>", "k", dict.fromkeys(("5m", "30m", "1h", "6h"), 0.5), 0.5)
+        page = render_page([describe_burn(burn)], [burn])
+        self.assertIn("&lt;s&gt;", page)
+        self.assertNotIn("<s>", page.replace("<style>", ""))
--- /dev/null
+++ b/orioleplank/load/tests/test_load.py
@@ -0,0 +1,73 @@
+"""Plans, results and comparisons of experiments."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from orioleplank.load import (
+    LoadResult,
+    Recorder,
+    compare_results,
+    load_plan,
+    read_result,
+    write_result,
+)
+from orioleplank.settings._document import ProblemsError
+
+EXAMPLE = Path(__file__).parents[3] / "examples" / "load.yaml"
+
+
+def make_result(*goodput: float) -> LoadResult:
+    """Return a result with a goodput for each second."""
+    return LoadResult(100.0, float(len(goodput)), (), goodput, ())
+
+
+class PlanTest(TestCase):
+    def test_example_is_valid(self) -> None:
+        self.assertEqual(2, len(load_plan(EXAMPLE).kinds))
+
+    def test_bad_plan_names_the_value(self) -> None:
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "load.yaml"
+            path.write_text(EXAMPLE.read_text().replace("rate: 200", "rate: -1"))
+            error = self.assertRaises(ProblemsError, load_plan, path)
+            self.assertEqual(("rate", "-1"), (error.problems[0].path, error.problems[0].value))
+
+
+class RecorderTest(TestCase):
+    def test_counts(self) -> None:
+        recorder = Recorder({"save": 10, "read": 1}, 3.0)
+        for kind in ("save", "save", "read"):
+            recorder.send(kind)
+        recorder.answer("save", 0.25, 0.5, False, True)
+        recorder.answer("read", 0.5, 1.5, True, False)
+        recorder.refuse("save", "overloaded")
+        result = recorder.finish(1.0)
+        save, read = result.kinds
+        self.assertEqual((2, 1, {"overloaded": 1}), (save.sent, save.answered, save.reasons))
+        self.assertEqual(1, read.by_replica)
+        self.assertEqual((10.0, 1.0, 0.0), result.goodput)
+        self.assertAlmostEqual(0.25, save.latency["50.0"], places=2)
+
+    def test_result_is_kept(self) -> None:
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / "result.json"
+            write_result(make_result(1.0, 2.0), path)
+            self.assertEqual(make_result(1.0, 2.0), read_result(path))
+
+
+class CompareTest(TestCase):
+    def test_same_is_not_clearly_different(self) -> None:
+        result = make_result(*(100.0 + place % 7 for place in range(20)))
+        self.assertFalse(compare_results(result, result).is_clear)
+
+    def test_half_is_clearly_different(self) -> None:
+        first = make_result(*(100.0 + place % 7 for place in range(20)))
+        second = make_result(*(50.0 + place % 5 for place in range(20)))
+        difference = compare_results(first, second)
+        self.assertTrue(difference.is_clear)
+        self.assertLess(difference.high, 0.6)
+
+    def test_too_short_is_refused(self) -> None:
+        self.assertRaises(ValueError, compare_results, make_result(1.0), make_result(1.0))
