--- a/orioleplank/decision/tests/test_proxy.py
+++ b/orioleplank/decision/tests/test_proxy.py
@@ -151,17 +151,6 @@
         bench.pass_time(0.2)
         self.assertEqual([Answer], [type(outcome) for outcome in bench.outcomes])
 
-    def test_cut_off_primary_is_not_believed(self) -> None:
-        """The others may have promoted a successor that acknowledges writes meanwhile."""
-        for off, answered in ((frozenset[Switch](), 0), (frozenset({Switch.CONFIRMATION}), 1)):
-            with self.subTest(off=off):
-                bench = Bench(off)
-                bench.silent = {"b", "c"}
-                bench.ask()
-                bench.end()
-                answers = [o for o in bench.outcomes if isinstance(o, Answer)]
-                self.assertEqual(answered, len(answers))
-
 
 class WriteTest(TestCase):
     def test_is_held_until_a_majority_has_it(self) -> None:
@@ -207,20 +196,3 @@
                 refusal = bench.outcomes[0]
                 assert isinstance(refusal, Refusal)
                 self.assertEqual(did_run, refusal.did_run)
-
-    def test_retries_keep_to_the_budget(self) -> None:
-        """A primary that refuses everything gets no storm of retries."""
-        for off, within in ((frozenset[Switch](), True), (frozenset({Switch.RETRY_BUDGET}), False)):
-            with self.subTest(off=off):
-                bench = Bench(off)
-                answered = 0
-                for number in range(60):
-                    bench.ask(write=True, id_=f"r{number}")
-                for _ in range(60):
-                    while answered < len(bench.statements):
-                        sent = bench.statements[answered]
-                        answered += 1
-                        status = StatementStatus.NO_SLOT
-                        bench.tell(StatementEnded(sent.connection, sent.statement, status))
-                    bench.pass_time(0.02)
-                self.assertEqual(within, len(bench.statements) <= 60 + 100 + 12)
--- a/orioleplank/tests/matrix.py
+++ b/orioleplank/tests/matrix.py
@@ -12,6 +12,7 @@
 
 from orioleplank.decision import Switch
 from orioleplank.tests._cells import Cell, Step, Verdict, cannot_arise, list_cells, play_cell
+from orioleplank.tests._focused import FOCUSED_CASES
 from orioleplank.tests._scene import Fault
 from orioleplank.tests._storm import Storm
 
@@ -33,8 +34,9 @@
         for fault in Fault:
             if why := cannot_arise(step, fault):
                 print(f"{step.value:22} {fault.value:24} cannot arise: {why}")
-    failed = _play_cells(list_cells()[:: options.every], off)
-    played = len(list_cells()[:: options.every])
+    cells = list_cells()[:: options.every]
+    failed = _play_cells(cells, off) + _play_focused(off)
+    played = len(cells) + len(FOCUSED_CASES)
     if options.storm and not off:
         played += 1
         failed += _play_storm(options.storm)
@@ -63,6 +65,16 @@
     return failed
 
 
+def _play_focused(off: frozenset[Switch]) -> list[str]:
+    failed = []
+    for case in FOCUSED_CASES:
+        broken = case.play(off)
+        print(f"{case.name:47} {'FAILED ' + broken if broken else 'passed'}", flush=True)
+        if broken:
+            failed.append(case.name)
+    return failed
+
+
 def _play_storm(examples: int) -> list[str]:
     started = time.monotonic()
     profile = settings(
--- a/orioleplank/tests/test_matrix.py
+++ b/orioleplank/tests/test_matrix.py
@@ -6,6 +6,7 @@
 
 from orioleplank.decision import Switch
 from orioleplank.tests._cells import Cell, Step, list_cells, play_cell
+from orioleplank.tests._focused import FOCUSED_CASES
 from orioleplank.tests._scene import Fault
 from orioleplank.tests._storm import Storm
 
@@ -59,6 +60,13 @@
                 verdict = play_cell(Cell(step, fault), frozenset({switch}))
                 self.assertNotEqual([], verdict.broken)
 
+    def test_focused_cases_hold_and_bite(self) -> None:
+        switches = (Switch.CONFIRMATION, Switch.RETRY_BUDGET)
+        for case, switch in zip(FOCUSED_CASES, switches, strict=True):
+            with self.subTest(case.name):
+                self.assertEqual("", case.play(frozenset()))
+                self.assertNotEqual("", case.play(frozenset({switch})))
+
     def test_a_run_is_the_same_every_time(self) -> None:
         cell = Cell(Step.COMMIT_EXECUTED, Fault.KILL_INSTANCE)
         self.assertEqual(play_cell(cell).gap, play_cell(cell).gap)
