Hold messages for 4.8 s again, and stall them for 1.9 s as a fault of its own

With 4.8 s the tombstone's cell did not bite any more, as the instance closes the connection after 2 s; so both are faults now. The whole matrix was not run again with the 18 new cells in one go.

--- a/orioleplank/tests/_scene.py
+++ b/orioleplank/tests/_scene.py
@@ -29,7 +29,8 @@
 GAP_LIMIT_S = 7.0
 IN_FORCE_LIMIT_S = 4.0
 LEAVING_LIMIT_S = 3.0
-HOLD_S = 1.9
+HOLD_S = 4.8
+STALL_S = 1.9
 SAMPLE_S = 0.1
 FAR_LAG_S = 0.4
 SETTLE_S = 1.0
@@ -64,6 +65,7 @@
     CUT_FROM_INSTANCE = "cut instance>proxy"
     CUT_BOTH = "cut proxy<>instance"
     HOLD = "hold proxy>instance"
+    STALL = "stall proxy>instance"
     CUT_GROUP = "cut instance<>group"
     CUT_GROUP_ONE_WAY = "cut instance>group"
     SPLIT = "split proxy+instance off"
@@ -187,6 +189,8 @@
                 fabric.cut(target.name, node.name)
             case Fault.HOLD:
                 fabric.holds[node.name, target.name] = fabric.now + HOLD_S
+            case Fault.STALL:
+                fabric.holds[node.name, target.name] = fabric.now + STALL_S
             case Fault.CUT_GROUP:
                 for other in others:
                     fabric.cut(target.name, other)
--- a/orioleplank/tests/test_matrix.py
+++ b/orioleplank/tests/test_matrix.py
@@ -36,7 +36,7 @@
 
 # For each mechanism a cell that turns red when it is switched off.
 BITES = {
-    Switch.TOMBSTONE: (Step.COMMIT_SENT, Fault.HOLD),
+    Switch.TOMBSTONE: (Step.COMMIT_SENT, Fault.STALL),
     Switch.LEDGER: (Step.WRITE_EXECUTED, Fault.KILL_PROXY),
 }
 
