--- a/orioleplank/_reactor.py
+++ b/orioleplank/_reactor.py
@@ -1,7 +1,8 @@
-"""The reactor, found late so that the asyncio reactor can be installed first."""
+"""The reactor, found late so that the right one can be installed first."""
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 
@@ -10,3 +11,21 @@
     from twisted.internet import reactor
 
     return reactor
+
+
+def install_monotonic_reactor() -> None:
+    """Install a reactor whose timers do not follow jumps of the time of day.
+
+    To be called before anything imports `twisted.internet.reactor`.
+    """
+    from twisted.internet.epollreactor import EPollReactor
+    from twisted.internet.main import installReactor
+
+    class MonotonicReactor(EPollReactor):
+        """A reactor on the monotonic clock."""
+
+        def seconds(self) -> float:
+            """Return a monotonic clock, in seconds."""
+            return time.monotonic()
+
+    installReactor(MonotonicReactor())
--- /dev/null
+++ b/orioleplank/decision/instances/__init__.py
@@ -0,0 +1,29 @@
+"""What the platform says of routes and instances, in the product's own terms."""
+
+from orioleplank.decision.instances._directory import (
+    MISSING_GRACE_S,
+    DbRole,
+    Directory,
+    InstanceEntry,
+    InstanceState,
+    KnownInstance,
+)
+from orioleplank.decision.instances._routes import (
+    Consistency,
+    Route,
+    RouteTable,
+    ServiceLimits,
+)
+
+__all__ = [
+    "MISSING_GRACE_S",
+    "Consistency",
+    "DbRole",
+    "Directory",
+    "InstanceEntry",
+    "InstanceState",
+    "KnownInstance",
+    "Route",
+    "RouteTable",
+    "ServiceLimits",
+]
--- /dev/null
+++ b/orioleplank/decision/instances/_directory.py
@@ -0,0 +1,139 @@
+"""Instances that exist, by the platform's lagging word.
+
+An entry that vanishes is kept for a moment, because entries lapse while the store is away and come
+back after its return. Without contact to the store the last list stays as it is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from enum import Enum, unique
+
+# How long a vanished entry is kept while the store is reached: lapsed entries are back by then.
+MISSING_GRACE_S = 2.0
+# How long a draining primary is sent work while its successor is named: well within the time for
+# which it goes on serving.
+DRAINING_PRIMARY_S = 4.0
+
+
+@unique
+class InstanceState(Enum):
+    """What an instance says of itself."""
+
+    READY = "ready"
+    # It will end and takes no new work.
+    DRAINING = "draining"
+
+
+@unique
+class DbRole(Enum):
+    """How an instance sees itself."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceEntry:
+    """One instance's entry."""
+
+    # Its id.
+    id: str
+    # Name of its service.
+    service: str
+    # HOST:PORT.
+    address: str
+    # Its availability zone.
+    zone: str
+    # What it says of itself.
+    state: InstanceState
+    # How it sees itself.
+    role: DbRole
+    # Statements it runs at once.
+    slots: int
+    # When this life of it began, in milliseconds since the epoch; 0 when it is not told.
+    born: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class KnownInstance:
+    """An entry, and since when it is missing."""
+
+    # The entry as seen last.
+    entry: InstanceEntry
+    # When it was found missing, in seconds; None while it is there.
+    missing_since: float | None = None
+    # When it was first seen draining, in seconds; None while it is not.
+    draining_since: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Directory:
+    """All instances that a proxy knows."""
+
+    # Instances by id.
+    instances: Mapping[str, KnownInstance] = field(default_factory=dict)
+
+    def take_listing(self, entries: Iterable[InstanceEntry], now: float) -> Directory:
+        """Take a complete list."""
+        listed = {entry.id: self._know(entry, now) for entry in entries}
+        for name, known in self.instances.items():
+            if name not in listed:
+                since = now if known.missing_since is None else known.missing_since
+                listed[name] = replace(known, missing_since=since)
+        return Directory(listed)
+
+    def put(self, entry: InstanceEntry, now: float) -> Directory:
+        """Take one entry that was written."""
+        return Directory({**self.instances, entry.id: self._know(entry, now)})
+
+    def remove(self, name: str, now: float) -> Directory:
+        """Take the removal of one entry."""
+        known = self.instances.get(name)
+        if known is None or known.missing_since is not None:
+            return self
+        return Directory({**self.instances, name: replace(known, missing_since=now)})
+
+    def expire(self, now: float, contact_at: float) -> Directory:
+        """Drop what is missing for longer than its grace, all of it in contact with the store.
+
+        `contact_at` is the last moment at which the store was heard after being away.
+        """
+        kept = {
+            name: known
+            for name, known in self.instances.items()
+            if known.missing_since is None
+            or now - max(known.missing_since, contact_at) < MISSING_GRACE_S
+        }
+        return self if len(kept) == len(self.instances) else Directory(kept)
+
+    def of_service(self, service: str) -> tuple[InstanceEntry, ...]:
+        """Return the entries of a service, in the order of their ids."""
+        names = sorted(self.instances)
+        entries = (self.instances[name].entry for name in names)
+        return tuple(entry for entry in entries if entry.service == service)
+
+    def entry(self, name: str) -> InstanceEntry | None:
+        """Return the entry under an id, or None."""
+        known = self.instances.get(name)
+        return known.entry if known else None
+
+    def takes_work(self, name: str) -> bool:
+        """Tell whether an instance may be sent new work."""
+        entry = self.entry(name)
+        return entry is not None and entry.state is InstanceState.READY
+
+    def takes_work_as_primary(self, name: str, now: float) -> bool:
+        """Tell whether a primary may be sent new work; one that drains may for a moment."""
+        known = self.instances.get(name)
+        if known is None:
+            return False
+        return known.draining_since is None or now - known.draining_since < DRAINING_PRIMARY_S
+
+    def _know(self, entry: InstanceEntry, now: float) -> KnownInstance:
+        if entry.state is not InstanceState.DRAINING:
+            return KnownInstance(entry)
+        before = self.instances.get(entry.id)
+        since = before.draining_since if before else None
+        return KnownInstance(entry, draining_since=now if since is None else since)
--- /dev/null
+++ b/orioleplank/decision/keeper/__init__.py
@@ -0,0 +1,25 @@
+"""When a primary is replaced, by whom, and by which instance."""
+
+from orioleplank.decision.keeper._evidence import (
+    Evidence,
+    FoundDead,
+    Leaving,
+    Replaced,
+    StillThere,
+    Verdict,
+    judge_primary,
+)
+from orioleplank.decision.keeper._successor import InstanceReport, choose_successors, has_caught_up
+
+__all__ = [
+    "Evidence",
+    "FoundDead",
+    "InstanceReport",
+    "Leaving",
+    "Replaced",
+    "StillThere",
+    "Verdict",
+    "choose_successors",
+    "has_caught_up",
+    "judge_primary",
+]
--- /dev/null
+++ b/orioleplank/decision/keeper/_evidence.py
@@ -0,0 +1,65 @@
+"""Judges from what a proxy has seen whether a primary has to be replaced."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Silence after which a primary counts as unreachable from here, in seconds.
+SILENCE_S = 0.6
+# Failures in a row that count, so that one reset connection is not a dead instance.
+LEAST_FAILURES = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What a proxy knows of a primary."""
+
+    # True when its entry exists.
+    listed: bool
+    # True when its entry says that it will end.
+    draining: bool
+    # Seconds since the first failure after its last answer; 0 without a failure.
+    failing_for: float
+    # Failures since its last answer.
+    failures: int
+    # True when another instance leads a higher term.
+    replaced: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StillThere:
+    """Nothing is wrong with it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """It will end; it still serves."""
+
+
+@dataclass(frozen=True, slots=True)
+class FoundDead:
+    """It does not answer here."""
+
+    # What shows it.
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """Another instance leads already."""
+
+
+Verdict = StillThere | Leaving | FoundDead | Replaced
+
+
+def judge_primary(evidence: Evidence) -> Verdict:
+    """Judge a primary; `FoundDead` still needs the word of other proxies."""
+    if evidence.replaced:
+        return Replaced()
+    if not evidence.listed:
+        return FoundDead("its entry is gone")
+    if evidence.failures >= LEAST_FAILURES and evidence.failing_for >= SILENCE_S:
+        return FoundDead(f"{evidence.failures} failures in {evidence.failing_for:.1f} s")
+    if evidence.draining:
+        return Leaving()
+    return StillThere()
--- /dev/null
+++ b/orioleplank/decision/membership/_fleet.py
@@ -0,0 +1,52 @@
+"""The registered proxies.
+
+A proxy registers before it takes its first lease, so whoever lists the proxies after writing a
+record as moving knows everybody who may hold a lease from before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyRecord:
+    """One registered proxy."""
+
+    # Name of its VM.
+    name: str
+    # Its run.
+    incarnation: str
+    # HOST:PORT at which other proxies reach it.
+    address: str
+    # Its availability zone.
+    zone: str
+    # True when it was silent for long; it registers anew before it takes leases again.
+    retired: bool = False
+    # True once it is stopping and takes no duties.
+    stopping: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """All registered proxies."""
+
+    # Records by name.
+    proxies: Mapping[str, ProxyRecord] = field(default_factory=dict)
+
+    def active(self) -> tuple[ProxyRecord, ...]:
+        """Return the proxies that are neither retired nor stopping, by name."""
+        names = sorted(self.proxies)
+        records = (self.proxies[name] for name in names)
+        return tuple(r for r in records if not r.retired and not r.stopping)
+
+
+def rank_proxies(service: str, names: Iterable[str]) -> tuple[str, ...]:
+    """Order proxies by who acts first for a service (rendezvous hashing, Thaler, 1996)."""
+
+    def weigh(name: str) -> bytes:
+        return blake2b(f"{service}/{name}".encode(), digest_size=8).digest()
+
+    return tuple(sorted(names, key=weigh))
--- /dev/null
+++ b/orioleplank/decision/membership/_peer.py
@@ -0,0 +1,60 @@
+"""Messages between proxies; each may be lost, repeated or late."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseAsked:
+    """Asks a proxy to rely on a group's primary no more."""
+
+    # Name of the asking proxy.
+    sender: str
+    # Name of the service.
+    service: str
+    # Revision of the record that moves the primary.
+    revision: int
+    # True when statements that run may end first.
+    planned: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """A proxy's word that it relies on no record below a revision."""
+
+    # Name of the proxy.
+    sender: str
+    # Its run.
+    incarnation: str
+    # Name of the service.
+    service: str
+    # The revision.
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReachAsked:
+    """Asks a proxy when it last had an answer from an instance."""
+
+    # Name of the asking proxy.
+    sender: str
+    # Number of the question.
+    number: int
+    # Id of the instance.
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReachTold:
+    """When a proxy last had an answer from an instance."""
+
+    # Name of the proxy.
+    sender: str
+    # Number of the question.
+    number: int
+    # Seconds since the answer; infinite when there was none.
+    age: float
+
+
+PeerMessage = ReleaseAsked | Released | ReachAsked | ReachTold
--- /dev/null
+++ b/orioleplank/gateway/__init__.py
@@ -0,0 +1,54 @@
+"""A proxy before databases whose primaries are held under leases; the platform is behind ports."""
+
+from orioleplank.gateway._clock import boot_seconds
+from orioleplank.gateway._gateway import Gateway, Outside, build_kernel
+from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._ports import (
+    CallerLink,
+    CallerSession,
+    Changes,
+    Dialer,
+    Gone,
+    HistoryLostError,
+    InstanceLink,
+    InstanceRefusedError,
+    InstanceUnreachableError,
+    Listing,
+    Promotions,
+    Records,
+    Sessions,
+    Store,
+    StoreConflictError,
+    StoredRecord,
+    StoreUnavailableError,
+    Watched,
+)
+from orioleplank.gateway._settings import GatewaySettings
+
+__all__ = [
+    "CallerLink",
+    "CallerSession",
+    "Changes",
+    "Dialer",
+    "Gateway",
+    "GatewaySettings",
+    "Gone",
+    "HistoryLostError",
+    "InstanceLink",
+    "InstanceRefusedError",
+    "InstanceUnreachableError",
+    "Journal",
+    "Listing",
+    "Outside",
+    "Promotions",
+    "Records",
+    "Sessions",
+    "Store",
+    "StoreConflictError",
+    "StoreUnavailableError",
+    "StoredRecord",
+    "Topic",
+    "Watched",
+    "boot_seconds",
+    "build_kernel",
+]
--- /dev/null
+++ b/orioleplank/gateway/_beliefs.py
@@ -0,0 +1,180 @@
+"""What one proxy believes of routes, instances, primaries and other proxies."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from orioleplank.decision import Position
+from orioleplank.decision.group import Lease, LeaseBook, Phase, PositionHistory, SeenRecord
+from orioleplank.decision.instances import Directory, InstanceEntry, Route, RouteTable
+from orioleplank.decision.membership import Fleet
+from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._pool import InstancePool
+from orioleplank.gateway._ports import Dialer
+from orioleplank.gateway._signal import Signal
+
+# Connections of an instance that no proxy counts on, for proxies that come and go.
+SPARE_CONNECTIONS = 2
+
+
+class Beliefs:
+    """The proxy's beliefs, and a pool of connections for each instance it believes in."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        dialer: Dialer,
+        journal: Journal,
+        boot_now: Callable[[], float],
+    ) -> None:
+        self.routes = RouteTable()
+        self.directory = Directory()
+        self.leases = LeaseBook()
+        self.fleet = Fleet()
+        self.pools: dict[str, InstancePool] = {}
+        # Statements and transactions that rely on a service's primary now.
+        self.primary_work: Counter[str] = Counter()
+        # Fires whenever a belief changes.
+        self.changed = Signal(reactor)
+        # Called with an instance's id whenever it did not answer.
+        self.on_trouble: Callable[[str], None] = lambda instance: None
+        self._reactor = reactor
+        self._dialer = dialer
+        self._journal = journal
+        self._boot_now = boot_now
+        self._positions: dict[str, tuple[int, PositionHistory]] = {}
+
+    # Time.
+
+    def now(self) -> float:
+        """Return the steady clock, in seconds."""
+        return float(self._reactor.seconds())
+
+    def lease_now(self) -> float:
+        """Return the clock of leases, which also counts suspended time, in seconds."""
+        return self._boot_now()
+
+    # Routes.
+
+    def route(self, database: str) -> Route | None:
+        """Return the route of a database, or None."""
+        return self.routes.routes.get(database)
+
+    def take_routes(self, table: RouteTable) -> None:
+        """Take a version of the configuration; an older one changes nothing."""
+        newest = self.routes.newer(table)
+        if newest is self.routes:
+            return
+        before, self.routes = self.routes.version, newest
+        self._journal.note(
+            Topic.ROUTES, version=newest.version, before=before, routes=len(newest.routes)
+        )
+        self.changed.fire()
+
+    # Instances.
+
+    def take_directory(self, directory: Directory) -> None:
+        """Take what is known of the instances; pools follow it."""
+        before, self.directory = self.directory, directory
+        for name in before.instances.keys() | directory.instances.keys():
+            self._follow_entry(before.entry(name), directory.entry(name))
+        self.changed.fire()
+
+    def _follow_entry(self, before: InstanceEntry | None, after: InstanceEntry | None) -> None:
+        if before == after:
+            return
+        entry = after or before
+        assert entry is not None
+        pool = self.pools.get(entry.id)
+        if pool is not None and (after is None or _is_other_life(pool.entry, after)):
+            del self.pools[entry.id]
+            pool.close()
+        elif pool is not None and after is not None:
+            pool.entry = after
+        if after is not None and after.id not in self.pools:
+            self.pools[after.id] = self._build_pool(after)
+        self._journal.note(
+            Topic.INSTANCE,
+            instance=entry.id,
+            service=entry.service,
+            zone=entry.zone,
+            state=after.state.value if after else "gone",
+            role=entry.role.value,
+            address=entry.address,
+            born=entry.born,
+        )
+
+    def _build_pool(self, entry: InstanceEntry) -> InstancePool:
+        def share() -> int:
+            return self.connection_share(entry.service)
+
+        return InstancePool(
+            entry, self._dialer, self.now, share, lambda instance: self.on_trouble(instance)
+        )
+
+    def connection_share(self, service: str) -> int:
+        """Return the connections that this proxy may hold to each instance of a service."""
+        limits = self.routes.services.get(service)
+        if limits is None:
+            return 1
+        proxies = max(1, len(self.fleet.active()))
+        return max(1, (limits.max_connections - SPARE_CONNECTIONS) // proxies)
+
+    # Primaries.
+
+    def lease(self, service: str) -> Lease | None:
+        """Return the last lease on the primary of a service, which may have ended; or None."""
+        return self.leases.lease(service)
+
+    def take_leases(self, book: LeaseBook) -> None:
+        """Take a new state of the records of groups."""
+        before, self.leases = self.leases, book
+        for service, seen in book.seen.items():
+            if before.seen.get(service) != seen:
+                self._note_group(seen)
+        self.changed.fire()
+
+    def _note_group(self, seen: SeenRecord) -> None:
+        record = seen.record
+        self._journal.note(
+            Topic.GROUP,
+            service=record.service,
+            phase=record.phase.value,
+            primary=record.primary,
+            term=record.term,
+            holder=record.holder,
+            revision=seen.revision,
+            lease_asked_at=round(self.leases.asked_at, 3),
+        )
+
+    def is_moving(self, service: str) -> bool:
+        """Tell whether a new primary is being named."""
+        seen = self.leases.seen.get(service)
+        return seen is not None and seen.record.phase is Phase.MOVING
+
+    # Positions.
+
+    def note_position(self, lease: Lease, service: str, asked_at: float, at: Position) -> None:
+        """Take the position in an answer of the primary to a question asked at `asked_at`."""
+        if lease.covers(asked_at):
+            self._history(lease, service).add(asked_at, at)
+
+    def find_position(self, service: str, known_since: float) -> Position | None:
+        """Return a position that holds every commit acknowledged before `known_since`."""
+        lease = self.lease(service)
+        return self._history(lease, service).find(known_since) if lease else None
+
+    def _history(self, lease: Lease, service: str) -> PositionHistory:
+        revision, history = self._positions.get(service, (0, PositionHistory()))
+        if revision != lease.revision:
+            history = PositionHistory()
+            self._positions[service] = (lease.revision, history)
+        return history
+
+
+def _is_other_life(before: InstanceEntry, after: InstanceEntry) -> bool:
+    if before.address != after.address or before.service != after.service:
+        return True
+    return bool(before.born and after.born and before.born != after.born)
--- /dev/null
+++ b/orioleplank/gateway/_clock.py
@@ -0,0 +1,10 @@
+"""The clock of leases."""
+
+from __future__ import annotations
+
+import time
+
+
+def boot_seconds() -> float:
+    """Return seconds since the VM started, suspended time included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/orioleplank/gateway/_follower.py
@@ -0,0 +1,94 @@
+"""Follows one kind of objects in the store: lists it, watches it, and lists it again in doubt."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Generic, TypeVar
+
+from orioleplank.gateway._ports import (
+    Changes,
+    HistoryLostError,
+    Listing,
+    StoreUnavailableError,
+    Watched,
+)
+from orioleplank.gateway._signal import sleep
+
+# Pause after a failed call, in seconds, doubled each time; all proxies call at once otherwise.
+RETRY_FIRST_S = 0.1
+RETRY_LIMIT_S = 1.0
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Listener(Generic[T]):
+    """Who takes what a follower learns."""
+
+    # Takes a complete listing, and when it was asked for on the clock of leases.
+    on_listing: Callable[[Listing[T], float], None]
+    # Takes changes.
+    on_changes: Callable[[Changes[T]], None]
+    # Told after each call whether the store answered, with the reason if not.
+    on_contact: Callable[[str], None]
+
+
+class Follower(Generic[T]):
+    """Follows one kind until it is stopped."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        kind: Watched[T],
+        listener: Listener[T],
+        lease_now: Callable[[], float],
+        wait: float,
+        random: Random,
+    ) -> None:
+        self._reactor = reactor
+        self._kind = kind
+        self._listener = listener
+        self._lease_now = lease_now
+        self._wait = wait
+        self._random = random
+        self._failures = 0
+        self.is_stopped = False
+
+    async def run(self) -> None:
+        """List and watch until stopped."""
+        while not self.is_stopped:
+            try:
+                revision = await self.list_now()
+                while not self.is_stopped:
+                    revision = await self._watch(revision)
+            except HistoryLostError:
+                continue
+            except StoreUnavailableError as error:
+                self._listener.on_contact(str(error))
+                await sleep(self._reactor, self._pause())
+
+    async def list_now(self) -> int:
+        """List once; return the revision. Raise `StoreUnavailableError`."""
+        asked_at = self._lease_now()
+        listing = await self._kind.list()
+        self._note_success()
+        self._listener.on_listing(listing, asked_at)
+        return listing.revision
+
+    async def _watch(self, revision: int) -> int:
+        changes = await self._kind.watch(revision, self._wait)
+        self._note_success()
+        if changes.items:
+            self._listener.on_changes(changes)
+        return changes.revision
+
+    def _note_success(self) -> None:
+        self._failures = 0
+        self._listener.on_contact("")
+
+    def _pause(self) -> float:
+        pause = min(RETRY_LIMIT_S, RETRY_FIRST_S * 2**self._failures)
+        self._failures = min(self._failures + 1, 8)
+        return pause * (0.5 + self._random.random())
--- /dev/null
+++ b/orioleplank/gateway/_gateway.py
@@ -0,0 +1,187 @@
+"""Builds a gateway's parts, and starts and stops them."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from orioleplank.decision.membership import PeerMessage, ProxyRecord
+from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._clock import boot_seconds
+from orioleplank.gateway._inspection import Inspection
+from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._metrics import Metrics
+from orioleplank.gateway._mover import LOOK_S, Mover
+from orioleplank.gateway._peers import PeerSocket
+from orioleplank.gateway._platform_view import PlatformView
+from orioleplank.gateway._ports import Dialer, Promotions, Store
+from orioleplank.gateway._registry import Registry
+from orioleplank.gateway._release import Releases
+from orioleplank.gateway._sessions import SessionTable
+from orioleplank.gateway._settings import GatewaySettings
+from orioleplank.gateway._signal import sleep
+from orioleplank.gateway._statements import Statements
+from orioleplank.kernel import Kernel, Service, Timer, TimerTick
+
+# Time for the balancer to notice that no new sessions are wanted, in seconds: two of its questions
+# and a little.
+NOTICE_S = 2.3
+# Share of the grace for which open transactions may go on.
+TRANSACTION_SHARE = 0.5
+# Share of the grace after which the process ends whatever is open.
+END_SHARE = 0.9
+# Pause between looks whether all sessions have ended, in seconds.
+LEAVE_LOOK_S = 0.05
+HOUSEKEEPING_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Outside:
+    """What the gateway reaches outside the process."""
+
+    # The platform's store.
+    store: Store
+    # Opens connections to instances.
+    dialer: Dialer
+    # Orders promotions.
+    promotions: Promotions
+
+
+class Gateway(Service):
+    """One proxy before the platform's databases."""
+
+    def __init__(
+        self, reactor: Any, settings: GatewaySettings, outside: Outside, journal: Journal
+    ) -> None:
+        super().__init__("gateway")
+        self._reactor = reactor
+        self._settings = settings
+        self._journal = journal
+        self._random = Random()
+        self._is_stopping = False
+        self._was_ready = False
+        self.metrics = Metrics()
+        me = ProxyRecord(
+            settings.name, f"{settings.name}-{uuid.uuid4().hex[:12]}", settings.peers, settings.zone
+        )
+        self.beliefs = Beliefs(reactor, outside.dialer, journal, boot_seconds)
+        self.beliefs.on_trouble = self._take_trouble
+        self._view = PlatformView(reactor, outside.store, self.beliefs, journal, self._random)
+        self._registry = Registry(
+            reactor,
+            outside.store.records,
+            self.beliefs,
+            journal,
+            me,
+            self._view.note_contact,
+            self._random,
+        )
+        self._inspection = Inspection(reactor, self.beliefs, settings.name)
+        self._releases = Releases(reactor, self.beliefs, journal, me)
+        self._mover = Mover(
+            reactor,
+            self.beliefs,
+            journal,
+            outside.store.records,
+            outside.promotions,
+            self._inspection,
+            self._releases,
+            me,
+        )
+        statements = Statements(self.beliefs, reactor, settings.zone)
+        self.sessions = SessionTable(self.beliefs, statements, journal, self.metrics)
+        self._me = me
+
+    @property
+    def is_ready(self) -> bool:
+        """True when new sessions are welcome."""
+        if self._is_stopping:
+            return False
+        return self.beliefs.routes.version > 0 and bool(self.beliefs.directory.instances)
+
+    # The kernel's side.
+
+    def start(self) -> None:
+        """Begin to follow the store and to watch primaries."""
+        socket = PeerSocket(self._take_peer_message)
+        host, _, port = self._settings.peers.rpartition(":")
+        self._reactor.listenUDP(int(port), socket, interface=host)
+        self._inspection.socket = self._releases.socket = socket
+        timer = self.kernel.find("timer")
+        assert isinstance(timer, Timer)
+        timer.subscribe(self, "look", LOOK_S)
+        timer.subscribe(self, "housekeeping", HOUSEKEEPING_S)
+        self._run(self._registry.run())
+        self._run(self._registry.renew())
+        self._run(self._view.routes.run())
+        self._run(self._view.instances.run())
+        self._journal.note(Topic.STARTED, incarnation=self._me.incarnation, zone=self._me.zone)
+
+    def receive(self, message: object) -> None:
+        """Let time pass."""
+        match message:
+            case TimerTick("look"):
+                self._mover.look()
+                self._note_ready()
+            case TimerTick("housekeeping"):
+                self._view.expire_instances()
+                idle = self.beliefs.routes.transaction_idle
+                self.sessions.end_resting_transactions(self.beliefs.now(), idle)
+
+    def _note_ready(self) -> None:
+        if self.is_ready and not self._was_ready:
+            self._was_ready = True
+            self._journal.note(Topic.READY, routes=self.beliefs.routes.version)
+
+    def _take_trouble(self, instance: str) -> None:
+        self.kernel.schedule(self._mover.look)
+
+    def _take_peer_message(self, message: PeerMessage) -> None:
+        self._inspection.take(message)
+        self._releases.take(message)
+
+    def _run(self, work: Coroutine[Any, Any, None]) -> None:
+        Deferred.fromCoroutine(work).addErrback(self._fail)
+
+    def _fail(self, failure: Any) -> None:
+        self._journal.note(Topic.ERROR, step="run", detail=failure.getTraceback())
+
+    # The end.
+
+    async def leave(self) -> None:
+        """Stop gracefully: answer what runs, close what rests, and end within the grace."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        began = self.beliefs.now()
+        grace = self._settings.grace
+        self._journal.note(Topic.STOPPING, sessions=len(self.sessions), grace=grace)
+        self._mover.is_stopped = True
+        self._run(self._registry.leave())
+        await sleep(self._reactor, min(NOTICE_S, grace * TRANSACTION_SHARE))
+        self.sessions.leave()
+        transactions_until = began + grace * TRANSACTION_SHARE
+        while len(self.sessions) and self.beliefs.now() < began + grace * END_SHARE:
+            if self.beliefs.now() >= transactions_until:
+                self.sessions.abort_transactions()
+            await sleep(self._reactor, LEAVE_LOOK_S)
+        self._journal.note(Topic.STOPPED, sessions=len(self.sessions))
+        remove = Deferred.fromCoroutine(self._registry.remove())
+        await remove.addTimeout(0.3, self._reactor, onTimeoutCancel=lambda *_: None)
+
+
+def build_kernel(reactor: Any, gateway: Gateway, journal: Journal) -> Kernel:
+    """Return a kernel with a timer and the gateway."""
+
+    def report(service: str, message: object, error: Exception) -> None:
+        journal.note(Topic.ERROR, step=f"{service} {type(message).__name__}", detail=repr(error))
+
+    kernel = Kernel(reactor, report)
+    kernel.add(Timer())
+    kernel.add(gateway)
+    return kernel
--- /dev/null
+++ b/orioleplank/gateway/_inspection.py
@@ -0,0 +1,142 @@
+"""Asks instances for their state, and other proxies whether they reach an instance."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any
+
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import TimeoutError as TwistedTimeoutError
+
+from orioleplank.decision.instances import InstanceEntry, InstanceState
+from orioleplank.decision.keeper import InstanceReport
+from orioleplank.decision.membership import PeerMessage, ProxyRecord, ReachAsked, ReachTold
+from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._peers import PeerSocket
+from orioleplank.gateway._pool import InstancePool
+from orioleplank.gateway._ports import InstanceLink, InstanceRefusedError, InstanceUnreachableError
+from orioleplank.gateway._signal import sleep
+
+# Time for an instance's report, in seconds: several round trips between regions.
+REPORT_LIMIT_S = 0.5
+# Time for other proxies' words, in seconds, and how often they are asked in it.
+REACH_LIMIT_S = 0.2
+REACH_ROUNDS = 2
+
+UNREACHED = (
+    InstanceUnreachableError,
+    InstanceRefusedError,
+    TwistedTimeoutError,
+    CancelledError,
+)
+
+
+@dataclass(slots=True)
+class _Question:
+    """A question to other proxies."""
+
+    # Seconds since each proxy's last answer from the instance, by the proxies' names.
+    ages: dict[str, float] = field(default_factory=dict)
+
+
+class Inspection:
+    """Looks at instances, directly and through other proxies."""
+
+    def __init__(self, reactor: Any, beliefs: Beliefs, me: str) -> None:
+        self._reactor = reactor
+        self._beliefs = beliefs
+        self._me = me
+        self._numbers = count(1)
+        self._questions: dict[int, _Question] = {}
+        self.socket: PeerSocket | None = None
+
+    # Instances.
+
+    async def probe(self, pool: InstancePool) -> InstanceReport | None:
+        """Ask an instance for its state on a pooled connection; None when it does not tell."""
+        try:
+            connection = await pool.acquire({}, 0, 0).addTimeout(REPORT_LIMIT_S, self._reactor)
+        except UNREACHED as error:
+            if isinstance(error, TwistedTimeoutError | CancelledError):
+                pool.note_failure()
+            return None
+        try:
+            report = await connection.link.report().addTimeout(REPORT_LIMIT_S, self._reactor)
+        except InstanceRefusedError:
+            pool.note_answer()
+            pool.release(connection)
+            return None
+        except UNREACHED:
+            pool.note_failure()
+            pool.discard(connection)
+            return None
+        pool.note_answer()
+        pool.release(connection)
+        return report
+
+    async def report_all(self, entries: Iterable[InstanceEntry]) -> tuple[InstanceReport, ...]:
+        """Ask several instances at once; those that do not tell are left out."""
+        asked = [Deferred.fromCoroutine(self._report(entry)) for entry in entries]
+        reports = [await deferred for deferred in asked]
+        return tuple(report for report in reports if report is not None)
+
+    async def _report(self, entry: InstanceEntry) -> InstanceReport | None:
+        pool = self._beliefs.pools.get(entry.id)
+        report = await self.probe(pool) if pool is not None else None
+        if report is None:
+            return None
+        draining = entry.state is InstanceState.DRAINING
+        return InstanceReport(
+            report.id, report.role, report.term, report.received, draining, report.busy
+        )
+
+    async def step_down(self, pool: InstancePool, term: int) -> bool:
+        """Make an old primary a replica; False when it is not reached."""
+        try:
+            connection = await pool.acquire({}, 0, 0).addTimeout(REPORT_LIMIT_S, self._reactor)
+        except UNREACHED:
+            return False
+        link: InstanceLink = connection.link
+        try:
+            await link.step_down(term).addTimeout(REPORT_LIMIT_S, self._reactor)
+        except UNREACHED:
+            pool.discard(connection)
+            return False
+        pool.release(connection)
+        return True
+
+    # Other proxies.
+
+    async def ask_reach(self, instance: str, peers: Iterable[ProxyRecord]) -> dict[str, float]:
+        """Return the seconds since each peer's last answer from an instance, by its name."""
+        number, question = next(self._numbers), _Question()
+        self._questions[number] = question
+        asked = ReachAsked(self._me, number, instance)
+        others = [peer for peer in peers if peer.name != self._me]
+        for _ in range(REACH_ROUNDS):
+            for peer in others:
+                if peer.name not in question.ages and self.socket is not None:
+                    self.socket.send(peer.address, asked)
+            await sleep(self._reactor, REACH_LIMIT_S / REACH_ROUNDS)
+        del self._questions[number]
+        return question.ages
+
+    def take(self, message: PeerMessage) -> None:
+        """Answer a peer's question, or take its answer."""
+        match message:
+            case ReachAsked(sender, number, instance):
+                self._tell_reach(sender, number, instance)
+            case ReachTold(sender, number, age):
+                question = self._questions.get(number)
+                if question is not None:
+                    question.ages[sender] = age
+
+    def _tell_reach(self, sender: str, number: int, instance: str) -> None:
+        peer = self._beliefs.fleet.proxies.get(sender)
+        pool = self._beliefs.pools.get(instance)
+        if peer is None or self.socket is None:
+            return
+        age = self._beliefs.now() - pool.answered_at if pool is not None else float("inf")
+        self.socket.send(peer.address, ReachTold(self._me, number, age))
--- /dev/null
+++ b/orioleplank/gateway/_metrics.py
@@ -0,0 +1,53 @@
+"""Counters and latency histograms of a gateway."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+from orioleplank.decision.session import Statement
+from orioleplank.gateway._exchange import Request
+from orioleplank.gateway._outcome import Outcome, Ran
+
+_BUCKETS = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
+
+
+class Metrics:
+    """The gateway's metrics."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.statements = Counter(
+            "orioleplank_statements",
+            "Statements by outcome.",
+            ("service", "consistency", "statement", "outcome", "step"),
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            "orioleplank_statement_seconds",
+            "Seconds from arrival to reply.",
+            ("service", "consistency"),
+            registry=self.registry,
+            buckets=_BUCKETS,
+        )
+        self.served_by = Counter(
+            "orioleplank_served_by",
+            "Statements that an instance answered.",
+            ("service", "instance"),
+            registry=self.registry,
+        )
+
+    def count(
+        self, request: Request, statement: Statement, outcome: Outcome, elapsed: float
+    ) -> None:
+        """Count a statement."""
+        route = request.route
+        kind = (route.service, route.consistency.value)
+        self.seconds.labels(*kind).observe(elapsed)
+        name = type(statement).__name__.lower()
+        match outcome:
+            case Ran(_, instance):
+                self.statements.labels(*kind, name, "answered", "").inc()
+                self.served_by.labels(route.service, instance).inc()
+            case _:
+                code = outcome.failure.code.value
+                self.statements.labels(*kind, name, code, outcome.step).inc()
--- /dev/null
+++ b/orioleplank/gateway/_mover.py
@@ -0,0 +1,437 @@
+"""Names a group's next primary: on its own when one is dead, ahead of time when one leaves."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from dataclasses import dataclass, replace
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from orioleplank._exceptions import OrioleplankError
+from orioleplank.decision.group import GroupRecord, Phase, SeenRecord
+from orioleplank.decision.instances import DbRole, InstanceState
+from orioleplank.decision.keeper import (
+    Evidence,
+    FoundDead,
+    InstanceReport,
+    Leaving,
+    Replaced,
+    StillThere,
+    Verdict,
+    choose_successors,
+    has_caught_up,
+    judge_primary,
+)
+from orioleplank.decision.membership import ProxyRecord, rank_proxies
+from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._inspection import Inspection
+from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._ports import (
+    Promotions,
+    Records,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from orioleplank.gateway._records import dump_group, name_group, read_group, read_proxy
+from orioleplank.gateway._release import Releases
+from orioleplank.gateway._signal import sleep
+
+# Seconds between looks at each primary.
+LOOK_S = 0.25
+# A proxy acts this much later than the one ranked before it, in seconds.
+RANK_DELAY_S = 0.4
+# A primary that has not answered for this long is asked for its state, in seconds.
+QUIET_S = 1.5
+# An answer that a peer has had within this time shows that the primary lives, in seconds.
+ALIVE_S = 1.0
+# Without any peer's word a proxy waits this long before it trusts its own view, in seconds.
+ALONE_S = 3.0
+# A promotion is ordered within this time after the record was written, in seconds.
+ORDER_WINDOW_S = 2.0
+# A move whose record has not changed for this long is taken over, in seconds: its holder writes
+# the record at least every `REFRESH_S`, and orders nothing after `ORDER_WINDOW_S`.
+TAKE_OVER_S = 6.0
+REFRESH_S = 1.0
+# Time for a promotion to take effect before another one is ordered, in seconds.
+EFFECT_S = 3.0
+# Pause between looks at the instance that is being promoted, in seconds.
+EFFECT_LOOK_S = 0.05
+# How long a planned move waits for a replica that has received everything, in seconds.
+CATCH_UP_S = 1.5
+# Pause between looks at replicas that catch up, in seconds.
+CATCH_UP_LOOK_S = 0.02
+# Pause after a step that failed, in seconds.
+AGAIN_S = 0.2
+
+
+class MoveLostError(OrioleplankError):
+    """Another proxy has taken the move over."""
+
+
+@dataclass(slots=True)
+class _Move:
+    """A move that this proxy holds."""
+
+    # The record as this proxy wrote it last.
+    record: GroupRecord
+    # Its revision, which is the fencing token.
+    revision: int
+    # When the last write of it was asked for, in seconds of the clock of leases.
+    asked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Standing:
+    """A verdict and since when it stands."""
+
+    # Kind of the verdict.
+    kind: type[Verdict]
+    # Since when, in seconds.
+    since: float
+
+
+class Mover:
+    """Watches all primaries and moves those that have to be."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        beliefs: Beliefs,
+        journal: Journal,
+        records: Records,
+        promotions: Promotions,
+        inspection: Inspection,
+        releases: Releases,
+        me: ProxyRecord,
+    ) -> None:
+        self._reactor = reactor
+        self._beliefs = beliefs
+        self._journal = journal
+        self._records = records
+        self._promotions = promotions
+        self._inspection = inspection
+        self._releases = releases
+        self._me = me
+        self._standing: dict[str, _Standing] = {}
+        self._seen_moving: dict[str, tuple[int, float]] = {}
+        self._busy: set[str] = set()
+        self._probing: set[str] = set()
+        self._number = 0
+        self.is_stopped = False
+
+    # Watching.
+
+    def look(self) -> None:
+        """Look at every service once."""
+        if self.is_stopped or not self._beliefs.leases.asked_at > float("-inf"):
+            return
+        for service in self._beliefs.routes.services:
+            if service not in self._busy:
+                self._look_at(service)
+
+    def _look_at(self, service: str) -> None:
+        seen = self._beliefs.leases.seen.get(service)
+        if seen is None:
+            if self._may_act(service, "absent"):
+                self._start(service, self._create_record(service))
+            return
+        if seen.record.phase is Phase.MOVING:
+            self._look_at_move(service, seen)
+            return
+        self._seen_moving.pop(service, None)
+        self._probe_if_quiet(seen.record.primary)
+        verdict = judge_primary(self._find_evidence(seen.record))
+        if isinstance(verdict, StillThere):
+            self._standing.pop(service, None)
+        elif self._may_act(service, verdict):
+            self._start(service, self._move_if_confirmed(service, seen, verdict))
+
+    def _look_at_move(self, service: str, seen: SeenRecord) -> None:
+        """Take over a move whose holder has gone silent."""
+        now = self._beliefs.now()
+        revision, since = self._seen_moving.get(service, (0, now))
+        if revision != seen.revision:
+            self._seen_moving[service] = (seen.revision, now)
+            return
+        delay = TAKE_OVER_S + self._rank(service) * RANK_DELAY_S
+        mine = seen.record.incarnation == self._me.incarnation
+        if mine or now - since >= delay:
+            self._start(service, self._move(service, seen, seen.record.planned))
+
+    def _may_act(self, service: str, verdict: object) -> bool:
+        """Tell whether a verdict has stood for long enough for this proxy's rank."""
+        now, kind = self._beliefs.now(), type(verdict)
+        standing = self._standing.get(service)
+        if standing is None or standing.kind is not kind:
+            standing = _Standing(kind, now)
+            self._standing[service] = standing
+        return now - standing.since >= self._rank(service) * RANK_DELAY_S
+
+    def _rank(self, service: str) -> int:
+        names = {record.name for record in self._beliefs.fleet.active()} | {self._me.name}
+        return rank_proxies(service, names).index(self._me.name)
+
+    def _find_evidence(self, record: GroupRecord) -> Evidence:
+        entry = self._beliefs.directory.entry(record.primary)
+        pool = self._beliefs.pools.get(record.primary)
+        return Evidence(
+            listed=entry is not None,
+            draining=entry is not None and entry.state is InstanceState.DRAINING,
+            failing_for=pool.failing_for if pool else 0.0,
+            failures=pool.failures if pool else 0,
+        )
+
+    def _probe_if_quiet(self, instance: str) -> None:
+        pool = self._beliefs.pools.get(instance)
+        if pool is None or instance in self._probing:
+            return
+        if pool.failures or self._beliefs.now() - pool.answered_at >= QUIET_S:
+            self._probing.add(instance)
+            probe = Deferred.fromCoroutine(self._inspection.probe(pool))
+
+            def forget(result: object) -> object:
+                self._probing.discard(instance)
+                return result
+
+            probe.addBoth(forget).addErrback(self._fail)
+
+    # Work on one service.
+
+    def _start(self, service: str, work: Coroutine[Any, Any, None]) -> None:
+        self._busy.add(service)
+        self._standing.pop(service, None)
+
+        def end(_: object) -> None:
+            self._busy.discard(service)
+
+        Deferred.fromCoroutine(work).addErrback(self._fail).addBoth(end)
+
+    def _fail(self, failure: Any) -> None:
+        if isinstance(failure.value, OrioleplankError):
+            self._journal.note(Topic.MOVE, outcome="given up", why=str(failure.value))
+            return
+        self._journal.note(Topic.ERROR, step="move primary", detail=failure.getTraceback())
+
+    async def _create_record(self, service: str) -> None:
+        """Write the first record of a service, from what its instances say."""
+        reports = await self._inspection.report_all(self._beliefs.directory.of_service(service))
+        leading = [report for report in reports if report.role is DbRole.PRIMARY]
+        if not leading:
+            self._journal.note(Topic.MOVE, service=service, outcome="no primary found")
+            return
+        leader = max(leading, key=lambda report: report.term)
+        record = self._sign(GroupRecord(service, Phase.STABLE, leader.id, leader.term, "", ""))
+        revision = await self._records.create(name_group(service), dump_group(record))
+        self._take_record(record, revision)
+
+    async def _move_if_confirmed(self, service: str, seen: SeenRecord, verdict: Verdict) -> None:
+        match verdict:
+            case FoundDead(why):
+                if not await self._is_dead_for_all(seen.record, why):
+                    await sleep(self._reactor, AGAIN_S)
+                    return
+                await self._move(service, seen, planned=False)
+            case Leaving():
+                await self._move(service, seen, planned=True)
+            case Replaced():
+                await self._move(service, seen, planned=False)
+
+    async def _is_dead_for_all(self, record: GroupRecord, why: str) -> bool:
+        """Ask the other proxies; one that reaches the primary shows that it lives."""
+        peers = [peer for peer in self._beliefs.fleet.active() if peer.name != self._me.name]
+        ages = await self._inspection.ask_reach(record.primary, peers)
+        pool = self._beliefs.pools.get(record.primary)
+        alone = bool(peers) and not ages and (pool is None or pool.failing_for < ALONE_S)
+        is_dead = not alone and all(age > ALIVE_S for age in ages.values())
+        self._journal.note(
+            Topic.SUSPICION,
+            service=record.service,
+            primary=record.primary,
+            why=why,
+            peers=ages,
+            outcome="dead" if is_dead else "not confirmed",
+        )
+        return is_dead
+
+    # A move.
+
+    async def _move(self, service: str, seen: SeenRecord, planned: bool) -> None:
+        old = seen.record
+        move = await self._claim(old, seen.revision, planned)
+        self._note_move(move, "claimed", old_primary=old.primary, planned=planned)
+        holders = await self._list_holders(move)
+        gathering = Deferred.fromCoroutine(
+            self._releases.gather(service, move.revision, planned, holders)
+        )
+        late = await self._refresh_until(move, gathering)
+        self._note_move(move, "released", waited_out=[peer.name for peer in late])
+        new = await self._promote(move, old)
+        stable = replace(move.record, phase=Phase.STABLE, primary=new.id, term=new.term)
+        await self._write(move, stable)
+        self._note_move(move, "done", primary=new.id, term=new.term)
+        await self._step_down(old.primary, new)
+        await self._retire(late)
+
+    async def _claim(self, old: GroupRecord, revision: int, planned: bool) -> _Move:
+        record = replace(old, phase=Phase.MOVING, planned=planned)
+        move = _Move(record, revision, self._beliefs.lease_now())
+        await self._write(move, record)
+        return move
+
+    async def _list_holders(self, move: _Move) -> tuple[ProxyRecord, ...]:
+        """List the proxies that may hold a lease from before the move."""
+        while True:
+            try:
+                listing = await self._records.list()
+            except StoreUnavailableError:
+                await sleep(self._reactor, AGAIN_S)
+                continue
+            found = (read_proxy(item) for item in listing.items)
+            return tuple(record for record in found if record is not None)
+
+    async def _refresh_until(
+        self, move: _Move, gathering: Deferred[tuple[ProxyRecord, ...]]
+    ) -> tuple[ProxyRecord, ...]:
+        """Keep the move while words are gathered; return whose leases had to be waited out."""
+        while not gathering.called:
+            await sleep(self._reactor, LOOK_S / 5)
+            if self._beliefs.lease_now() - move.asked_at >= REFRESH_S:
+                await self._write(move, move.record)
+        return await gathering
+
+    async def _promote(self, move: _Move, old: GroupRecord) -> InstanceReport:
+        """Promote the instance that has received most; return its report once it leads."""
+        catch_up_until = self._beliefs.now() + CATCH_UP_S
+        while True:
+            if self._beliefs.lease_now() - move.asked_at >= REFRESH_S:
+                await self._write(move, move.record)
+            entries = self._beliefs.directory.of_service(move.record.service)
+            reports = await self._inspection.report_all(entries)
+            leading = self._find_leading(reports, old)
+            if leading is not None:
+                return leading
+            if move.record.planned and self._beliefs.now() < catch_up_until:
+                if not has_caught_up(reports, old.primary):
+                    await sleep(self._reactor, CATCH_UP_LOOK_S)
+                    continue
+            for successor in choose_successors(reports, old.primary):
+                if await self._order(move, successor):
+                    led = await self._await_effect(move, successor, old)
+                    if led is not None:
+                        return led
+                    break
+            await sleep(self._reactor, AGAIN_S)
+
+    def _find_leading(
+        self, reports: tuple[InstanceReport, ...], old: GroupRecord
+    ) -> InstanceReport | None:
+        """Find an instance that leads a higher term already."""
+        leading = [r for r in reports if r.role is DbRole.PRIMARY and r.term > old.term]
+        return max(leading, key=lambda report: report.term) if leading else None
+
+    async def _order(self, move: _Move, successor: str) -> bool:
+        """Order a promotion; False when that instance cannot take over."""
+        if self._beliefs.lease_now() - move.asked_at >= ORDER_WINDOW_S / 2:
+            await self._write(move, move.record)
+        if self._beliefs.lease_now() - move.asked_at >= ORDER_WINDOW_S:
+            return False
+        service = move.record.service
+        try:
+            accepted = await self._promotions.order(service, successor, move.revision)
+        except StoreUnavailableError as error:
+            self._note_move(move, "order unanswered", instance=successor, why=str(error))
+            return True
+        self._note_move(move, "ordered" if accepted else "order refused", instance=successor)
+        return accepted
+
+    async def _await_effect(
+        self, move: _Move, successor: str, old: GroupRecord
+    ) -> InstanceReport | None:
+        """Wait until the successor leads; None when it does not in time."""
+        limit = self._beliefs.now() + EFFECT_S
+        while self._beliefs.now() < limit:
+            pool = self._beliefs.pools.get(successor)
+            report = await self._inspection.probe(pool) if pool is not None else None
+            if report is not None and report.role is DbRole.PRIMARY and report.term > old.term:
+                return report
+            if self._beliefs.lease_now() - move.asked_at >= REFRESH_S:
+                await self._write(move, move.record)
+            await sleep(self._reactor, EFFECT_LOOK_S)
+        return None
+
+    async def _step_down(self, old_primary: str, new: InstanceReport) -> None:
+        pool = self._beliefs.pools.get(old_primary)
+        if pool is None or old_primary == new.id:
+            return
+        reached = await self._inspection.step_down(pool, new.term)
+        outcome = "old primary stepped down" if reached else "old primary not reached"
+        self._journal.note(Topic.MOVE, instance=old_primary, outcome=outcome)
+
+    async def _retire(self, silent: tuple[ProxyRecord, ...]) -> None:
+        """Mark proxies that did not answer, so that they register anew or are removed."""
+        if not silent:
+            return
+        listing = await self._records.list()
+        names = {record.name: record for record in silent}
+        for item in listing.items:
+            record = read_proxy(item)
+            if record is None or record.retired or record != names.get(record.name):
+                continue
+            try:
+                content = {**item.content, "retired": True}
+                await self._records.replace(item.name, content, item.revision)
+            except StoreConflictError:
+                continue
+
+    # The record.
+
+    def _sign(self, record: GroupRecord) -> GroupRecord:
+        self._number += 1
+        return replace(
+            record,
+            holder=self._me.name,
+            incarnation=self._me.incarnation,
+            number=self._number,
+        )
+
+    async def _write(self, move: _Move, record: GroupRecord) -> None:
+        """Write the record on condition that nobody else has; raise `MoveLostError`."""
+        signed = self._sign(record)
+        name = name_group(record.service)
+        while not self.is_stopped:
+            asked_at = self._beliefs.lease_now()
+            try:
+                revision = await self._records.replace(name, dump_group(signed), move.revision)
+            except StoreConflictError:
+                revision = await self._find_own(signed, move.revision)
+            except StoreUnavailableError as error:
+                self._note_move(move, "record not written", why=str(error))
+                await sleep(self._reactor, AGAIN_S)
+                continue
+            move.record, move.revision, move.asked_at = signed, revision, asked_at
+            self._take_record(signed, revision)
+            return
+        raise MoveLostError("write record", record.service, "this proxy is stopping")
+
+    async def _find_own(self, signed: GroupRecord, before: int) -> int:
+        """Return the revision of a write whose answer was lost; raise `MoveLostError`."""
+        listing = await self._records.list()
+        for item in listing.items:
+            seen = read_group(item)
+            if seen is not None and seen.record == signed and seen.revision > before:
+                return seen.revision
+        raise MoveLostError("write record", signed.service, "another proxy has written it")
+
+    def _take_record(self, record: GroupRecord, revision: int) -> None:
+        seen = SeenRecord(record, revision)
+        self._beliefs.take_leases(self._beliefs.leases.take_change(seen))
+
+    def _note_move(self, move: _Move, outcome: str, **fields: object) -> None:
+        self._journal.note(
+            Topic.MOVE,
+            service=move.record.service,
+            revision=move.revision,
+            outcome=outcome,
+            **fields,
+        )
--- /dev/null
+++ b/orioleplank/gateway/_peers.py
@@ -0,0 +1,56 @@
+"""Datagrams between proxies; each may be lost, so whoever needs an answer asks again."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import asdict
+from types import MappingProxyType
+
+from pydantic import TypeAdapter, ValidationError
+from twisted.internet.protocol import DatagramProtocol
+
+from orioleplank.decision.membership import (
+    PeerMessage,
+    ReachAsked,
+    ReachTold,
+    ReleaseAsked,
+    Released,
+)
+
+_TYPES = MappingProxyType(
+    {kind.__name__: TypeAdapter(kind) for kind in (ReleaseAsked, Released, ReachAsked, ReachTold)}
+)
+
+
+class PeerSocket(DatagramProtocol):
+    """Sends and receives messages of other proxies."""
+
+    def __init__(self, on_message: Callable[[PeerMessage], None]) -> None:
+        self._on_message = on_message
+
+    def send(self, address: str, message: PeerMessage) -> None:
+        """Send a message to HOST:PORT; it may be lost."""
+        host, _, port = address.rpartition(":")
+        if self.transport is not None:
+            self.transport.write(encode_message(message), (host, int(port)))
+
+    def datagramReceived(self, datagram: bytes, addr: object) -> None:  # noqa: N802
+        """Take a datagram; one that cannot be read is dropped."""
+        message = decode_message(datagram)
+        if message is not None:
+            self._on_message(message)
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return a message's form in a datagram."""
+    return json.dumps([type(message).__name__, asdict(message)]).encode()
+
+
+def decode_message(datagram: bytes) -> PeerMessage | None:
+    """Read a datagram; None for one that is not valid."""
+    try:
+        name, fields = json.loads(datagram)
+        return _TYPES[name].validate_python(fields)
+    except (ValueError, KeyError, TypeError, ValidationError):
+        return None
--- /dev/null
+++ b/orioleplank/gateway/_platform_view.py
@@ -0,0 +1,83 @@
+"""Follows routes and instances in the store, and notes when the store is away."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from orioleplank.decision.instances import InstanceEntry, RouteTable
+from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._follower import Follower, Listener
+from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._ports import Changes, Gone, Listing, Store
+
+# Longest wait of a watch for routes, in seconds: a watch that went silent is noticed in time.
+ROUTES_WATCH_S = 2.0
+# Longest wait of a watch for instances, in seconds.
+INSTANCES_WATCH_S = 3.0
+
+
+class PlatformView:
+    """Keeps routes and instances current."""
+
+    def __init__(
+        self, reactor: Any, store: Store, beliefs: Beliefs, journal: Journal, random: Random
+    ) -> None:
+        self._beliefs = beliefs
+        self._journal = journal
+        self._trouble = ""
+        # When the store was heard again after it was away, in seconds.
+        self._contact_at = float("-inf")
+        routes: Listener[RouteTable] = Listener(
+            self._take_routes, self._take_route_changes, self.note_contact
+        )
+        instances: Listener[InstanceEntry] = Listener(
+            self._take_instances, self._take_instance_changes, self.note_contact
+        )
+        now = beliefs.lease_now
+        self.routes = Follower(reactor, store.routes, routes, now, ROUTES_WATCH_S, random)
+        self.instances = Follower(
+            reactor, store.instances, instances, now, INSTANCES_WATCH_S, random
+        )
+
+    def note_contact(self, trouble: str) -> None:
+        """Take note whether the store answered; `trouble` is why it did not."""
+        if bool(trouble) == bool(self._trouble):
+            return
+        self._trouble = trouble
+        self._journal.note(Topic.STORE, outcome="lost" if trouble else "reached", why=trouble)
+        if not trouble:
+            self._contact_at = self._beliefs.now()
+
+    def expire_instances(self) -> None:
+        """Drop instances that stay missing while the store is reached."""
+        if self._trouble:
+            return
+        beliefs = self._beliefs
+        left = beliefs.directory.expire(beliefs.now(), self._contact_at)
+        if left is not beliefs.directory:
+            beliefs.take_directory(left)
+
+    def _take_routes(self, listing: Listing[RouteTable], asked_at: float) -> None:
+        for table in listing.items:
+            self._beliefs.take_routes(table)
+
+    def _take_route_changes(self, changes: Changes[RouteTable]) -> None:
+        for item in changes.items:
+            if not isinstance(item, Gone):
+                self._beliefs.take_routes(item)
+
+    def _take_instances(self, listing: Listing[InstanceEntry], asked_at: float) -> None:
+        beliefs = self._beliefs
+        beliefs.take_directory(beliefs.directory.take_listing(listing.items, beliefs.now()))
+
+    def _take_instance_changes(self, changes: Changes[InstanceEntry]) -> None:
+        beliefs, directory = self._beliefs, self._beliefs.directory
+        for item in changes.items:
+            match item:
+                case Gone(name):
+                    directory = directory.remove(name, beliefs.now())
+                case _:
+                    directory = directory.put(item, beliefs.now())
+        if directory != beliefs.directory:
+            beliefs.take_directory(directory)
--- /dev/null
+++ b/orioleplank/gateway/_pool.py
@@ -0,0 +1,261 @@
+"""Connections to one instance, and what is known of how it answers."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from itertools import count
+from typing import Any
+
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.python.failure import Failure
+
+from orioleplank.decision.instances import InstanceEntry
+from orioleplank.decision.session import FRESH_CONNECTION, ConnectionState, find_preparation
+from orioleplank.gateway._ports import (
+    Dialer,
+    InstanceLink,
+    InstanceRefusedError,
+    InstanceUnreachableError,
+)
+
+# Pause before another try to open a connection after a failure, in seconds, doubled each time.
+RETRY_FIRST_S = 0.05
+RETRY_LIMIT_S = 1.0
+# How long an instance that has no connection left is not asked for one, in seconds.
+FULL_PAUSE_S = 0.5
+# Weight of the newest answer in the recent time of an instance.
+LATENCY_WEIGHT = 0.2
+# Time assumed for an instance that was not asked yet, in seconds.
+FIRST_LATENCY_S = 0.03
+# After this long without an answer half of what was learned of an instance's time is forgotten.
+FORGET_S = 2.0
+# Time that a failed statement counts for, in seconds.
+FAILURE_LATENCY_S = 1.0
+
+
+@dataclass(slots=True, eq=False)
+class PooledConnection:
+    """One connection and what the instance holds for it."""
+
+    # The connection.
+    link: InstanceLink
+    # Values and prepared names at the instance.
+    state: ConnectionState = FRESH_CONNECTION
+    # Number of the session that used it last; 0 for none.
+    session: int = 0
+    # False once it must not be used again.
+    usable: bool = True
+
+
+@dataclass(slots=True, order=True)
+class _Waiter:
+    # Of its route; 0 is the most important.
+    priority: int
+    # Order of arrival.
+    number: int
+    result: Any
+    values: Any
+    session: int
+
+
+class InstancePool:
+    """All connections of this proxy to one life of an instance."""
+
+    def __init__(
+        self,
+        entry: InstanceEntry,
+        dialer: Dialer,
+        now: Callable[[], float],
+        share: Callable[[], int],
+        on_trouble: Callable[[str], None],
+    ) -> None:
+        self.entry = entry
+        self._dialer = dialer
+        self._now = now
+        self._share = share
+        self._on_trouble = on_trouble
+        self._idle: list[PooledConnection] = []
+        self._taken: set[PooledConnection] = set()
+        self._opening = 0
+        self._waiters: list[_Waiter] = []
+        self._numbers = count(1)
+        self._closed = False
+        self._retry_at = 0.0
+        self._dial_failures = 0
+        # Failures since the last answer, and when the first of them was.
+        self.failures = 0
+        self.failing_since = 0.0
+        # When it answered last, in seconds; minus infinity before.
+        self.answered_at = float("-inf")
+        # When it said last that its log lacks a position.
+        self.lagging_at = float("-inf")
+        self._latency = FIRST_LATENCY_S
+        self._latency_at = now()
+
+    # What is known of the instance.
+
+    @property
+    def in_flight(self) -> int:
+        """Statements and transactions of this proxy that use it or wait for it."""
+        return len(self._taken) + len(self._waiters)
+
+    @property
+    def size(self) -> int:
+        """Connections that are open or being opened."""
+        return len(self._idle) + len(self._taken) + self._opening
+
+    @property
+    def latency(self) -> float:
+        """Recent time for a statement, in seconds; it fades while nothing is heard."""
+        age = self._now() - self._latency_at
+        fade = 0.5 ** (age / FORGET_S)
+        return FIRST_LATENCY_S + (self._latency - FIRST_LATENCY_S) * fade
+
+    @property
+    def failing_for(self) -> float:
+        """Seconds since the first failure after the last answer; 0 without one."""
+        return self._now() - self.failing_since if self.failures else 0.0
+
+    def note_answer(self, elapsed: float | None = None) -> None:
+        """Take note of an answer, which took `elapsed` seconds if it tells of the load."""
+        self.failures = 0
+        self.answered_at = self._now()
+        if elapsed is not None:
+            self._learn(elapsed)
+
+    def note_failure(self) -> None:
+        """Take note that it did not answer."""
+        if not self.failures:
+            self.failing_since = self._now()
+        self.failures += 1
+        self._learn(FAILURE_LATENCY_S)
+        self._on_trouble(self.entry.id)
+
+    def note_lagging(self) -> None:
+        """Take note that its log lacks a position."""
+        self.lagging_at = self._now()
+
+    def _learn(self, elapsed: float) -> None:
+        faded = self.latency
+        self._latency = faded + (elapsed - faded) * LATENCY_WEIGHT
+        self._latency_at = self._now()
+
+    # Connections.
+
+    def acquire(
+        self, values: Mapping[str, str], session: int, priority: int
+    ) -> Deferred[PooledConnection]:
+        """Return a connection, the one that needs the least preparation.
+
+        Fails with `InstanceUnreachableError` or `InstanceRefusedError` when none can be had.
+        """
+        if self._closed:
+            error = InstanceUnreachableError("take connection", self.entry.id, "it is gone")
+            return fail(error)
+        connection = self._take_idle(values, session)
+        if connection is not None:
+            return succeed(connection)
+        if not self._can_hope():
+            error = InstanceUnreachableError("take connection", self.entry.id, "it was unreachable")
+            return fail(error)
+        waiter = _Waiter(priority, next(self._numbers), None, values, session)
+
+        def forget(_: object) -> None:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+                heapq.heapify(self._waiters)
+
+        waiter.result = Deferred(forget)
+        heapq.heappush(self._waiters, waiter)
+        self._open_wanted()
+        return waiter.result
+
+    def release(self, connection: PooledConnection) -> None:
+        """Give back a connection that is in no transaction and waits for no answer."""
+        if connection not in self._taken:
+            return
+        self._taken.discard(connection)
+        over = self.size >= max(1, self._share()) and not self._waiters
+        if not connection.usable or self._closed or over:
+            connection.link.close()
+        else:
+            self._idle.append(connection)
+        self._serve_waiters()
+
+    def discard(self, connection: PooledConnection) -> None:
+        """Close a connection that is in doubt."""
+        connection.usable = False
+        self.release(connection)
+
+    def close(self) -> None:
+        """Close what is free and refuse what waits; taken connections end with their work."""
+        self._closed = True
+        for connection in self._idle:
+            connection.link.close()
+        self._idle.clear()
+        self._fail_waiters(InstanceUnreachableError("take connection", self.entry.id, "it left"))
+
+    def _take_idle(self, values: Mapping[str, str], session: int) -> PooledConnection | None:
+        if not self._idle:
+            return None
+
+        def cost(connection: PooledConnection) -> tuple[int, bool]:
+            steps = len(find_preparation(connection.state, values, None))
+            return steps, connection.session != session
+
+        best = min(reversed(self._idle), key=cost)
+        self._idle.remove(best)
+        best.session = session
+        self._taken.add(best)
+        return best
+
+    def _can_hope(self) -> bool:
+        """Tell whether a connection may become free or be opened soon."""
+        return bool(self._taken or self._opening) or self._now() >= self._retry_at
+
+    def _open_wanted(self) -> None:
+        while self._opening < len(self._waiters) and self.size < max(1, self._share()):
+            if self._now() < self._retry_at:
+                return
+            self._opening += 1
+            opened_at = self._now()
+            dialing = self._dialer.dial(self.entry)
+            dialing.addCallbacks(self._take_opened, self._take_failure, callbackArgs=(opened_at,))
+
+    def _take_opened(self, link: InstanceLink, opened_at: float) -> None:
+        self._opening -= 1
+        self._dial_failures = 0
+        self._retry_at = 0.0
+        self.note_answer()
+        if self._closed:
+            link.close()
+            return
+        self._idle.append(PooledConnection(link))
+        self._serve_waiters()
+
+    def _take_failure(self, failure: Failure) -> None:
+        self._opening -= 1
+        if failure.check(InstanceRefusedError):
+            self.note_answer()
+            self._retry_at = self._now() + FULL_PAUSE_S
+        else:
+            pause = RETRY_FIRST_S * 2**self._dial_failures
+            self._dial_failures = min(self._dial_failures + 1, 8)
+            self._retry_at = self._now() + min(RETRY_LIMIT_S, pause)
+            self.note_failure()
+        if not self._taken and not self._opening:
+            self._fail_waiters(failure.value)
+
+    def _serve_waiters(self) -> None:
+        while self._idle and self._waiters:
+            waiter = heapq.heappop(self._waiters)
+            connection = self._take_idle(waiter.values, waiter.session)
+            waiter.result.callback(connection)
+        self._open_wanted()
+
+    def _fail_waiters(self, error: BaseException) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            waiter.result.errback(error)
--- /dev/null
+++ b/orioleplank/gateway/_ports.py
@@ -0,0 +1,208 @@
+"""What the gateway needs from outside, as interfaces; `orioleplank.platform` implements them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Generic, Protocol, TypeVar
+
+from twisted.internet.defer import Deferred
+
+from orioleplank._exceptions import OrioleplankError
+from orioleplank.decision import Position
+from orioleplank.decision.instances import InstanceEntry, RouteTable
+from orioleplank.decision.keeper import InstanceReport
+from orioleplank.decision.session import Failure, Preparation, Reply, Runnable, Statement
+
+T = TypeVar("T")
+
+
+class StoreUnavailableError(OrioleplankError):
+    """The store gave no usable answer; a change that was sent may have been made."""
+
+
+class StoreConflictError(OrioleplankError):
+    """A conditional change lost against another one, or the object exists already."""
+
+
+class HistoryLostError(OrioleplankError):
+    """The store no longer has the history from which a watch was to go on."""
+
+
+class InstanceUnreachableError(OrioleplankError):
+    """A connection to an instance could not be opened, or broke; what was sent may have run."""
+
+
+class InstanceRefusedError(OrioleplankError):
+    """An instance refused a connection at its start; nothing ran."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """An object of the product's own kind."""
+
+    # Its name.
+    name: str
+    # The store's revision of its last change.
+    revision: int
+    # Its content.
+    content: Mapping[str, object]
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """An object that was removed."""
+
+    # Its name.
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Listing(Generic[T]):
+    """All objects of one kind."""
+
+    # The store's revision of the listing.
+    revision: int
+    # The objects.
+    items: tuple[T, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Changes(Generic[T]):
+    """What changed since a revision."""
+
+    # The revision from which to go on.
+    revision: int
+    # Objects as they became, or their removals, in order.
+    items: tuple[T | Gone, ...]
+
+
+class Watched(Protocol[T]):
+    """One kind of objects in the store."""
+
+    async def list(self) -> Listing[T]:
+        """Read all objects, linearizably; raise `StoreUnavailableError`."""
+
+    async def watch(self, revision: int, wait: float) -> Changes[T]:
+        """Wait up to `wait` seconds for changes after `revision`.
+
+        Raise `StoreUnavailableError`, or `HistoryLostError` when a new listing is needed.
+        """
+
+
+class Records(Watched[StoredRecord], Protocol):
+    """The product's own objects, which it may change."""
+
+    async def create(self, name: str, content: Mapping[str, object]) -> int:
+        """Create an object; return its revision. Raise `StoreConflictError` if it exists."""
+
+    async def replace(self, name: str, content: Mapping[str, object], revision: int) -> int:
+        """Replace an object that is at `revision`; return the new one.
+
+        Raise `StoreConflictError` when it is at another revision or does not exist.
+        """
+
+    async def remove(self, name: str, revision: int) -> None:
+        """Remove an object that is at `revision`; one that is gone already is no error."""
+
+
+class Store(Protocol):
+    """The platform's store."""
+
+    # The configuration, in all its versions.
+    routes: Watched[RouteTable]
+    # The instances.
+    instances: Watched[InstanceEntry]
+    # The product's own objects.
+    records: Records
+
+
+class InstanceLink(Protocol):
+    """One open connection to an instance; replies come in the order of the questions.
+
+    A question's result fails with `InstanceUnreachableError` when the connection breaks.
+    """
+
+    # Position of the instance's log when the connection was opened.
+    opened_at_position: Position | None
+
+    def prepare(self, step: Preparation) -> Deferred[Reply]:
+        """Change values or prepared names."""
+
+    def begin(self, read_only: bool, after: Position | None) -> Deferred[Reply]:
+        """Begin a transaction, on a log that has reached `after`."""
+
+    def run(
+        self, request: str, statement: Runnable, prepared_name: str, after: Position | None
+    ) -> Deferred[Reply]:
+        """Run a statement under the caller's id, on a log that has reached `after`."""
+
+    def commit(self, request: str) -> Deferred[Reply]:
+        """Commit under the caller's id."""
+
+    def roll_back(self) -> Deferred[Reply]:
+        """Roll back."""
+
+    def report(self) -> Deferred[InstanceReport]:
+        """Ask the instance for its state; fails with `InstanceRefusedError` when it is busy."""
+
+    def step_down(self, term: int) -> Deferred[Reply]:
+        """Make a primary of a lower term a replica."""
+
+    def close(self) -> None:
+        """End the connection; what is unanswered fails."""
+
+
+class Dialer(Protocol):
+    """Opens connections to instances."""
+
+    def dial(self, entry: InstanceEntry) -> Deferred[InstanceLink]:
+        """Open a connection.
+
+        Fails with `InstanceUnreachableError`, or with `InstanceRefusedError` when the instance is
+        another one or has no connection left.
+        """
+
+
+class Promotions(Protocol):
+    """The platform's call that names a group's next primary."""
+
+    async def order(self, service: str, instance: str, token: int) -> bool:
+        """Order a promotion under a fencing token; False when that instance cannot take over.
+
+        Raise `StoreUnavailableError` when the outcome is not known; the connection is cut then, so
+        that the call cannot take effect later.
+        """
+
+
+class CallerLink(Protocol):
+    """The way back to one caller."""
+
+    def greet(self) -> None:
+        """Tell that the session is open."""
+
+    def reply(self, reply: Reply) -> None:
+        """Answer the oldest request that is not answered."""
+
+    def refuse(self, failure: Failure) -> None:
+        """Refuse the session and end it."""
+
+    def close(self) -> None:
+        """End the session once what was sent is delivered."""
+
+
+class CallerSession(Protocol):
+    """The gateway's side of one session."""
+
+    def ask(self, request: str, statement: Statement) -> None:
+        """Take a request; it is answered on the session's link."""
+
+    def end(self) -> None:
+        """Forget the session; what it has not committed is rolled back."""
+
+
+class Sessions(Protocol):
+    """Takes new sessions."""
+
+    def open(self, link: CallerLink, database: str) -> CallerSession | None:
+        """Open a session; None when it was refused."""
--- /dev/null
+++ b/orioleplank/gateway/_registry.py
@@ -0,0 +1,215 @@
+"""Keeps this proxy registered, its leases renewed, and its view of the fleet current."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from orioleplank.decision.membership import Fleet, ProxyRecord
+from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._follower import Follower, Listener
+from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._ports import (
+    Changes,
+    Gone,
+    HistoryLostError,
+    Listing,
+    Records,
+    StoreConflictError,
+    StoredRecord,
+    StoreUnavailableError,
+)
+from orioleplank.gateway._records import (
+    PROXY_PREFIX,
+    dump_proxy,
+    name_proxy,
+    read_group,
+    read_proxy,
+)
+from orioleplank.gateway._signal import sleep
+
+# Seconds between renewals of the leases: a fifth of a lease.
+RENEW_S = 2.0
+# Longest wait of a watch, in seconds.
+WATCH_S = 10.0
+# Pause before a registration that failed is tried again, in seconds.
+REGISTER_AGAIN_S = 0.3
+
+
+class Registry:
+    """This proxy's part in the fleet."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        records: Records,
+        beliefs: Beliefs,
+        journal: Journal,
+        me: ProxyRecord,
+        on_contact: Callable[[str], None],
+        random: Random,
+    ) -> None:
+        self._reactor = reactor
+        self._records = records
+        self._beliefs = beliefs
+        self._journal = journal
+        self._me = me
+        self._random = random
+        # Revisions of the proxies' records, by the proxies' names.
+        self.revisions: dict[str, int] = {}
+        self._is_registering = False
+        self._is_stopped = False
+        listener: Listener[StoredRecord] = Listener(
+            self._take_listing, self._take_changes, on_contact
+        )
+        self._follower = Follower(reactor, records, listener, beliefs.lease_now, WATCH_S, random)
+
+    @property
+    def is_registered(self) -> bool:
+        """True when the store shows this run as registered."""
+        seen = self._beliefs.fleet.proxies.get(self._me.name)
+        return seen is not None and seen.incarnation == self._me.incarnation and not seen.retired
+
+    async def run(self) -> None:
+        """Register, then follow the records."""
+        await self.register()
+        await self._follower.run()
+
+    async def renew(self) -> None:
+        """Renew the leases over and over."""
+        while not self._is_stopped:
+            await sleep(self._reactor, RENEW_S * (0.9 + 0.2 * self._random.random()))
+            await self.renew_now()
+
+    async def renew_now(self) -> None:
+        """Read all records once, which renews the leases."""
+        try:
+            await self._follower.list_now()
+        except (StoreUnavailableError, HistoryLostError, StoreConflictError) as error:
+            self._journal.note(Topic.LEASE, outcome="not renewed", why=str(error))
+
+    async def register(self) -> None:
+        """Write this run's record until the store has it."""
+        if self._is_registering:
+            return
+        self._is_registering = True
+        while not self._is_stopped:
+            try:
+                await self._write_record(self._me)
+                self._journal.note(
+                    Topic.FLEET, outcome="registered", incarnation=self._me.incarnation
+                )
+                break
+            except (StoreUnavailableError, StoreConflictError) as error:
+                self._journal.note(Topic.FLEET, outcome="not registered", why=str(error))
+                await sleep(self._reactor, REGISTER_AGAIN_S * (0.5 + self._random.random()))
+        self._is_registering = False
+
+    async def leave(self) -> None:
+        """Tell the others that this proxy takes no duties any more."""
+        self._me = replace(self._me, stopping=True)
+        try:
+            await self._write_record(self._me)
+        except (StoreUnavailableError, StoreConflictError) as error:
+            self._journal.note(Topic.FLEET, outcome="not marked as stopping", why=str(error))
+
+    async def remove(self) -> None:
+        """Remove this run's record; only once it serves nothing any more."""
+        self._is_stopped = self._follower.is_stopped = True
+        revision = self.revisions.get(self._me.name)
+        if revision is None:
+            return
+        try:
+            await self._records.remove(name_proxy(self._me.name), revision)
+        except (StoreUnavailableError, StoreConflictError) as error:
+            self._journal.note(Topic.FLEET, outcome="not removed", why=str(error))
+
+    async def _write_record(self, record: ProxyRecord) -> None:
+        name, content = name_proxy(record.name), dump_proxy(record)
+        revision = self.revisions.get(record.name)
+        if revision is None:
+            listing = await self._records.list()
+            found = [item.revision for item in listing.items if item.name == name]
+            revision = found[0] if found else None
+        try:
+            if revision is None:
+                written = await self._records.create(name, content)
+            else:
+                written = await self._records.replace(name, content, revision)
+        except StoreConflictError:
+            self.revisions.pop(record.name, None)
+            raise
+        self.revisions[record.name] = written
+
+    # What the store says.
+
+    def _take_listing(self, listing: Listing[StoredRecord], asked_at: float) -> None:
+        proxies = [(item, read_proxy(item)) for item in listing.items]
+        known = {record.name: record for _, record in proxies if record is not None}
+        self.revisions = {record.name: item.revision for item, record in proxies if record}
+        self._take_fleet(Fleet(known))
+        groups = [seen for item in listing.items if (seen := read_group(item)) is not None]
+        records = {seen.record.service: seen for seen in groups}
+        book = self._beliefs.leases.take_listing(asked_at, records, self.is_registered)
+        self._beliefs.take_leases(book)
+        self._register_again_if_needed()
+
+    def _take_changes(self, changes: Changes[StoredRecord]) -> None:
+        for item in changes.items:
+            if isinstance(item, Gone):
+                self._take_removal(item.name)
+                continue
+            self._take_record(item)
+
+    def _take_record(self, item: StoredRecord) -> None:
+        seen = read_group(item)
+        if seen is not None:
+            self._beliefs.take_leases(self._beliefs.leases.take_change(seen))
+        record = read_proxy(item)
+        if record is not None and item.revision > self.revisions.get(record.name, 0):
+            self.revisions[record.name] = item.revision
+            proxies = {**self._beliefs.fleet.proxies, record.name: record}
+            self._take_fleet(Fleet(proxies))
+            self._register_again_if_needed()
+
+    def _take_removal(self, name: str) -> None:
+        if not name.startswith(PROXY_PREFIX):
+            return
+        proxy = name.removeprefix(PROXY_PREFIX)
+        self.revisions.pop(proxy, None)
+        kept = {n: r for n, r in self._beliefs.fleet.proxies.items() if n != proxy}
+        self._take_fleet(Fleet(kept))
+        self._register_again_if_needed()
+
+    def _take_fleet(self, fleet: Fleet) -> None:
+        before = self._beliefs.fleet
+        if fleet == before:
+            return
+        self._beliefs.fleet = fleet
+        for name in sorted(before.proxies.keys() | fleet.proxies.keys()):
+            old, new = before.proxies.get(name), fleet.proxies.get(name)
+            if old != new:
+                self._note_proxy(name, new)
+        self._beliefs.changed.fire()
+
+    def _note_proxy(self, name: str, record: ProxyRecord | None) -> None:
+        self._journal.note(
+            Topic.FLEET,
+            outcome="seen" if record else "gone",
+            name=name,
+            incarnation=record.incarnation if record else "",
+            retired=record.retired if record else False,
+            stopping=record.stopping if record else False,
+        )
+
+    def _register_again_if_needed(self) -> None:
+        if self.is_registered or self._is_stopped or self._is_registering:
+            return
+        Deferred.fromCoroutine(self.register()).addErrback(self._fail)
+
+    def _fail(self, failure: object) -> None:
+        self._journal.note(Topic.ERROR, step="register", detail=str(failure))
--- /dev/null
+++ b/orioleplank/gateway/_release.py
@@ -0,0 +1,126 @@
+"""Gathers every proxy's word that it relies on a primary no more, or waits its leases out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from orioleplank.decision.group import LEASE_S, RELEASE_MARGIN_S
+from orioleplank.decision.membership import (
+    PeerMessage,
+    ProxyRecord,
+    ReleaseAsked,
+    Released,
+)
+from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._peers import PeerSocket
+from orioleplank.gateway._signal import sleep
+
+# Pause before a proxy that has not answered is asked again, in seconds: a lost datagram.
+ASK_AGAIN_S = 0.1
+# How long work at a primary that is left on purpose may go on, in seconds.
+PLANNED_WAIT_S = 0.8
+# Pause before it is looked again whether that work has ended, in seconds.
+LOOK_AGAIN_S = 0.02
+
+
+@dataclass(slots=True)
+class _Gathering:
+    """The words for one move."""
+
+    # Revision of the record that moves the primary.
+    revision: int
+    # Runs that have given their word, by the proxies' names.
+    words: dict[str, set[str]] = field(default_factory=dict)
+
+
+class Releases:
+    """Gives this proxy's word, and gathers the others'."""
+
+    def __init__(self, reactor: Any, beliefs: Beliefs, journal: Journal, me: ProxyRecord) -> None:
+        self._reactor = reactor
+        self._beliefs = beliefs
+        self._journal = journal
+        self._me = me
+        self._gatherings: dict[str, _Gathering] = {}
+        self.socket: PeerSocket | None = None
+
+    def take(self, message: PeerMessage) -> None:
+        """Answer a question of a peer, or take its word."""
+        match message:
+            case ReleaseAsked(sender, service, revision, planned):
+                work = self._answer(sender, service, revision, planned)
+                Deferred.fromCoroutine(work).addErrback(self._fail)
+            case Released(sender, incarnation, service, revision):
+                gathering = self._gatherings.get(service)
+                if gathering is not None and revision >= gathering.revision:
+                    gathering.words.setdefault(sender, set()).add(incarnation)
+
+    async def give_up(self, service: str, revision: int, planned: bool) -> None:
+        """Rely on records below `revision` no more; planned, after the work has ended."""
+        limit = self._beliefs.now() + PLANNED_WAIT_S
+        while planned and self._beliefs.primary_work[service] and self._beliefs.now() < limit:
+            await sleep(self._reactor, LOOK_AGAIN_S)
+        before = self._beliefs.leases
+        if before.floors.get(service, 0) < revision:
+            self._beliefs.take_leases(before.give_up(service, revision))
+            self._journal.note(
+                Topic.LEASE,
+                outcome="given up",
+                service=service,
+                revision=revision,
+                unfinished=self._beliefs.primary_work[service],
+            )
+
+    async def gather(
+        self, service: str, revision: int, planned: bool, holders: tuple[ProxyRecord, ...]
+    ) -> tuple[ProxyRecord, ...]:
+        """Return once no proxy relies on the old primary; name those that had to be waited for.
+
+        `holders` are the proxies that the store listed after the record was written.
+        """
+        gathering = _Gathering(revision)
+        self._gatherings[service] = gathering
+        limit = self._beliefs.lease_now() + LEASE_S + RELEASE_MARGIN_S
+        own = Deferred.fromCoroutine(self.give_up(service, revision, planned))
+        missing = self._find_missing(gathering, holders)
+        while missing and self._beliefs.lease_now() < limit:
+            for peer in missing:
+                if self.socket is not None:
+                    asked = ReleaseAsked(self._me.name, service, revision, planned)
+                    self.socket.send(peer.address, asked)
+            await sleep(self._reactor, ASK_AGAIN_S)
+            missing = self._find_missing(gathering, holders)
+        await own
+        if self._gatherings.get(service) is gathering:
+            del self._gatherings[service]
+        return missing
+
+    def _find_missing(
+        self, gathering: _Gathering, holders: tuple[ProxyRecord, ...]
+    ) -> tuple[ProxyRecord, ...]:
+        return tuple(holder for holder in holders if not self._is_free(gathering, holder))
+
+    def _is_free(self, gathering: _Gathering, holder: ProxyRecord) -> bool:
+        """Tell whether a holder's run has given its word or has ended."""
+        if holder.name == self._me.name:
+            return True
+        words = gathering.words.get(holder.name, set())
+        if words:
+            # Another run's word shows that the one before has ended on that VM.
+            return True
+        now = self._beliefs.fleet.proxies.get(holder.name)
+        return now is not None and now.incarnation != holder.incarnation
+
+    async def _answer(self, sender: str, service: str, revision: int, planned: bool) -> None:
+        await self.give_up(service, revision, planned)
+        peer = self._beliefs.fleet.proxies.get(sender)
+        if peer is not None and self.socket is not None:
+            word = Released(self._me.name, self._me.incarnation, service, revision)
+            self.socket.send(peer.address, word)
+
+    def _fail(self, failure: object) -> None:
+        self._journal.note(Topic.ERROR, step="release", detail=str(failure))
--- /dev/null
+++ b/orioleplank/gateway/_sessions.py
@@ -0,0 +1,387 @@
+"""Sessions of callers: one request at a time, in order."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from itertools import count
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure as TwistedFailure
+
+from orioleplank.decision.instances import Route
+from orioleplank.decision.session import (
+    Begin,
+    ClosePrepared,
+    Code,
+    Commit,
+    Execute,
+    Failure,
+    Prepare,
+    Read,
+    Reply,
+    Rollback,
+    Runnable,
+    Session,
+    SessionPhase,
+    SetValue,
+    Statement,
+    TransactionState,
+    Unreadable,
+    Write,
+    is_write,
+)
+from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._exchange import Request
+from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._metrics import Metrics
+from orioleplank.gateway._outcome import Outcome, Ran, refuse
+from orioleplank.gateway._ports import CallerLink
+from orioleplank.gateway._statements import Statements
+from orioleplank.gateway._transactions import Transaction, Transactions
+
+# Requests of one session that may wait; a caller that sends more breaks the protocol.
+WAITING_LIMIT = 64
+# Time for statements that no route limits, in seconds.
+DEFAULT_TIMEOUT_S = 1.0
+
+_STATES = {
+    SessionPhase.IDLE: TransactionState.IDLE,
+    SessionPhase.IN_TRANSACTION: TransactionState.OPEN,
+    SessionPhase.FAILED: TransactionState.FAILED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """A request that waits."""
+
+    request: str
+    statement: Statement
+    # Seconds of the clock of leases, and of the steady clock.
+    received_at: float
+    arrived_at: float
+
+
+class SessionTask:
+    """One caller's session; implements the gateway's `CallerSession`."""
+
+    def __init__(self, number: int, link: CallerLink, database: str, parts: SessionParts) -> None:
+        self.number = number
+        self._link = link
+        self._parts = parts
+        self._session = Session(database)
+        self._waiting: deque[_Asked] = deque()
+        self._transaction: Transaction | None = None
+        self._transaction_route: Route | None = None
+        self._used_at = parts.beliefs.now()
+        self._is_running = False
+        self._has_ended = False
+
+    @property
+    def is_resting(self) -> bool:
+        """True when it is in no transaction and no request is in progress."""
+        return not self._is_running and self._transaction is None
+
+    # The caller's side.
+
+    def ask(self, request: str, statement: Statement) -> None:
+        """Take a request; it is answered on the session's link."""
+        beliefs = self._parts.beliefs
+        if len(self._waiting) >= WAITING_LIMIT:
+            self._link.refuse(Failure(Code.MALFORMED, "program session: too many requests wait"))
+            return
+        asked = _Asked(request, statement, beliefs.lease_now(), beliefs.now())
+        self._waiting.append(asked)
+        if not self._is_running:
+            self._start(self._serve())
+
+    def end(self) -> None:
+        """Forget the session; what it has not committed is rolled back."""
+        self._has_ended = True
+        self._waiting.clear()
+        self._parts.forget(self)
+        if not self._is_running:
+            self._start(self._abandon())
+
+    def close(self) -> None:
+        """End the caller's connection."""
+        self._link.close()
+
+    @property
+    def _is_rolled_back(self) -> bool:
+        """True when the transaction is gone and its caller does not know yet."""
+        return self._session.phase is SessionPhase.IN_TRANSACTION and self._transaction is None
+
+    def abort_transaction(self) -> None:
+        """Roll the transaction back; its caller is told with its next request."""
+        if self._transaction is not None and not self._is_running:
+            self._start(self._abandon())
+
+    def rests_in_transaction(self, now: float) -> float:
+        """Return for how many seconds the caller has left a transaction alone; 0 without one."""
+        if self._transaction is None or self._is_running:
+            return 0.0
+        return now - self._used_at
+
+    # Work.
+
+    def _start(self, work: Any) -> None:
+        Deferred.fromCoroutine(work).addErrback(self._fail)
+
+    def _fail(self, failure: TwistedFailure) -> None:
+        self._parts.journal.note(Topic.ERROR, step="serve session", detail=str(failure))
+        self._is_running = False
+        self._link.close()
+
+    async def _abandon(self) -> None:
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None:
+            await self._parts.transactions.abandon(transaction)
+
+    async def _serve(self) -> None:
+        self._is_running = True
+        while self._waiting:
+            asked = self._waiting.popleft()
+            reply = await self._answer(asked)
+            self._used_at = self._parts.beliefs.now()
+            if self._has_ended:
+                break
+            state = _STATES[self._session.phase]
+            self._link.reply(replace(reply, state=state))
+        self._is_running = False
+        if self._has_ended:
+            await self._abandon()
+        else:
+            self._parts.on_rest(self)
+
+    async def _answer(self, asked: _Asked) -> Reply:
+        phase = self._session.phase
+        match asked.statement:
+            case Rollback():
+                return await self._roll_back()
+            case Commit():
+                return await self._commit(asked)
+            case Unreadable(detail):
+                return self._refuse(asked, refuse(Code.MALFORMED, "read request", detail))
+            case _ if phase is SessionPhase.FAILED:
+                detail = "the transaction failed; only its end is accepted"
+                return self._refuse(asked, refuse(Code.MALFORMED, "check session", detail))
+            case Begin(read_only):
+                return self._begin(asked, read_only)
+            case Read() | Write() | Execute() if self._is_rolled_back:
+                self._session = self._session.enter(SessionPhase.FAILED)
+                detail = "the transaction rested for too long, or the proxy is stopping"
+                return self._refuse(asked, refuse(Code.ABORTED, "run in transaction", detail))
+            case SetValue(name, value):
+                self._session = self._session.set_value(name, value)
+                return Reply()
+            case Prepare(name, shape):
+                self._session = self._session.prepare(name, shape)
+                return Reply()
+            case ClosePrepared(name):
+                self._session = self._session.close_prepared(name)
+                return Reply()
+            case Read() | Write() | Execute() as statement:
+                return await self._run(asked, statement)
+
+    def _begin(self, asked: _Asked, read_only: bool) -> Reply:
+        if self._session.phase is not SessionPhase.IDLE:
+            self._session = self._session.enter(SessionPhase.FAILED)
+            detail = "a transaction is open already"
+            return self._refuse(asked, refuse(Code.MALFORMED, "begin", detail))
+        route = self._parts.beliefs.route(self._session.database)
+        if route is None:
+            return self._refuse(asked, self._no_route())
+        self._transaction = Transaction(read_only, asked.received_at)
+        self._transaction_route = route
+        self._session = self._session.enter(SessionPhase.IN_TRANSACTION)
+        return Reply()
+
+    async def _roll_back(self) -> Reply:
+        await self._abandon()
+        self._session = self._session.enter(SessionPhase.IDLE)
+        return Reply()
+
+    async def _commit(self, asked: _Asked) -> Reply:
+        phase, transaction = self._session.phase, self._transaction
+        self._transaction = None
+        self._session = self._session.enter(SessionPhase.IDLE)
+        if phase is SessionPhase.IDLE:
+            detail = "no transaction is open"
+            return self._refuse(asked, refuse(Code.MALFORMED, "commit", detail))
+        if phase is SessionPhase.FAILED or transaction is None:
+            if transaction is not None:
+                await self._parts.transactions.abandon(transaction)
+            detail = "the transaction failed and was rolled back"
+            return self._refuse(asked, refuse(Code.ABORTED, "commit", detail))
+        assert self._transaction_route is not None
+        request = self._describe(asked, self._transaction_route)
+        outcome = await self._parts.transactions.commit(transaction, request)
+        if isinstance(outcome, Ran) and transaction.wrote:
+            self._session = self._session.note_commit(outcome.reply.position)
+        return self._report(asked, request, outcome)
+
+    async def _run(self, asked: _Asked, statement: Read | Write | Execute) -> Reply:
+        resolved = self._session.resolve(statement)
+        if resolved is None:
+            if self._transaction is not None:
+                self._session = self._session.enter(SessionPhase.FAILED)
+            detail = "the session has prepared no such name"
+            return self._refuse(asked, refuse(Code.UNKNOWN_NAME, "find prepared name", detail))
+        if self._transaction is not None:
+            return await self._run_in_transaction(asked, self._transaction, resolved)
+        route = self._parts.beliefs.route(self._session.database)
+        if route is None:
+            return self._refuse(asked, self._no_route())
+        request = self._describe(asked, route)
+        statements = self._parts.statements
+        run = statements.write if is_write(resolved) else statements.read
+        outcome = await run(request, resolved)
+        if isinstance(outcome, Ran):
+            self._note_success(request, resolved, outcome)
+        return self._report(asked, request, outcome)
+
+    def _note_success(self, request: Request, statement: Runnable, outcome: Ran) -> None:
+        session, lease = self._session, self._parts.beliefs.lease(request.route.service)
+        at_primary = lease is not None and lease.primary == outcome.instance
+        old = at_primary and lease is not None and 0 < session.position.term < lease.term
+        if is_write(statement) or old:
+            self._session = session.note_commit(outcome.reply.position)
+
+    async def _run_in_transaction(
+        self, asked: _Asked, transaction: Transaction, statement: Runnable
+    ) -> Reply:
+        assert self._transaction_route is not None
+        request = self._describe(asked, self._transaction_route)
+        outcome, goes_on = await self._parts.transactions.run(transaction, request, statement)
+        if not goes_on:
+            self._transaction = None
+            self._session = self._session.enter(SessionPhase.FAILED)
+        return self._report(asked, request, outcome)
+
+    # Replies.
+
+    def _describe(self, asked: _Asked, route: Route) -> Request:
+        deadline = asked.arrived_at + route.timeout
+        return Request(
+            asked.request, self._session, self.number, route, asked.received_at, deadline
+        )
+
+    def _no_route(self) -> Outcome:
+        detail = f"no route is called {self._session.database[:60]}"
+        return refuse(Code.UNKNOWN_DATABASE, "find route", detail)
+
+    def _report(self, asked: _Asked, request: Request, outcome: Outcome) -> Reply:
+        elapsed = self._parts.beliefs.now() - asked.arrived_at
+        self._parts.metrics.count(request, asked.statement, outcome, elapsed)
+        match outcome:
+            case Ran(reply):
+                return reply
+            case _:
+                return self._refuse(asked, outcome, request)
+
+    def _refuse(self, asked: _Asked, outcome: Outcome, request: Request | None = None) -> Reply:
+        assert not isinstance(outcome, Ran)
+        beliefs = self._parts.beliefs
+        service = request.route.service if request else ""
+        lease = beliefs.lease(service)
+        self._parts.journal.note_request(
+            id=asked.request,
+            session=self.number,
+            database=self._session.database[:60],
+            service=service,
+            statement=type(asked.statement).__name__,
+            code=outcome.failure.code.value,
+            step=outcome.step,
+            why=outcome.failure.detail,
+            instance=outcome.instance,
+            elapsed=round(beliefs.now() - asked.arrived_at, 4),
+            routes=beliefs.routes.version,
+            primary=lease.primary if lease else None,
+            term=lease.term if lease else None,
+            lease_left=round(lease.ends_at - beliefs.lease_now(), 3) if lease else None,
+        )
+        return Reply(failure=outcome.failure)
+
+
+@dataclass(frozen=True, slots=True)
+class SessionParts:
+    """What all sessions share."""
+
+    # What the proxy believes.
+    beliefs: Beliefs
+    # Runs single statements.
+    statements: Statements
+    # Runs transactions.
+    transactions: Transactions
+    # Where lines are written.
+    journal: Journal
+    # What is counted.
+    metrics: Metrics
+    # Called when a session's connection has ended.
+    forget: Callable[[SessionTask], None]
+    # Called when a session has nothing left to answer.
+    on_rest: Callable[[SessionTask], None]
+
+
+class SessionTable:
+    """All sessions; implements the gateway's `Sessions`."""
+
+    def __init__(
+        self, beliefs: Beliefs, statements: Statements, journal: Journal, metrics: Metrics
+    ) -> None:
+        self._numbers = count(1)
+        self._tasks: set[SessionTask] = set()
+        self._is_leaving = False
+        self._parts = SessionParts(
+            beliefs,
+            statements,
+            Transactions(statements),
+            journal,
+            metrics,
+            self._tasks.discard,
+            self._take_rest,
+        )
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def open(self, link: CallerLink, database: str) -> SessionTask | None:
+        """Open a session; None when it was refused."""
+        beliefs = self._parts.beliefs
+        if beliefs.routes.version == 0:
+            link.refuse(Failure(Code.BUSY, "program start: no configuration is known yet"))
+            return None
+        if beliefs.route(database) is None:
+            detail = f"program find route: no route is called {database[:60]}"
+            link.refuse(Failure(Code.UNKNOWN_DATABASE, detail))
+            return None
+        task = SessionTask(next(self._numbers), link, database, self._parts)
+        self._tasks.add(task)
+        link.greet()
+        return task
+
+    def end_resting_transactions(self, now: float, limit: float) -> None:
+        """Roll back transactions that their callers have left alone for longer than `limit`."""
+        for task in list(self._tasks):
+            if task.rests_in_transaction(now) > limit:
+                task.abort_transaction()
+
+    def leave(self) -> None:
+        """Close every session as soon as it rests."""
+        self._is_leaving = True
+        for task in list(self._tasks):
+            if task.is_resting:
+                task.close()
+
+    def abort_transactions(self) -> None:
+        """Roll back all transactions that wait for their callers."""
+        for task in list(self._tasks):
+            task.abort_transaction()
+
+    def _take_rest(self, task: SessionTask) -> None:
+        if self._is_leaving and task.is_resting:
+            task.close()
--- /dev/null
+++ b/orioleplank/platform/_caller.py
@@ -0,0 +1,124 @@
+"""A caller's connection over the platform's line protocol."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
+from twisted.protocols.basic import LineOnlyReceiver
+from twisted.python.failure import Failure as TwistedFailure
+
+from orioleplank.decision.session import Code, Failure, Reply
+from orioleplank.gateway import CallerSession, Sessions
+from orioleplank.platform import _codec as codec
+
+# Time for the first message of a connection, in seconds.
+STARTUP_LIMIT_S = 5.0
+
+
+class CallerProtocol(LineOnlyReceiver):
+    """One caller; implements the gateway's `CallerLink`."""
+
+    delimiter = b"\r\n"
+    MAX_LENGTH = codec.MESSAGE_LIMIT
+
+    def __init__(self, sessions: Sessions, reactor: Any) -> None:
+        self._sessions = sessions
+        self._reactor = reactor
+        self._session: CallerSession | None = None
+        self._timer: Any = None
+
+    # Twisted's side.
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Wait for the first message."""
+        transport: Any = self.transport
+        transport.setTcpNoDelay(True)
+        transport.setTcpKeepAlive(True)
+        self._timer = self._reactor.callLater(STARTUP_LIMIT_S, self.close)
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Take one message."""
+        word, _, rest = line.decode(codec.ENCODING).partition(" ")
+        match word:
+            case "STARTUP" if self._session is None:
+                self._open(rest)
+            case "QUERY" if self._session is not None:
+                request, _, text = rest.partition(" ")
+                self._session.ask(request, codec.parse_statement(text))
+            case "TERMINATE":
+                self.close()
+            case _:
+                self.refuse(Failure(Code.MALFORMED, f"unexpected message {word[:20]}"))
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Refuse a message that is too large."""
+        self.refuse(Failure(Code.TOO_LARGE, f"a message has at most {self.MAX_LENGTH} bytes"))
+
+    def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
+        """Forget the session."""
+        self._stop_timer()
+        if self._session is not None:
+            self._session.end()
+            self._session = None
+
+    # The gateway's side.
+
+    def greet(self) -> None:
+        """Tell that the session is open."""
+        self._send_lines([f"READY I {codec.NO_POSITION}"])
+
+    def reply(self, reply: Reply) -> None:
+        """Answer the oldest request that is not answered."""
+        lines = [f"DATAROW {row}" for row in reply.rows]
+        if reply.failure is None:
+            lines.append(f"COMPLETE {reply.signature}")
+        else:
+            lines.append(_format_failure(reply.failure))
+        letter = codec.STATE_LETTERS[reply.state]
+        lines.append(f"READY {letter} {codec.format_position(reply.position)}")
+        self._send_lines(lines)
+
+    def refuse(self, failure: Failure) -> None:
+        """Refuse the session and end it."""
+        self._send_lines([_format_failure(failure)])
+        self.close()
+
+    def close(self) -> None:
+        """End the session once what was sent is delivered."""
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+    def _open(self, rest: str) -> None:
+        self._stop_timer()
+        # The word after the database names the caller.
+        database, _, _ = rest.partition(" ")
+        self._session = self._sessions.open(self, database)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _send_lines(self, lines: list[str]) -> None:
+        text = "".join(f"{line}\r\n" for line in lines)
+        if self.transport is not None:
+            self.transport.write(text.encode(codec.ENCODING))
+
+
+class CallerFactory(ServerFactory):
+    """Builds a protocol for each caller."""
+
+    noisy = False
+
+    def __init__(self, sessions: Sessions, reactor: Any) -> None:
+        self._sessions = sessions
+        self._reactor = reactor
+
+    def buildProtocol(self, addr: IAddress | None) -> Protocol:  # noqa: N802
+        """Return a caller's protocol."""
+        return CallerProtocol(self._sessions, self._reactor)
+
+
+def _format_failure(failure: Failure) -> str:
+    return f"ERROR {codec.CODE_WORDS[failure.code]} {failure.detail}"
--- /dev/null
+++ b/orioleplank/platform/_codec.py
@@ -0,0 +1,155 @@
+"""The platform's line protocol: texts of statements, codes, positions, states."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+
+from orioleplank.decision import Position
+from orioleplank.decision.session import (
+    Begin,
+    ClosePrepared,
+    Code,
+    Commit,
+    Execute,
+    ExecuteShape,
+    Mode,
+    Preparation,
+    Prepare,
+    PrepareShape,
+    Read,
+    ResetConnection,
+    Rollback,
+    Runnable,
+    SetOnConnection,
+    SetValue,
+    Shape,
+    Statement,
+    TransactionState,
+    Unreadable,
+    Write,
+)
+
+# Latin-1 maps each byte to one character and back, so texts pass through unchanged.
+ENCODING = "latin-1"
+# Largest message, in bytes.
+MESSAGE_LIMIT = 1024 * 1024
+# Id of statements that the proxy issues itself.
+OWN_REQUEST = "-"
+NO_POSITION = "-"
+
+CODE_WORDS = MappingProxyType(
+    {
+        Code.BUSY: "BUSY",
+        Code.ABORTED: "ABORTED",
+        Code.LAGGING: "LAGGING",
+        Code.READ_ONLY: "READONLY",
+        Code.WRONG_INSTANCE: "WRONGNODE",
+        Code.CONNECTION_LIMIT: "CONNLIMIT",
+        Code.IN_DOUBT: "INDOUBT",
+        Code.TIMEOUT: "TIMEOUT",
+        Code.EXECUTION_FAILED: "EXECFAIL",
+        Code.UNKNOWN_NAME: "NOSTMT",
+        Code.UNKNOWN_DATABASE: "NODB",
+        Code.TOO_LARGE: "TOOBIG",
+        Code.MALFORMED: "MALFORMED",
+        Code.UNKNOWN: "INDOUBT",
+    }
+)
+_CODES = MappingProxyType(
+    {word: code for code, word in CODE_WORDS.items() if code is not Code.UNKNOWN}
+)
+STATE_LETTERS = MappingProxyType(
+    {TransactionState.IDLE: "I", TransactionState.OPEN: "T", TransactionState.FAILED: "E"}
+)
+_STATES = MappingProxyType({letter: state for state, letter in STATE_LETTERS.items()})
+_MODES = MappingProxyType({"READ": Mode.READ, "WRITE": Mode.WRITE})
+
+
+def parse_statement(text: str) -> Statement:
+    """Read the text of a caller's query."""
+    verb, _, rest = text.partition(" ")
+    match verb:
+        case "BEGIN" if rest in ("", "READ"):
+            return Begin(rest == "READ")
+        case "COMMIT" if not rest:
+            return Commit()
+        case "ROLLBACK" if not rest:
+            return Rollback()
+        case "READ" if rest:
+            return Read(rest)
+        case "WRITE" if rest:
+            return Write(rest)
+        case "SET" if rest:
+            return _parse_set(rest)
+        case "PREPARE" if rest:
+            return _parse_prepare(rest)
+        case "EXECUTE" if rest:
+            name, _, arguments = rest.partition(" ")
+            return Execute(name, arguments)
+        case "CLOSE" if rest:
+            return ClosePrepared(rest)
+    return Unreadable(f"unknown statement {verb[:20]}")
+
+
+def _parse_set(rest: str) -> Statement:
+    name, separator, value = rest.partition(" ")
+    if not name or not separator:
+        return Unreadable("SET takes a name and a value")
+    return SetValue(name, value)
+
+
+def _parse_prepare(rest: str) -> Statement:
+    fields = rest.split(" ", 2)
+    if len(fields) < 3 or fields[1] not in _MODES:
+        return Unreadable("PREPARE takes a name, READ or WRITE, and a shape")
+    return Prepare(fields[0], Shape(_MODES[fields[1]], fields[2]))
+
+
+def format_runnable(statement: Runnable, prepared_name: str) -> str:
+    """Return the text of a statement for an instance."""
+    match statement:
+        case Read(arguments):
+            return f"READ {arguments}"
+        case Write(arguments):
+            return f"WRITE {arguments}"
+        case ExecuteShape(_, arguments):
+            return f"EXECUTE {prepared_name} {arguments}"
+
+
+def format_preparation(step: Preparation) -> str:
+    """Return the text of a preparation."""
+    match step:
+        case ResetConnection():
+            return "RESET"
+        case SetOnConnection(name, value):
+            return f"SET {name} {value}"
+        case PrepareShape(name, shape):
+            return f"PREPARE {name} {shape.mode.value.upper()} {shape.text}"
+
+
+def add_position(text: str, after: Position | None) -> str:
+    """Ask for a log that has reached a position."""
+    return text if after is None else f"AFTERLSN {format_position(after)} {text}"
+
+
+def format_position(position: Position | None) -> str:
+    """Return TERM.NUMBER, or a dash for none."""
+    return NO_POSITION if position is None else f"{position.term}.{position.index}"
+
+
+def parse_position(text: str) -> Position | None:
+    """Read TERM.NUMBER; None for a dash or anything else."""
+    term, _, index = text.partition(".")
+    if not (term.isdigit() and index.isdigit()):
+        return None
+    return Position(int(term), int(index))
+
+
+def parse_code(word: str) -> Code:
+    """Read a code; `Code.UNKNOWN` for one that is not known, which proves nothing."""
+    return _CODES.get(word, Code.UNKNOWN)
+
+
+def parse_state(letter: str) -> TransactionState | None:
+    """Read a state letter."""
+    return _STATES.get(letter)
--- /dev/null
+++ b/orioleplank/platform/_objects.py
@@ -0,0 +1,165 @@
+"""Objects of the platform's store, read strictly into the product's types.
+
+An entry that cannot be read names nothing; the others hold.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Annotated, Literal
+
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass as checked_dataclass
+
+from orioleplank.decision.instances import (
+    Consistency,
+    DbRole,
+    InstanceEntry,
+    InstanceState,
+    Route,
+    RouteTable,
+    ServiceLimits,
+)
+from orioleplank.gateway import StoredRecord
+
+# Name of the one object that holds the configuration.
+ROUTES_NAME = "main"
+_LENIENT = ConfigDict(extra="ignore")
+_Text = Annotated[str, Field(strict=True, min_length=1)]
+_Whole = Annotated[int, Field(strict=True)]
+_Count = Annotated[int, Field(strict=True, ge=0)]
+_Positive = Annotated[int, Field(strict=True, ge=1)]
+_Milliseconds = Annotated[float, Field(ge=0)]
+
+
+@dataclass(frozen=True, slots=True)
+class RawObject:
+    """An object as the store shows it."""
+
+    # Its name.
+    name: str
+    # Revision of its last change.
+    revision: int
+    # What its writer says.
+    spec: object
+
+    @classmethod
+    def read(cls, value: object) -> RawObject | None:
+        """Read an object; None when it has no name or revision."""
+        meta = value.get("meta") if isinstance(value, Mapping) else None
+        if not isinstance(value, Mapping) or not isinstance(meta, Mapping):
+            return None
+        name, revision = meta.get("name"), meta.get("revision")
+        if not isinstance(name, str) or not isinstance(revision, int):
+            return None
+        return cls(name, revision, value.get("spec"))
+
+
+@checked_dataclass(frozen=True, config=_LENIENT)
+class _WireInstance:
+    service: _Text
+    address: Annotated[str, Field(strict=True, pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    zone: _Text
+    # Statements that it runs at once.
+    capacity: _Positive
+    state: Literal["ready", "draining"]
+    dbRole: Literal["primary", "replica"]  # noqa: N815
+    # Unix milliseconds of its start.
+    born: _Count = 0
+
+
+@checked_dataclass(frozen=True, config=_LENIENT)
+class _WireRoute:
+    # The database's name as callers give it.
+    host: _Text
+    type: Literal["primary", "bounded_staleness", "read_your_writes"]
+    service: _Text
+    timeoutMs: _Milliseconds = 1000.0  # noqa: N815
+    maxStalenessMs: _Milliseconds = 0.0  # noqa: N815
+    priority: _Whole = 0
+
+
+@checked_dataclass(frozen=True, config=_LENIENT)
+class _WireService:
+    name: _Text
+    maxConns: _Positive = 1000  # noqa: N815
+    syncReplicas: _Count = 0  # noqa: N815
+
+
+@checked_dataclass(frozen=True, config=_LENIENT)
+class _WireLimits:
+    txIdleMs: _Milliseconds | None = None  # noqa: N815
+
+
+@checked_dataclass(frozen=True, config=_LENIENT)
+class _WireRoutes:
+    version: _Count
+    routes: list[_WireRoute]
+    services: list[_WireService]
+    limits: _WireLimits = _WireLimits()
+
+
+_INSTANCE = TypeAdapter(_WireInstance)
+_ROUTES = TypeAdapter(_WireRoutes)
+_CONSISTENCY = MappingProxyType(
+    {
+        "primary": Consistency.PRIMARY,
+        "bounded_staleness": Consistency.BOUNDED,
+        "read_your_writes": Consistency.OWN_WRITES,
+    }
+)
+
+
+def read_instance(raw: RawObject) -> InstanceEntry | None:
+    """Read an instance's entry; None when it cannot be read."""
+    try:
+        wire = _INSTANCE.validate_python(raw.spec)
+    except ValidationError:
+        return None
+    return InstanceEntry(
+        raw.name,
+        wire.service,
+        wire.address,
+        wire.zone,
+        InstanceState(wire.state),
+        DbRole(wire.dbRole),
+        wire.capacity,
+        wire.born,
+    )
+
+
+def read_routes(raw: RawObject) -> RouteTable | None:
+    """Read the configuration; None for any other object of its kind."""
+    if raw.name != ROUTES_NAME:
+        return None
+    try:
+        wire = _ROUTES.validate_python(raw.spec)
+    except ValidationError:
+        return None
+    idle = wire.limits.txIdleMs
+    return RouteTable(
+        wire.version,
+        {route.host: _read_route(route) for route in wire.routes},
+        {s.name: ServiceLimits(s.maxConns, s.syncReplicas) for s in wire.services},
+        float("inf") if idle is None else idle / 1000,
+    )
+
+
+def _read_route(wire: _WireRoute) -> Route:
+    return Route(
+        wire.host,
+        _CONSISTENCY[wire.type],
+        wire.service,
+        wire.timeoutMs / 1000,
+        wire.maxStalenessMs / 1000,
+        wire.priority,
+    )
+
+
+def read_record(raw: RawObject) -> StoredRecord | None:
+    """Read an object of the product's own kind; its content is checked by the gateway."""
+    if not isinstance(raw.spec, Mapping):
+        return None
+    return StoredRecord(raw.name, raw.revision, raw.spec)
--- /dev/null
+++ b/orioleplank/platform/_promotions.py
@@ -0,0 +1,68 @@
+"""The platform's call that names a group's next primary."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import treq
+from twisted.internet.defer import CancelledError
+from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
+from twisted.internet.error import TimeoutError as TwistedTimeoutError
+from twisted.web.client import Agent, ResponseFailed, ResponseNeverReceived
+
+from orioleplank.gateway import StoreUnavailableError
+
+# Time for the call, in seconds; then its connection is cut.
+CALL_LIMIT_S = 1.0
+
+_BROKEN = (
+    CancelledError,
+    ConnectError,
+    ConnectionDone,
+    ConnectionLost,
+    TwistedTimeoutError,
+    ResponseFailed,
+    ResponseNeverReceived,
+)
+
+
+class PromotionClient:
+    """Orders promotions; implements the gateway's `Promotions`."""
+
+    def __init__(self, reactor: Any, address: str, holder: str) -> None:
+        self._url = f"http://{address}/failover"
+        self._address = address
+        self._holder = holder
+        self._reactor = reactor
+        # Without a pool each call has a connection of its own, which a time-out cuts.
+        self._agent = Agent(reactor, connectTimeout=CALL_LIMIT_S)
+
+    async def order(self, service: str, instance: str, token: int) -> bool:
+        """Order a promotion under a fencing token; False when that instance cannot take over.
+
+        Raise `StoreUnavailableError` when the outcome is not known; the connection is cut then, so
+        that the call cannot take effect later.
+        """
+        headers = {
+            "Content-Type": ["application/json"],
+            "X-Orioleplank-Lease-Holder": [self._holder],
+            "X-Orioleplank-Fencing-Token": [str(token)],
+        }
+        try:
+            response = await treq.post(
+                self._url,
+                agent=self._agent,
+                headers=headers,
+                data=json.dumps({"service": service, "id": instance}).encode(),
+                timeout=CALL_LIMIT_S,
+                reactor=self._reactor,
+            )
+        except _BROKEN as error:
+            detail = type(error).__name__
+            raise StoreUnavailableError("order promotion", self._address, detail) from error
+        if response.code == 409:
+            return False
+        if response.code != 200:
+            raise StoreUnavailableError("order promotion", self._address, f"code {response.code}")
+        return True
--- /dev/null
+++ b/orioleplank/platform/_readiness.py
@@ -0,0 +1,32 @@
+"""Answers the balancer's question whether new connections are welcome."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from twisted.web.resource import Resource
+from twisted.web.server import Request, Site
+
+PATH = b"/orioleplank/readiness"
+
+
+class _Readiness(Resource):
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        super().__init__()
+        self._is_ready = is_ready
+
+    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+        if request.path != PATH:
+            request.setResponseCode(404)
+        elif not self._is_ready():
+            request.setResponseCode(503)
+        return b""
+
+
+def build_readiness_site(is_ready: Callable[[], bool]) -> Site:
+    """Return a site that answers 200 while `is_ready` does, else 503."""
+    site = Site(_Readiness(is_ready))
+    site.noisy = False
+    return site
--- /dev/null
+++ b/orioleplank/platform/_run.py
@@ -0,0 +1,90 @@
+"""Runs a gateway on the platform."""
+
+from __future__ import annotations
+
+import signal
+from typing import Any
+
+from prometheus_client.twisted import MetricsResource
+from twisted.internet.defer import Deferred
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from orioleplank._reactor import find_reactor
+from orioleplank.gateway import (
+    Gateway,
+    GatewaySettings,
+    Journal,
+    Outside,
+    Topic,
+    boot_seconds,
+    build_kernel,
+)
+from orioleplank.platform._caller import CallerFactory
+from orioleplank.platform._instance import InstanceDialer
+from orioleplank.platform._promotions import PromotionClient
+from orioleplank.platform._readiness import build_readiness_site
+from orioleplank.platform._settings import load_settings
+from orioleplank.platform._store import PlatformStore, StoreClient
+
+# Connections that wait to be accepted.
+BACKLOG = 1024
+
+
+def run_gateway() -> None:
+    """Run until the platform asks the process to end; raise `SettingsError` before."""
+    settings = load_settings()
+    reactor = find_reactor()
+    journal = Journal(settings.name, boot_seconds)
+    gateway = _build_gateway(reactor, settings, journal)
+    kernel = build_kernel(reactor, gateway, journal)
+    _listen(reactor, settings, gateway)
+    _handle_signals(reactor, gateway, journal)
+    kernel.start()
+    reactor.run(installSignalHandlers=False)
+
+
+def _build_gateway(reactor: Any, settings: GatewaySettings, journal: Journal) -> Gateway:
+    outside = Outside(
+        PlatformStore(StoreClient(reactor, settings.store)),
+        InstanceDialer(reactor),
+        PromotionClient(reactor, settings.promotions, settings.name),
+    )
+    return Gateway(reactor, settings, outside, journal)
+
+
+def _listen(reactor: Any, settings: GatewaySettings, gateway: Gateway) -> None:
+    callers = CallerFactory(gateway.sessions, reactor)
+    _listen_on(reactor, settings.callers, callers)
+    _listen_on(reactor, settings.readiness, build_readiness_site(lambda: gateway.is_ready))
+    root = Resource()
+    root.putChild(b"metrics", MetricsResource(gateway.metrics.registry))
+    _listen_on(reactor, settings.metrics, Site(root))
+
+
+def _listen_on(reactor: Any, address: str, factory: Any) -> None:
+    host, _, port = address.rpartition(":")
+    reactor.listenTCP(int(port), factory, backlog=BACKLOG, interface=host)
+
+
+def _handle_signals(reactor: Any, gateway: Gateway, journal: Journal) -> None:
+    def end(*_: object) -> None:
+        reactor.callFromThread(leave)
+
+    def leave() -> None:
+        leaving = Deferred.fromCoroutine(gateway.leave())
+        leaving.addBoth(lambda _: reactor.stop() if reactor.running else None)
+
+    def reload(*_: object) -> None:
+        reactor.callFromThread(check)
+
+    def check() -> None:
+        settings = load_settings()
+        journal.note(Topic.RELOADED, name=settings.name, store=settings.store)
+
+    def start() -> None:
+        signal.signal(signal.SIGTERM, end)
+        signal.signal(signal.SIGINT, end)
+        signal.signal(signal.SIGHUP, reload)
+
+    reactor.callWhenRunning(start)
--- /dev/null
+++ b/orioleplank/platform/_store.py
@@ -0,0 +1,180 @@
+"""A client of the platform's object store."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Mapping
+from typing import Any, Generic, TypeVar
+from urllib.parse import quote
+
+import treq
+from twisted.internet.defer import CancelledError
+from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
+from twisted.internet.error import TimeoutError as TwistedTimeoutError
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed, ResponseNeverReceived
+
+from orioleplank.gateway import (
+    Changes,
+    Gone,
+    HistoryLostError,
+    Listing,
+    StoreConflictError,
+    StoredRecord,
+    StoreUnavailableError,
+)
+from orioleplank.platform._objects import RawObject, read_instance, read_record, read_routes
+
+# Time for a call, in seconds: many times what a slow store takes.
+CALL_LIMIT_S = 1.5
+CONNECT_LIMIT_S = 1.0
+# Kinds of objects.
+ROUTES_KIND = "config"
+INSTANCES_KIND = "servers"
+RECORDS_KIND = "orioleplank"
+
+_BROKEN = (
+    CancelledError,
+    ConnectError,
+    ConnectionDone,
+    ConnectionLost,
+    TwistedTimeoutError,
+    ResponseFailed,
+    ResponseNeverReceived,
+)
+
+T = TypeVar("T")
+Reader = Callable[[RawObject], "T | None"]
+
+
+class StoreClient:
+    """Calls to the store; one client for all kinds."""
+
+    def __init__(self, reactor: Any, address: str) -> None:
+        self._base = f"http://{address}/orioleplank/objects"
+        self._address = address
+        self._reactor = reactor
+        pool = HTTPConnectionPool(reactor, persistent=True)
+        pool.maxPersistentPerHost = 8
+        pool.retryAutomatically = False
+        self._agent = Agent(reactor, connectTimeout=CONNECT_LIMIT_S, pool=pool)
+        self.calls = 0
+
+    async def call(
+        self, method: str, path: str, body: object = None, limit: float = CALL_LIMIT_S
+    ) -> Any:
+        """Make a call; return the body of its answer.
+
+        Raise `StoreUnavailableError`, `StoreConflictError` or `HistoryLostError`.
+        """
+        self.calls += 1
+        step = f"{method} {path.partition('?')[0]}"
+        headers = {"Content-Type": ["application/json"]} if body is not None else {}
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            response = await treq.request(
+                method,
+                f"{self._base}/{path}",
+                agent=self._agent,
+                headers=headers,
+                data=data,
+                timeout=limit,
+                reactor=self._reactor,
+            )
+            text = await treq.content(response).addTimeout(limit, self._reactor)
+        except _BROKEN as error:
+            detail = type(error).__name__
+            raise StoreUnavailableError(step, self._address, detail) from error
+        return self._read(step, response.code, text)
+
+    def _read(self, step: str, code: int, text: bytes) -> Any:
+        match code:
+            case 200 | 201:
+                pass
+            case 409 | 404:
+                raise StoreConflictError(step, self._address, f"code {code}")
+            case 410:
+                raise HistoryLostError(step, self._address, "the history is gone")
+            case _:
+                raise StoreUnavailableError(step, self._address, f"code {code}")
+        try:
+            return json.loads(text)
+        except ValueError as error:
+            raise StoreUnavailableError(step, self._address, "the body is not JSON") from error
+
+
+class ObjectKind(Generic[T]):
+    """One kind of objects; implements the gateway's `Watched`."""
+
+    def __init__(self, client: StoreClient, kind: str, read: Reader[T]) -> None:
+        self._client = client
+        self._kind = kind
+        self._read = read
+
+    async def list(self) -> Listing[T]:
+        """Read all objects, linearizably; raise `StoreUnavailableError`."""
+        items: list[T] = []
+        after, revision = "", 0
+        while True:
+            path = f"{self._kind}?after={quote(after)}" if after else self._kind
+            page = await self._client.call("GET", path)
+            revision = revision or int(page["at"])
+            raws = [RawObject.read(item) for item in page["items"]]
+            items += [item for raw in raws if raw and (item := self._read(raw)) is not None]
+            if not page.get("hasMore") or not raws:
+                return Listing(revision, tuple(items))
+            last = raws[-1]
+            if last is None:
+                raise StoreUnavailableError("list objects", self._kind, "a page is not readable")
+            after = last.name
+
+    async def watch(self, revision: int, wait: float) -> Changes[T]:
+        """Wait up to `wait` seconds for changes after `revision`.
+
+        Raise `StoreUnavailableError`, or `HistoryLostError` when a new listing is needed.
+        """
+        path = f"{self._kind}?watch={revision}&waitMs={int(wait * 1000)}"
+        answer = await self._client.call("GET", path, limit=wait + CALL_LIMIT_S)
+        items: list[T | Gone] = []
+        for event in answer.get("events", ()):
+            raw = RawObject.read(event.get("object"))
+            if raw is None:
+                continue
+            item = None if event.get("deleted") else self._read(raw)
+            items.append(Gone(raw.name) if item is None else item)
+        return Changes(int(answer["at"]), tuple(items))
+
+
+class RecordKind(ObjectKind[StoredRecord]):
+    """The product's own objects; implements the gateway's `Records`."""
+
+    async def create(self, name: str, content: Mapping[str, object]) -> int:
+        """Create an object; return its revision. Raise `StoreConflictError` if it exists."""
+        body = {"meta": {"name": name}, "spec": dict(content)}
+        answer = await self._client.call("POST", self._kind, body)
+        return int(answer["meta"]["revision"])
+
+    async def replace(self, name: str, content: Mapping[str, object], revision: int) -> int:
+        """Replace an object that is at `revision`; return the new one.
+
+        Raise `StoreConflictError` when it is at another revision or does not exist.
+        """
+        body = {"meta": {"name": name, "revision": revision}, "spec": dict(content)}
+        answer = await self._client.call("PUT", f"{self._kind}/{quote(name)}", body)
+        return int(answer["meta"]["revision"])
+
+    async def remove(self, name: str, revision: int) -> None:
+        """Remove an object that is at `revision`; one that is gone already is no error."""
+        path = f"{self._kind}/{quote(name)}?revision={revision}"
+        try:
+            await self._client.call("DELETE", path)
+        except StoreConflictError:
+            return
+
+
+class PlatformStore:
+    """The platform's store; implements the gateway's `Store`."""
+
+    def __init__(self, client: StoreClient) -> None:
+        self.routes = ObjectKind(client, ROUTES_KIND, read_routes)
+        self.instances = ObjectKind(client, INSTANCES_KIND, read_instance)
+        self.records = RecordKind(client, RECORDS_KIND, read_record)
