--- a/orioleplank/decision/instances/__init__.py
+++ b/orioleplank/decision/instances/__init__.py
@@ -9,6 +9,7 @@
     KnownInstance,
 )
 from orioleplank.decision.instances._routes import (
+    UNLIMITED_S,
     Consistency,
     Route,
     RouteTable,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "MISSING_GRACE_S",
+    "UNLIMITED_S",
     "Consistency",
     "DbRole",
     "Directory",
--- a/orioleplank/decision/instances/_routes.py
+++ b/orioleplank/decision/instances/_routes.py
@@ -6,6 +6,9 @@
 from dataclasses import dataclass, field
 from enum import Enum, unique
 
+# Stands for a transaction that may rest as long as its caller likes: a day.
+UNLIMITED_S = 86400.0
+
 
 @unique
 class Consistency(Enum):
@@ -57,8 +60,8 @@
     routes: Mapping[str, Route] = field(default_factory=dict)
     # Limits by service.
     services: Mapping[str, ServiceLimits] = field(default_factory=dict)
-    # How long a transaction may rest, in seconds; infinite when it is not limited.
-    transaction_idle: float = float("inf")
+    # How long a transaction may rest, in seconds.
+    transaction_idle: float = UNLIMITED_S
 
     def newer(self, other: RouteTable) -> RouteTable:
         """Return whichever has the higher version."""
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -31,6 +31,8 @@
     ) -> None:
         self.routes = RouteTable()
         self.directory = Directory()
+        # The store's revision of the newest listing of instances.
+        self.directory_revision = 0
         self.leases = LeaseBook()
         self.fleet = Fleet()
         self.pools: dict[str, InstancePool] = {}
--- a/orioleplank/gateway/_exchange.py
+++ b/orioleplank/gateway/_exchange.py
@@ -7,7 +7,7 @@
 from typing import Any, TypeVar
 
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.error import TimeoutError as TwistedTimeoutError
+from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.instances import Route
--- a/orioleplank/gateway/_follower.py
+++ b/orioleplank/gateway/_follower.py
@@ -89,6 +89,6 @@
         self._listener.on_contact("")
 
     def _pause(self) -> float:
-        pause = min(RETRY_LIMIT_S, RETRY_FIRST_S * 2**self._failures)
+        pause = float(min(RETRY_LIMIT_S, RETRY_FIRST_S * 2**self._failures))
         self._failures = min(self._failures + 1, 8)
         return pause * (0.5 + self._random.random())
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -21,6 +21,7 @@
 from orioleplank.gateway._platform_view import PlatformView
 from orioleplank.gateway._ports import Dialer, Promotions, Store
 from orioleplank.gateway._registry import Registry
+from orioleplank.gateway._relay import Relay
 from orioleplank.gateway._release import Releases
 from orioleplank.gateway._sessions import SessionTable
 from orioleplank.gateway._settings import GatewaySettings
@@ -81,6 +82,9 @@
             self._view.note_contact,
             self._random,
         )
+        self._relay = Relay(
+            reactor, self.beliefs, self._registry, journal, settings.name, self._random
+        )
         self._inspection = Inspection(reactor, self.beliefs, settings.name)
         self._releases = Releases(reactor, self.beliefs, journal, me)
         self._mover = Mover(
@@ -111,6 +115,9 @@
         socket = PeerSocket(self._take_peer_message)
         host, _, port = self._settings.peers.rpartition(":")
         self._reactor.listenUDP(int(port), socket, interface=host)
+        self._reactor.listenTCP(int(port), self._relay.build_site(), interface=host)
+        host, _, port = self._settings.metrics.rpartition(":")
+        self._reactor.listenTCP(int(port), self.metrics.build_site(), interface=host)
         self._inspection.socket = self._releases.socket = socket
         timer = self.kernel.find("timer")
         assert isinstance(timer, Timer)
@@ -130,6 +137,8 @@
                 self._note_ready()
             case TimerTick("housekeeping"):
                 self._view.expire_instances()
+                if self._view.is_away:
+                    self._run(self._relay.ask())
                 idle = self.beliefs.routes.transaction_idle
                 self.sessions.end_resting_transactions(self.beliefs.now(), idle)
 
--- a/orioleplank/gateway/_inspection.py
+++ b/orioleplank/gateway/_inspection.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.error import TimeoutError as TwistedTimeoutError
+from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
 from orioleplank.decision.instances import InstanceEntry, InstanceState
 from orioleplank.decision.keeper import InstanceReport
--- a/orioleplank/gateway/_metrics.py
+++ b/orioleplank/gateway/_metrics.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    generate_latest,
+)
+from twisted.web.resource import Resource
+from twisted.web.server import Request as HttpRequest
+from twisted.web.server import Site
 
 from orioleplank.decision.session import Statement
 from orioleplank.gateway._exchange import Request
@@ -51,3 +60,23 @@
             case _:
                 code = outcome.failure.code.value
                 self.statements.labels(*kind, name, code, outcome.step).inc()
+
+    def build_site(self) -> Site:
+        """Return a site that serves the metrics as text on every path."""
+        site = Site(_MetricsPage(self.registry))
+        site.noisy = False
+        return site
+
+
+class _MetricsPage(Resource):
+    """The metrics as text."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._registry = registry
+
+    def render_GET(self, request: HttpRequest) -> bytes:  # noqa: N802
+        request.setHeader("Content-Type", CONTENT_TYPE_LATEST)
+        return generate_latest(self._registry)
--- a/orioleplank/gateway/_mover.py
+++ b/orioleplank/gateway/_mover.py
@@ -86,7 +86,7 @@
     """A verdict and since when it stands."""
 
     # Kind of the verdict.
-    kind: type[Verdict]
+    kind: type[object]
     # Since when, in seconds.
     since: float
 
@@ -311,10 +311,10 @@
             leading = self._find_leading(reports, old)
             if leading is not None:
                 return leading
-            if move.record.planned and self._beliefs.now() < catch_up_until:
-                if not has_caught_up(reports, old.primary):
-                    await sleep(self._reactor, CATCH_UP_LOOK_S)
-                    continue
+            may_wait = move.record.planned and self._beliefs.now() < catch_up_until
+            if may_wait and not has_caught_up(reports, old.primary):
+                await sleep(self._reactor, CATCH_UP_LOOK_S)
+                continue
             for successor in choose_successors(reports, old.primary):
                 if await self._order(move, successor):
                     led = await self._await_effect(move, successor, old)
--- a/orioleplank/gateway/_peers.py
+++ b/orioleplank/gateway/_peers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import asdict
 from types import MappingProxyType
+from typing import Any
 
 from pydantic import TypeAdapter, ValidationError
 from twisted.internet.protocol import DatagramProtocol
@@ -32,8 +33,9 @@
     def send(self, address: str, message: PeerMessage) -> None:
         """Send a message to HOST:PORT; it may be lost."""
         host, _, port = address.rpartition(":")
-        if self.transport is not None:
-            self.transport.write(encode_message(message), (host, int(port)))
+        transport: Any = self.transport
+        if transport is not None:
+            transport.write(encode_message(message), (host, int(port)))
 
     def datagramReceived(self, datagram: bytes, addr: object) -> None:  # noqa: N802
         """Take a datagram; one that cannot be read is dropped."""
@@ -51,6 +53,8 @@
     """Read a datagram; None for one that is not valid."""
     try:
         name, fields = json.loads(datagram)
-        return _TYPES[name].validate_python(fields)
+        message: Any = _TYPES[name].validate_python(fields)
     except (ValueError, KeyError, TypeError, ValidationError):
         return None
+    decoded: PeerMessage = message
+    return decoded
--- a/orioleplank/gateway/_platform_view.py
+++ b/orioleplank/gateway/_platform_view.py
@@ -40,6 +40,11 @@
             reactor, store.instances, instances, now, INSTANCES_WATCH_S, random
         )
 
+    @property
+    def is_away(self) -> bool:
+        """True while the store does not answer this proxy."""
+        return bool(self._trouble)
+
     def note_contact(self, trouble: str) -> None:
         """Take note whether the store answered; `trouble` is why it did not."""
         if bool(trouble) == bool(self._trouble):
@@ -69,6 +74,7 @@
 
     def _take_instances(self, listing: Listing[InstanceEntry], asked_at: float) -> None:
         beliefs = self._beliefs
+        beliefs.directory_revision = listing.revision
         beliefs.take_directory(beliefs.directory.take_listing(listing.items, beliefs.now()))
 
     def _take_instance_changes(self, changes: Changes[InstanceEntry]) -> None:
@@ -79,5 +85,6 @@
                     directory = directory.remove(name, beliefs.now())
                 case _:
                     directory = directory.put(item, beliefs.now())
+        beliefs.directory_revision = max(beliefs.directory_revision, changes.revision)
         if directory != beliefs.directory:
             beliefs.take_directory(directory)
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import count
-from typing import Any
 
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.python.failure import Failure
@@ -51,13 +51,17 @@
 
 @dataclass(slots=True, order=True)
 class _Waiter:
+    """Somebody who waits for a connection."""
+
     # Of its route; 0 is the most important.
     priority: int
     # Order of arrival.
     number: int
-    result: Any
-    values: Any
-    session: int
+    # Where the connection goes.
+    result: Deferred[PooledConnection] = field(compare=False)
+    # What the session has set, and its number.
+    values: Mapping[str, str] = field(compare=False)
+    session: int = field(compare=False)
 
 
 class InstancePool:
@@ -110,7 +114,7 @@
     def latency(self) -> float:
         """Recent time for a statement, in seconds; it fades while nothing is heard."""
         age = self._now() - self._latency_at
-        fade = 0.5 ** (age / FORGET_S)
+        fade = math.pow(0.5, age / FORGET_S)
         return FIRST_LATENCY_S + (self._latency - FIRST_LATENCY_S) * fade
 
     @property
@@ -160,17 +164,17 @@
         if not self._can_hope():
             error = InstanceUnreachableError("take connection", self.entry.id, "it was unreachable")
             return fail(error)
-        waiter = _Waiter(priority, next(self._numbers), None, values, session)
 
         def forget(_: object) -> None:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
                 heapq.heapify(self._waiters)
 
-        waiter.result = Deferred(forget)
+        result: Deferred[PooledConnection] = Deferred(forget)
+        waiter = _Waiter(priority, next(self._numbers), result, values, session)
         heapq.heappush(self._waiters, waiter)
         self._open_wanted()
-        return waiter.result
+        return result
 
     def release(self, connection: PooledConnection) -> None:
         """Give back a connection that is in no transaction and waits for no answer."""
@@ -246,12 +250,14 @@
             self._retry_at = self._now() + min(RETRY_LIMIT_S, pause)
             self.note_failure()
         if not self._taken and not self._opening:
+            assert failure.value is not None
             self._fail_waiters(failure.value)
 
     def _serve_waiters(self) -> None:
         while self._idle and self._waiters:
             waiter = heapq.heappop(self._waiters)
             connection = self._take_idle(waiter.values, waiter.session)
+            assert connection is not None
             waiter.result.callback(connection)
         self._open_wanted()
 
--- a/orioleplank/gateway/_registry.py
+++ b/orioleplank/gateway/_registry.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from random import Random
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
+from orioleplank.decision.group import SeenRecord
 from orioleplank.decision.membership import Fleet, ProxyRecord
 from orioleplank.gateway._beliefs import Beliefs
 from orioleplank.gateway._follower import Follower, Listener
@@ -149,14 +150,20 @@
 
     def _take_listing(self, listing: Listing[StoredRecord], asked_at: float) -> None:
         proxies = [(item, read_proxy(item)) for item in listing.items]
-        known = {record.name: record for _, record in proxies if record is not None}
+        known = [record for _, record in proxies if record is not None]
         self.revisions = {record.name: item.revision for item, record in proxies if record}
-        self._take_fleet(Fleet(known))
         groups = [seen for item in listing.items if (seen := read_group(item)) is not None]
+        self.take_records(known, groups, asked_at)
+        self._register_again_if_needed()
+
+    def take_records(
+        self, proxies: Iterable[ProxyRecord], groups: Iterable[SeenRecord], asked_at: float
+    ) -> None:
+        """Take a linearizable listing that was asked for at `asked_at`, on the clock of leases."""
+        self._take_fleet(Fleet({record.name: record for record in proxies}))
         records = {seen.record.service: seen for seen in groups}
         book = self._beliefs.leases.take_listing(asked_at, records, self.is_registered)
         self._beliefs.take_leases(book)
-        self._register_again_if_needed()
 
     def _take_changes(self, changes: Changes[StoredRecord]) -> None:
         for item in changes.items:
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from twisted.internet.defer import CancelledError
-from twisted.internet.error import TimeoutError as TwistedTimeoutError
+from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
 from orioleplank.decision import ORIGIN, Position
 from orioleplank.decision.group import Lease
@@ -63,7 +63,7 @@
     async def read(self, request: Request, statement: Runnable) -> Outcome:
         """Run a read outside a transaction; it may be tried several times."""
         avoided = Avoided(self)
-        last = refuse(Code.BUSY, "place read", "its time is over")
+        last: Outcome = refuse(Code.BUSY, "place read", "its time is over")
         while self.left(request) > LEAST_TRY_S:
             placement = self.place(request, avoided)
             if isinstance(placement, Nowhere):
@@ -176,7 +176,7 @@
         """Run a write outside a transaction; it is sent again only if it provably has not run."""
         avoided = Avoided(self)
         service = request.route.service
-        last = refuse(Code.BUSY, "place write", "its time is over")
+        last: Outcome = refuse(Code.BUSY, "place write", "its time is over")
         while self.left(request) > LEAST_TRY_S:
             lease = self.writable_lease(request, avoided)
             if lease is None:
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -76,7 +76,7 @@
     ) -> tuple[Outcome, bool]:
         request = replace(request, received_at=transaction.began_at)
         avoided = Avoided(self._statements)
-        last = refuse(Code.BUSY, "begin transaction", "its time is over")
+        last: Outcome = refuse(Code.BUSY, "begin transaction", "its time is over")
         while self._statements.left(request) > LEAST_TRY_S:
             began = await self._begin(transaction, request, avoided)
             if isinstance(began, Nowhere):
--- a/orioleplank/platform/_caller.py
+++ b/orioleplank/platform/_caller.py
@@ -87,8 +87,9 @@
 
     def close(self) -> None:
         """End the session once what was sent is delivered."""
-        if self.transport is not None:
-            self.transport.loseConnection()
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
 
     def _open(self, rest: str) -> None:
         self._stop_timer()
@@ -102,8 +103,9 @@
 
     def _send_lines(self, lines: list[str]) -> None:
         text = "".join(f"{line}\r\n" for line in lines)
-        if self.transport is not None:
-            self.transport.write(text.encode(codec.ENCODING))
+        transport: Any = self.transport
+        if transport is not None:
+            transport.write(text.encode(codec.ENCODING))
 
 
 class CallerFactory(ServerFactory):
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -18,7 +18,7 @@
 from orioleplank.decision.instances import DbRole, InstanceEntry
 from orioleplank.decision.keeper import InstanceReport
 from orioleplank.decision.session import Failure, Preparation, Reply, Runnable
-from orioleplank.gateway import InstanceRefusedError, InstanceUnreachableError
+from orioleplank.gateway import InstanceLink, InstanceRefusedError, InstanceUnreachableError
 from orioleplank.platform import _codec as codec
 
 # Time for a connection and its greeting, in seconds: several round trips between regions.
@@ -56,7 +56,7 @@
         self._entry = entry
         self._questions: deque[_Question] = deque()
         self.opened_at_position: Position | None = None
-        self.greeted: Deferred[InstanceProtocol] = Deferred()
+        self.greeted: Deferred[InstanceLink] = Deferred()
         self._is_greeted = False
 
     # The gateway's side.
@@ -156,7 +156,8 @@
         return question.result
 
     def _send(self, line: str) -> None:
-        self.sendLine(line.encode(codec.ENCODING))
+        transport: Any = self.transport
+        transport.write(line.encode(codec.ENCODING) + self.delimiter)
 
     def _take_greeting(self, word: str, rest: str) -> None:
         self._is_greeted = True
@@ -200,7 +201,7 @@
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
 
-    def dial(self, entry: InstanceEntry) -> Deferred[InstanceProtocol]:
+    def dial(self, entry: InstanceEntry) -> Deferred[InstanceLink]:
         """Open a connection and wait for its greeting."""
         host, _, port = entry.address.rpartition(":")
         endpoint = TCP4ClientEndpoint(self._reactor, host, int(port), timeout=DIAL_LIMIT_S)
@@ -212,7 +213,7 @@
             detail = type(failure.value).__name__
             raise InstanceUnreachableError("open connection", entry.id, detail)
 
-        def await_greeting(_: object) -> Deferred[InstanceProtocol]:
+        def await_greeting(_: object) -> Deferred[InstanceLink]:
             timer = self._reactor.callLater(DIAL_LIMIT_S, protocol.close)
 
             def settle(result: Any) -> Any:
@@ -222,8 +223,9 @@
 
             return protocol.greeted.addBoth(settle)
 
-        connecting: Deferred[Any] = connectProtocol(endpoint, protocol)
-        return connecting.addCallbacks(await_greeting).addErrback(refuse)
+        connecting: Any = connectProtocol(endpoint, protocol)
+        opened: Deferred[InstanceLink] = connecting.addCallback(await_greeting).addErrback(refuse)
+        return opened
 
 
 def _set_time_limits(handle: socket.socket) -> None:
--- a/orioleplank/platform/_objects.py
+++ b/orioleplank/platform/_objects.py
@@ -14,6 +14,7 @@
 from pydantic.dataclasses import dataclass as checked_dataclass
 
 from orioleplank.decision.instances import (
+    UNLIMITED_S,
     Consistency,
     DbRole,
     InstanceEntry,
@@ -143,7 +144,7 @@
         wire.version,
         {route.host: _read_route(route) for route in wire.routes},
         {s.name: ServiceLimits(s.maxConns, s.syncReplicas) for s in wire.services},
-        float("inf") if idle is None else idle / 1000,
+        UNLIMITED_S if idle is None else idle / 1000,
     )
 
 
--- a/orioleplank/platform/_promotions.py
+++ b/orioleplank/platform/_promotions.py
@@ -7,6 +7,7 @@
 
 import treq
 from twisted.internet.defer import CancelledError
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
 from twisted.internet.error import TimeoutError as TwistedTimeoutError
 from twisted.web.client import Agent, ResponseFailed, ResponseNeverReceived
@@ -18,6 +19,7 @@
 
 _BROKEN = (
     CancelledError,
+    DeferredTimeoutError,
     ConnectError,
     ConnectionDone,
     ConnectionLost,
@@ -36,7 +38,7 @@
         self._holder = holder
         self._reactor = reactor
         # Without a pool each call has a connection of its own, which a time-out cuts.
-        self._agent = Agent(reactor, connectTimeout=CALL_LIMIT_S)
+        self._agent: Any = Agent(reactor, connectTimeout=CALL_LIMIT_S)
 
     async def order(self, service: str, instance: str, token: int) -> bool:
         """Order a promotion under a fencing token; False when that instance cannot take over.
@@ -44,7 +46,7 @@
         Raise `StoreUnavailableError` when the outcome is not known; the connection is cut then, so
         that the call cannot take effect later.
         """
-        headers = {
+        headers: Any = {
             "Content-Type": ["application/json"],
             "X-Orioleplank-Lease-Holder": [self._holder],
             "X-Orioleplank-Fencing-Token": [str(token)],
--- a/orioleplank/platform/_readiness.py
+++ b/orioleplank/platform/_readiness.py
@@ -11,10 +11,12 @@
 
 
 class _Readiness(Resource):
+    """The one page."""
+
     isLeaf = True  # noqa: N815
 
     def __init__(self, is_ready: Callable[[], bool]) -> None:
-        super().__init__()
+        super().__init__()  # type: ignore[no-untyped-call]
         self._is_ready = is_ready
 
     def render_GET(self, request: Request) -> bytes:  # noqa: N802
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -5,10 +5,7 @@
 import signal
 from typing import Any
 
-from prometheus_client.twisted import MetricsResource
 from twisted.internet.defer import Deferred
-from twisted.web.resource import Resource
-from twisted.web.server import Site
 
 from orioleplank._reactor import find_reactor
 from orioleplank.gateway import (
@@ -57,9 +54,6 @@
     callers = CallerFactory(gateway.sessions, reactor)
     _listen_on(reactor, settings.callers, callers)
     _listen_on(reactor, settings.readiness, build_readiness_site(lambda: gateway.is_ready))
-    root = Resource()
-    root.putChild(b"metrics", MetricsResource(gateway.metrics.registry))
-    _listen_on(reactor, settings.metrics, Site(root))
 
 
 def _listen_on(reactor: Any, address: str, factory: Any) -> None:
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -9,18 +9,22 @@
 
 import treq
 from twisted.internet.defer import CancelledError
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
 from twisted.internet.error import TimeoutError as TwistedTimeoutError
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed, ResponseNeverReceived
 
+from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.gateway import (
     Changes,
     Gone,
     HistoryLostError,
     Listing,
+    Records,
     StoreConflictError,
     StoredRecord,
     StoreUnavailableError,
+    Watched,
 )
 from orioleplank.platform._objects import RawObject, read_instance, read_record, read_routes
 
@@ -34,6 +38,7 @@
 
 _BROKEN = (
     CancelledError,
+    DeferredTimeoutError,
     ConnectError,
     ConnectionDone,
     ConnectionLost,
@@ -56,7 +61,7 @@
         pool = HTTPConnectionPool(reactor, persistent=True)
         pool.maxPersistentPerHost = 8
         pool.retryAutomatically = False
-        self._agent = Agent(reactor, connectTimeout=CONNECT_LIMIT_S, pool=pool)
+        self._agent: Any = Agent(reactor, connectTimeout=CONNECT_LIMIT_S, pool=pool)
         self.calls = 0
 
     async def call(
@@ -68,7 +73,7 @@
         """
         self.calls += 1
         step = f"{method} {path.partition('?')[0]}"
-        headers = {"Content-Type": ["application/json"]} if body is not None else {}
+        headers: Any = {"Content-Type": ["application/json"]} if body is not None else {}
         data = None if body is None else json.dumps(body).encode()
         try:
             response = await treq.request(
@@ -175,6 +180,6 @@
     """The platform's store; implements the gateway's `Store`."""
 
     def __init__(self, client: StoreClient) -> None:
-        self.routes = ObjectKind(client, ROUTES_KIND, read_routes)
-        self.instances = ObjectKind(client, INSTANCES_KIND, read_instance)
-        self.records = RecordKind(client, RECORDS_KIND, read_record)
+        self.routes: Watched[RouteTable] = ObjectKind(client, ROUTES_KIND, read_routes)
+        self.instances: Watched[InstanceEntry] = ObjectKind(client, INSTANCES_KIND, read_instance)
+        self.records: Records = RecordKind(client, RECORDS_KIND, read_record)
