--- /dev/null
+++ b/orioleplank/platform/tests/test_codec.py
@@ -0,0 +1,75 @@
+"""Tests of the line protocol's texts."""
+
+from __future__ import annotations
+
+import testtools
+
+from orioleplank.decision import Position
+from orioleplank.decision.session import (
+    Begin,
+    ClosePrepared,
+    Code,
+    Commit,
+    Execute,
+    ExecuteShape,
+    Mode,
+    Prepare,
+    PrepareShape,
+    Read,
+    SetValue,
+    Shape,
+    Statement,
+    Unreadable,
+    Write,
+)
+from orioleplank.platform import _codec as codec
+
+_STATEMENTS: tuple[tuple[str, Statement], ...] = (
+    ("BEGIN", Begin(False)),
+    ("BEGIN READ", Begin(True)),
+    ("COMMIT", Commit()),
+    ("READ 1a4", Read("1a4")),
+    ("WRITE 1a4 x  y", Write("1a4 x  y")),
+    ("SET lang te reo", SetValue("lang", "te reo")),
+    ("PREPARE s1 WRITE q2c", Prepare("s1", Shape(Mode.WRITE, "q2c"))),
+    ("EXECUTE s1 1a4 data", Execute("s1", "1a4 data")),
+    ("CLOSE s1", ClosePrepared("s1")),
+)
+_UNREADABLE = ("", "DROP x", "BEGIN WRITE", "SET lang", "PREPARE s1 q2c", "COMMIT now", "STATUS")
+
+
+class TestStatements(testtools.TestCase):
+    def test_reads_every_statement(self) -> None:
+        for text, statement in _STATEMENTS:
+            self.assertEqual(statement, codec.parse_statement(text))
+
+    def test_refuses_anything_else(self) -> None:
+        for text in _UNREADABLE:
+            self.assertIsInstance(codec.parse_statement(text), Unreadable, text)
+
+    def test_text_for_an_instance_is_unchanged_but_for_the_prepared_name(self) -> None:
+        shape = Shape(Mode.WRITE, "q2c")
+        self.assertEqual("READ 1a4", codec.format_runnable(Read("1a4"), ""))
+        run = ExecuteShape(shape, "1a4 data")
+        self.assertEqual("EXECUTE p0 1a4 data", codec.format_runnable(run, "p0"))
+        step = PrepareShape("p0", shape)
+        self.assertEqual("PREPARE p0 WRITE q2c", codec.format_preparation(step))
+
+    def test_position_goes_before_the_statement(self) -> None:
+        text = codec.add_position("READ 1a4", Position(3, 1207))
+        self.assertEqual("AFTERLSN 3.1207 READ 1a4", text)
+
+
+class TestWords(testtools.TestCase):
+    def test_bytes_survive_both_ways(self) -> None:
+        line = bytes(range(256))
+        self.assertEqual(line, line.decode(codec.ENCODING).encode(codec.ENCODING))
+
+    def test_unknown_code_proves_nothing(self) -> None:
+        self.assertEqual(Code.UNKNOWN, codec.parse_code("SURPRISE"))
+        self.assertEqual("INDOUBT", codec.CODE_WORDS[Code.UNKNOWN])
+
+    def test_positions(self) -> None:
+        self.assertEqual(Position(3, 1207), codec.parse_position("3.1207"))
+        for text in ("-", "", "3", "3.x", "-1.2"):
+            self.assertIsNone(codec.parse_position(text))
