--- a/orioleplank/gateway/_ports.py
+++ b/orioleplank/gateway/_ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Awaitable, Mapping
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
@@ -80,10 +80,10 @@
 class Watched(Protocol[T]):
     """One kind of objects in the store."""
 
-    async def list(self) -> Listing[T]:
+    def list(self) -> Awaitable[Listing[T]]:
         """Read all objects, linearizably; raise `StoreUnavailableError`."""
 
-    async def watch(self, revision: int, wait: float) -> Changes[T]:
+    def watch(self, revision: int, wait: float) -> Awaitable[Changes[T]]:
         """Wait up to `wait` seconds for changes after `revision`.
 
         Raise `StoreUnavailableError`, or `HistoryLostError` when a new listing is needed.
@@ -93,16 +93,18 @@
 class Records(Watched[StoredRecord], Protocol):
     """The product's own objects, which it may change."""
 
-    async def create(self, name: str, content: Mapping[str, object]) -> int:
+    def create(self, name: str, content: Mapping[str, object]) -> Awaitable[int]:
         """Create an object; return its revision. Raise `StoreConflictError` if it exists."""
 
-    async def replace(self, name: str, content: Mapping[str, object], revision: int) -> int:
+    def replace(
+        self, name: str, content: Mapping[str, object], revision: int
+    ) -> Awaitable[int]:
         """Replace an object that is at `revision`; return the new one.
 
         Raise `StoreConflictError` when it is at another revision or does not exist.
         """
 
-    async def remove(self, name: str, revision: int) -> None:
+    def remove(self, name: str, revision: int) -> Awaitable[None]:
         """Remove an object that is at `revision`; one that is gone already is no error."""
 
 
@@ -167,7 +169,7 @@
 class Promotions(Protocol):
     """The platform's call that names a group's next primary."""
 
-    async def order(self, service: str, instance: str, token: int) -> bool:
+    def order(self, service: str, instance: str, token: int) -> Awaitable[bool]:
         """Order a promotion under a fencing token; False when that instance cannot take over.
 
         Raise `StoreUnavailableError` when the outcome is not known; the connection is cut then, so
--- /dev/null
+++ b/orioleplank/tests/_site_instances.py
@@ -0,0 +1,498 @@
+"""A stand-in of a group of instances on the fabric, by the platform's published behaviour."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from orioleplank.decision import ORIGIN, Position
+from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
+from orioleplank.decision.keeper import InstanceReport
+from orioleplank.decision.session import (
+    Code,
+    ExecuteShape,
+    Failure,
+    Mode,
+    Preparation,
+    PrepareShape,
+    Read,
+    Reply,
+    ResetConnection,
+    Runnable,
+    SetOnConnection,
+    Shape,
+    TransactionState,
+    Write,
+)
+from orioleplank.gateway import InstanceLink, InstanceRefusedError, InstanceUnreachableError
+from orioleplank.tests._fabric import Fabric, Node
+
+SERVICE = "books"
+WORK_S = 0.005
+HANDSHAKE_S = 0.012
+PROMOTE_S = 0.3
+# After this long without a word a connection to a silent instance fails, in seconds.
+SILENCE_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One commit."""
+
+    position: Position
+    # Values written, by item.
+    writes: tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """A statement or commit that an instance ran."""
+
+    at: float
+    instance: str
+    request: str
+    # Log of the instance when it ran.
+    position: Position
+    # Values of the connection.
+    values: dict[str, str]
+    # What an executed name stood for; None for other statements.
+    shape: Shape | None
+
+
+@dataclass(slots=True)
+class SiteInstance(Node):
+    """One instance."""
+
+    role: DbRole = DbRole.REPLICA
+    term: int = 1
+    log: list[Entry] = field(default_factory=list)
+    # Seconds by which it receives and applies entries late.
+    lag: float = 0.003
+    # True while it receives nothing.
+    is_deaf: bool = False
+    # Answers of writes and commits that it runs are lost.
+    loses_answers: bool = False
+    # Answers BUSY to everything.
+    is_full: bool = False
+    # Fails what it runs.
+    is_failing: bool = False
+    entry: InstanceEntry = field(init=False)
+
+    @property
+    def position(self) -> Position:
+        """Return the last position of the log."""
+        return self.log[-1].position if self.log else ORIGIN
+
+    def value(self, item: str) -> str:
+        """Return the value of an item."""
+        for entry in reversed(self.log):
+            for written, value in entry.writes:
+                if written == item:
+                    return value
+        return ""
+
+
+class SiteGroup:
+    """The instances of one service."""
+
+    def __init__(self, fabric: Fabric, publish: Callable[[InstanceEntry], None]) -> None:
+        self.fabric = fabric
+        self.ran: list[Ran] = []
+        # When each term began, in seconds.
+        self.began: dict[int, float] = {1: 0.0}
+        # Fencing tokens and instances of all orders.
+        self.orders: list[tuple[str, int, str]] = []
+        self._publish = publish
+        self.members: dict[str, SiteInstance] = {}
+        for number, letter in enumerate("abc"):
+            member = SiteInstance(f"db-{letter}")
+            role = DbRole.PRIMARY if number == 0 else DbRole.REPLICA
+            member.role = role
+            address = f"10.0.{number}.9:5432"
+            member.entry = InstanceEntry(
+                member.name, SERVICE, address, f"zone-{letter}", InstanceState.READY, role, 5
+            )
+            self.members[member.name] = member
+            fabric.nodes[member.name] = member
+
+    def primary(self) -> SiteInstance:
+        """Return the primary of the highest term."""
+        leading = [m for m in self.members.values() if m.role is DbRole.PRIMARY]
+        return max(leading, key=lambda member: member.term)
+
+    def publish(self, name: str, state: InstanceState | None = None) -> None:
+        """Write an instance's entry, with its role and perhaps another state."""
+        member = self.members[name]
+        entry = replace(member.entry, role=member.role, state=state or member.entry.state)
+        member.entry = entry
+        self._publish(entry)
+
+    # What the platform does.
+
+    def promote(self, name: str, term: int) -> None:
+        """Let an instance lead a new term with what it has received."""
+        member = self.members[name]
+        member.role, member.term = DbRole.PRIMARY, term
+        self.began[term] = self.fabric.now
+        for other in self.members.values():
+            if other is not member and other.role is DbRole.REPLICA and other.alive:
+                other.log = list(member.log[: len(other.log)])
+                other.term = term
+        if member.alive:
+            self.publish(name)
+
+    # What instances do.
+
+    def commit(self, primary: SiteInstance, writes: dict[str, str]) -> Position:
+        """Append a commit and send it to the replicas of its term."""
+        at = Position(primary.term, primary.position.index + 1)
+        entry = Entry(at, tuple(writes.items()))
+        primary.log.append(entry)
+        for member in self.members.values():
+            if member is not primary and member.role is DbRole.REPLICA:
+                self._replicate(primary, member, entry)
+        return at
+
+    def _replicate(self, primary: SiteInstance, member: SiteInstance, entry: Entry) -> None:
+        def receive() -> None:
+            expected = member.position.index + 1
+            in_order = entry.position.index == expected and member.term == primary.term
+            if member.role is DbRole.REPLICA and in_order and not member.is_deaf:
+                member.log.append(entry)
+
+        self.fabric.after(
+            member.lag, lambda: self.fabric.deliver(primary.name, member.name, receive)
+        )
+
+    def catch_up(self, name: str) -> None:
+        """Give a replica the primary's whole log."""
+        primary = self.primary()
+        member = self.members[name]
+        member.log, member.term, member.is_deaf = list(primary.log), primary.term, False
+
+
+@dataclass(slots=True)
+class _Work:
+    """A question that waits at an instance."""
+
+    act: Callable[[], Reply | InstanceReport | Exception]
+    result: Deferred[Any]
+    seconds: float
+    # True when losing its answer matters.
+    is_change: bool = False
+
+
+class SiteLink:
+    """One connection; implements the gateway's `InstanceLink`."""
+
+    def __init__(self, group: SiteGroup, node: Node, member: SiteInstance) -> None:
+        self.opened_at_position: Position | None = member.position
+        self._group = group
+        self._fabric = group.fabric
+        self._node = node
+        self._member = member
+        self._member_run = member.run
+        self._is_open = True
+        self._queue: deque[_Work] = deque()
+        self._pending: list[Deferred[Any]] = []
+        self._is_working = False
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, Shape] = {}
+        self._state = TransactionState.IDLE
+        self._is_read_only = False
+        self._writes: dict[str, str] = {}
+
+    # The gateway's side.
+
+    def prepare(self, step: Preparation) -> Deferred[Reply]:
+        """Change values or prepared names."""
+        return self._ask(lambda: self._prepare(step), 0.0)
+
+    def begin(self, read_only: bool, after: Position | None) -> Deferred[Reply]:
+        """Begin a transaction."""
+        return self._ask(lambda: self._begin(read_only, after), 0.0)
+
+    def run(
+        self, request: str, statement: Runnable, prepared_name: str, after: Position | None
+    ) -> Deferred[Reply]:
+        """Run a statement."""
+        is_change = self._state is TransactionState.IDLE and not isinstance(statement, Read)
+        return self._ask(
+            lambda: self._run(request, statement, prepared_name, after), WORK_S, is_change
+        )
+
+    def commit(self, request: str) -> Deferred[Reply]:
+        """Commit."""
+        return self._ask(lambda: self._commit(request), WORK_S, True)
+
+    def roll_back(self) -> Deferred[Reply]:
+        """Roll back."""
+        return self._ask(self._roll_back, 0.0)
+
+    def report(self) -> Deferred[InstanceReport]:
+        """Tell the instance's state."""
+        return self._ask(self._report, 0.0)
+
+    def step_down(self, term: int) -> Deferred[Reply]:
+        """Make a primary of a lower term a replica."""
+        return self._ask(lambda: self._step_down(term), 0.0)
+
+    def close(self) -> None:
+        """End the connection."""
+        self._is_open = False
+        self._break()
+
+    # The instance's side.
+
+    def _prepare(self, step: Preparation) -> Reply:
+        match step:
+            case ResetConnection():
+                self._values.clear()
+                self._prepared.clear()
+            case SetOnConnection(name, value):
+                self._values[name] = value
+            case PrepareShape(name, shape):
+                self._prepared[name] = shape
+        return self._reply()
+
+    def _begin(self, read_only: bool, after: Position | None) -> Reply:
+        if after is not None and self._member.position < after:
+            return self._fail(Code.LAGGING)
+        if not read_only and self._member.role is not DbRole.PRIMARY:
+            return self._fail(Code.READ_ONLY)
+        self._state, self._is_read_only, self._writes = TransactionState.OPEN, read_only, {}
+        return self._reply()
+
+    def _run(
+        self, request: str, statement: Runnable, prepared_name: str, after: Position | None
+    ) -> Reply:
+        shape = None
+        if isinstance(statement, ExecuteShape):
+            shape = self._prepared.get(prepared_name)
+            if shape is None:
+                return self._fail(Code.UNKNOWN_NAME)
+        refusal = self._find_refusal(statement, shape, after)
+        if refusal is not None:
+            return self._fail(refusal)
+        member = self._member
+        self._group.ran.append(
+            Ran(
+                self._fabric.now,
+                member.name,
+                request,
+                member.position,
+                dict(self._values),
+                shape,
+            )
+        )
+        if member.is_failing:
+            return self._fail(Code.EXECUTION_FAILED)
+        item, _, data = statement.arguments.partition(" ")
+        if not self._writes_data(statement, shape):
+            return self._reply((self._writes.get(item) or member.value(item),), f"sig-{request}")
+        if self._state is TransactionState.OPEN:
+            self._writes[item] = data
+        else:
+            self._group.commit(member, {item: data})
+        return self._reply((), f"sig-{request}")
+
+    def _find_refusal(
+        self, statement: Runnable, shape: Shape | None, after: Position | None
+    ) -> Code | None:
+        if self._member.is_full:
+            return Code.BUSY
+        if after is not None and self._member.position < after:
+            return Code.LAGGING
+        leads = self._member.role is DbRole.PRIMARY
+        if self._writes_data(statement, shape) and (not leads or self._is_read_only):
+            return Code.READ_ONLY
+        if self._state is TransactionState.OPEN and not self._is_read_only and not leads:
+            return Code.READ_ONLY
+        return None
+
+    def _writes_data(self, statement: Runnable, shape: Shape | None) -> bool:
+        if shape is not None:
+            return shape.mode is Mode.WRITE
+        return isinstance(statement, Write)
+
+    def _commit(self, request: str) -> Reply:
+        member = self._member
+        if member.is_full:
+            return self._fail(Code.BUSY, keeps_state=True)
+        if self._writes and member.role is not DbRole.PRIMARY:
+            return self._fail(Code.READ_ONLY)
+        if self._writes:
+            self._group.commit(member, self._writes)
+        self._end_transaction()
+        self._group.ran.append(
+            Ran(
+                self._fabric.now, member.name, request, member.position, dict(self._values), None
+            )
+        )
+        return self._reply((), f"sig-{request}")
+
+    def _roll_back(self) -> Reply:
+        self._end_transaction()
+        return self._reply()
+
+    def _end_transaction(self) -> None:
+        self._state, self._is_read_only, self._writes = TransactionState.IDLE, False, {}
+
+    def _report(self) -> InstanceReport | Exception:
+        member = self._member
+        if member.is_full:
+            return InstanceRefusedError("report", member.name, "busy")
+        return InstanceReport(member.name, member.role, member.term, member.position)
+
+    def _step_down(self, term: int) -> Reply:
+        member = self._member
+        if member.role is DbRole.PRIMARY and member.term < term:
+            member.role = DbRole.REPLICA
+            self._group.catch_up(member.name)
+            self._group.publish(member.name)
+        return self._reply()
+
+    def _reply(self, rows: tuple[str, ...] = (), signature: str = "-") -> Reply:
+        return Reply(rows, signature, None, self._state, self._member.position)
+
+    def _fail(self, code: Code, keeps_state: bool = False) -> Reply:
+        if self._state is TransactionState.OPEN and not keeps_state:
+            self._state = TransactionState.FAILED
+        failure = Failure(code, self._member.name)
+        return Reply((), "-", failure, self._state, self._member.position)
+
+    # The way there and back.
+
+    def _ask(
+        self,
+        act: Callable[[], Reply | InstanceReport | Exception],
+        seconds: float,
+        is_change: bool = False,
+    ) -> Deferred[Any]:
+        result: Deferred[Any] = Deferred()
+        if not self._is_open:
+            result.errback(InstanceUnreachableError("ask", self._member.name, "closed"))
+            return result
+        self._pending.append(result)
+        work = _Work(act, result, seconds, is_change)
+
+        def arrive() -> None:
+            if self._member.run == self._member_run:
+                self._queue.append(work)
+                self._work()
+
+        self._fabric.deliver(self._node.name, self._member.name, arrive)
+        return result
+
+    def _work(self) -> None:
+        if self._is_working or not self._queue:
+            return
+        self._is_working = True
+        work, run = self._queue.popleft(), self._member.run
+
+        def act() -> None:
+            self._is_working = False
+            if not self._member.alive or self._member.run != run or not self._is_open:
+                return
+            answer = work.act()
+            if not (work.is_change and self._member.loses_answers):
+                self._answer(work.result, answer)
+            self._work()
+
+        self._fabric.after(work.seconds, act)
+
+    def _answer(self, result: Deferred[Any], answer: Any) -> None:
+        def arrive() -> None:
+            if result in self._pending:
+                self._pending.remove(result)
+            if result.called:
+                return
+            if isinstance(answer, Exception):
+                result.errback(answer)
+            else:
+                result.callback(answer)
+
+        self._fabric.deliver(self._member.name, self._node.name, arrive, reply=True)
+
+    def _break(self) -> None:
+        pending, self._pending = self._pending, []
+        error = InstanceUnreachableError("ask", self._member.name, "the connection broke")
+        for result in pending:
+            if not result.called:
+                result.errback(error)
+
+    def lose(self) -> None:
+        """Tell the proxy's end that the connection broke."""
+        if self._is_open:
+            self._is_open = False
+            self._fabric.enter(self._node, self._break)
+
+
+class SiteDialer:
+    """Opens connections for one proxy; implements the gateway's `Dialer`."""
+
+    def __init__(self, group: SiteGroup, node: Node) -> None:
+        self._group = group
+        self._node = node
+        self.links: list[tuple[str, SiteLink]] = []
+
+    def dial(self, entry: InstanceEntry) -> Deferred[InstanceLink]:
+        """Open a connection; a dead instance refuses it, a cut one never answers."""
+        fabric, member = self._group.fabric, self._group.members[entry.id]
+        result: Deferred[InstanceLink] = Deferred()
+
+        def open_link() -> None:
+            link = SiteLink(self._group, self._node, member)
+            self.links.append((member.name, link))
+
+            def greet() -> None:
+                if not result.called:
+                    result.callback(link)
+
+            fabric.deliver(member.name, self._node.name, greet, reply=True)
+
+        def expire() -> None:
+            if not result.called:
+                result.errback(InstanceUnreachableError("dial", member.name, "no answer"))
+
+        if not member.alive:
+            fabric.after(0.001, lambda: fabric.enter(self._node, expire))
+            return result
+        fabric.after(
+            HANDSHAKE_S, lambda: fabric.deliver(self._node.name, member.name, open_link)
+        )
+        fabric.after(1.0, lambda: fabric.enter(self._node, expire))
+        return result
+
+    def lose_links(self, instance: str) -> None:
+        """Break all connections to an instance."""
+        kept = [(name, link) for name, link in self.links if name != instance]
+        lost = [link for name, link in self.links if name == instance]
+        self.links = kept
+        for link in lost:
+            link.lose()
+
+
+class SitePromotions:
+    """Orders promotions for one proxy; implements the gateway's `Promotions`."""
+
+    def __init__(self, group: SiteGroup, node: Node) -> None:
+        self._group = group
+        self._node = node
+
+    def order(self, service: str, instance: str, token: int) -> Deferred[bool]:
+        """Order a promotion."""
+        group, result = self._group, Deferred[bool]()
+        group.orders.append((self._node.name, token, instance))
+        member = group.members[instance]
+        if not member.alive:
+            result.callback(False)
+            return result
+        term = max(m.term for m in group.members.values()) + 1
+        group.fabric.after(PROMOTE_S, lambda: group.promote(instance, term))
+        group.fabric.after(0.03, lambda: result.callback(True))
+        return result
