--- a/orioleplank/gateway/__init__.py
+++ b/orioleplank/gateway/__init__.py
@@ -24,6 +24,7 @@
     Watched,
 )
 from orioleplank.gateway._settings import GatewaySettings
+from orioleplank.gateway._views import HttpViews, StoreView, ViewUnavailableError
 
 __all__ = [
     "CallerLink",
@@ -34,6 +35,7 @@
     "GatewaySettings",
     "Gone",
     "HistoryLostError",
+    "HttpViews",
     "InstanceLink",
     "InstanceRefusedError",
     "InstanceUnreachableError",
@@ -46,8 +48,10 @@
     "Store",
     "StoreConflictError",
     "StoreUnavailableError",
+    "StoreView",
     "StoredRecord",
     "Topic",
+    "ViewUnavailableError",
     "Watched",
     "boot_seconds",
     "build_kernel",
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import uuid
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -27,6 +27,7 @@
 from orioleplank.gateway._settings import GatewaySettings
 from orioleplank.gateway._signal import sleep
 from orioleplank.gateway._statements import Statements
+from orioleplank.gateway._views import StoreView, Views
 from orioleplank.kernel import Kernel, Service, Timer, TimerTick
 
 # Time for the balancer to notice that no new sessions are wanted, in seconds: two of its questions
@@ -51,26 +52,34 @@
     dialer: Dialer
     # Orders promotions.
     promotions: Promotions
+    # Fetches other proxies' views of the store.
+    views: Views
 
 
 class Gateway(Service):
     """One proxy before the platform's databases."""
 
     def __init__(
-        self, reactor: Any, settings: GatewaySettings, outside: Outside, journal: Journal
+        self,
+        reactor: Any,
+        settings: GatewaySettings,
+        outside: Outside,
+        journal: Journal,
+        boot_now: Callable[[], float] = boot_seconds,
+        random: Random | None = None,
     ) -> None:
         super().__init__("gateway")
         self._reactor = reactor
         self._settings = settings
         self._journal = journal
-        self._random = Random()
+        self._random = random or Random()
         self._is_stopping = False
         self._was_ready = False
         self.metrics = Metrics()
         me = ProxyRecord(
             settings.name, f"{settings.name}-{uuid.uuid4().hex[:12]}", settings.peers, settings.zone
         )
-        self.beliefs = Beliefs(reactor, outside.dialer, journal, boot_seconds)
+        self.beliefs = Beliefs(reactor, outside.dialer, journal, boot_now)
         self.beliefs.on_trouble = self._take_trouble
         self._view = PlatformView(reactor, outside.store, self.beliefs, journal, self._random)
         self._registry = Registry(
@@ -83,7 +92,12 @@
             self._random,
         )
         self._relay = Relay(
-            reactor, self.beliefs, self._registry, journal, settings.name, self._random
+            self.beliefs,
+            self._registry,
+            journal,
+            settings.name,
+            self._random,
+            outside.views,
         )
         self._inspection = Inspection(reactor, self.beliefs, settings.name)
         self._releases = Releases(reactor, self.beliefs, journal, me)
@@ -108,6 +122,15 @@
             return False
         return self.beliefs.routes.version > 0 and bool(self.beliefs.directory.instances)
 
+    @property
+    def address(self) -> str:
+        """Return where other proxies reach this one, HOST:PORT."""
+        return self._settings.peers
+
+    def describe_view(self) -> StoreView:
+        """Return what this proxy knows from the store."""
+        return self._relay.describe()
+
     # The kernel's side.
 
     def start(self) -> None:
--- a/orioleplank/gateway/_ports.py
+++ b/orioleplank/gateway/_ports.py
@@ -96,9 +96,7 @@
     def create(self, name: str, content: Mapping[str, object]) -> Awaitable[int]:
         """Create an object; return its revision. Raise `StoreConflictError` if it exists."""
 
-    def replace(
-        self, name: str, content: Mapping[str, object], revision: int
-    ) -> Awaitable[int]:
+    def replace(self, name: str, content: Mapping[str, object], revision: int) -> Awaitable[int]:
         """Replace an object that is at `revision`; return the new one.
 
         Raise `StoreConflictError` when it is at another revision or does not exist.
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -11,6 +11,7 @@
 from orioleplank.gateway import (
     Gateway,
     GatewaySettings,
+    HttpViews,
     Journal,
     Outside,
     Topic,
@@ -46,6 +47,7 @@
         PlatformStore(StoreClient(reactor, settings.store)),
         InstanceDialer(reactor),
         PromotionClient(reactor, settings.promotions, settings.name),
+        HttpViews(reactor),
     )
     return Gateway(reactor, settings, outside, journal)
 
--- a/orioleplank/platform/tests/test_objects.py
+++ b/orioleplank/platform/tests/test_objects.py
@@ -40,8 +40,9 @@
 
     def test_entry_of_another_writer_names_nobody(self) -> None:
         for change in _BAD:
-            self.assertIsNone(read_instance(RawObject("i-1", 4, {**_ENTRY, **change})), change)
-        for spec in (None, "text", 7, [], {}):
+            self.assertIsNone(read_instance(RawObject("i-1", 4, {**_ENTRY, **change})), str(change))
+        specs: tuple[object, ...] = (None, "text", 7, [], {})
+        for spec in specs:
             self.assertIsNone(read_instance(RawObject("i-1", 4, spec)))
 
     def test_object_without_name_or_revision_is_none(self) -> None:
--- a/orioleplank/tests/_node_reactor.py
+++ b/orioleplank/tests/_node_reactor.py
@@ -1,4 +1,4 @@
-"""A reactor for one node of the fabric: its timers end with the node, and wait while it is frozen."""
+"""A reactor for one node of the fabric: timers end with the node, and wait while it is frozen."""
 
 from __future__ import annotations
 
@@ -72,7 +72,9 @@
         """Return the fabric's clock, in seconds."""
         return self._fabric.now
 
-    def callLater(self, delay: float, call: Callable[..., Any], *args: Any) -> NodeTimer:  # noqa: N802
+    def callLater(  # noqa: N802
+        self, delay: float, call: Callable[..., Any], *args: Any
+    ) -> NodeTimer:
         """Make a call after `delay` seconds if this run of the node still lives."""
         timer, run = NodeTimer(lambda: call(*args)), self._node.run
 
--- /dev/null
+++ b/orioleplank/tests/_site.py
@@ -0,0 +1,275 @@
+"""Gateways, callers, instances and the store on one fabric, and what is checked of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from orioleplank.decision import Position
+from orioleplank.decision.instances import (
+    Consistency,
+    InstanceEntry,
+    InstanceState,
+    Route,
+    RouteTable,
+    ServiceLimits,
+)
+from orioleplank.decision.session import Failure, Reply, Statement
+from orioleplank.gateway import (
+    Gateway,
+    GatewaySettings,
+    Outside,
+    StoreView,
+    Topic,
+    ViewUnavailableError,
+    build_kernel,
+)
+from orioleplank.tests._fabric import Fabric, Node
+from orioleplank.tests._node_reactor import Network, NodeReactor
+from orioleplank.tests._site_instances import SERVICE, SiteDialer, SiteGroup, SitePromotions
+from orioleplank.tests._site_store import STORE, SiteStore, StorePort
+
+QUOTES = "quotes"
+CATALOGUE = "catalogue"
+JOBS = "jobs"
+ROUTES = (
+    Route(QUOTES, Consistency.PRIMARY, SERVICE, 1.0, 0.0, 1),
+    Route(CATALOGUE, Consistency.BOUNDED, SERVICE, 1.0, 1.5, 2),
+    Route(JOBS, Consistency.OWN_WRITES, SERVICE, 1.0, 2.5, 2),
+)
+
+
+class MemoryJournal:
+    """Keeps the lines that a gateway writes; stands in for its journal."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[Topic, dict[str, Any]]] = []
+
+    def note(self, topic: Topic, **fields: object) -> None:
+        """Keep a line."""
+        self.lines.append((topic, fields))
+
+    def note_request(self, **fields: object) -> None:
+        """Keep a line on a request."""
+        self.note(Topic.REQUEST, **fields)
+
+    def outcomes(self, topic: Topic) -> list[Any]:
+        """Return the outcomes of a topic's lines."""
+        return [fields.get("outcome") for noted, fields in self.lines if noted is topic]
+
+
+@dataclass(slots=True)
+class SiteCaller:
+    """One caller's session; implements the gateway's `CallerLink`."""
+
+    replies: list[Reply] = field(default_factory=list)
+    refusal: Failure | None = None
+    is_greeted: bool = False
+    is_closed: bool = False
+    session: Any = None
+    # Called with each reply.
+    on_reply: Callable[[Reply], None] = lambda reply: None
+
+    def greet(self) -> None:
+        """Note that the session is open."""
+        self.is_greeted = True
+
+    def reply(self, reply: Reply) -> None:
+        """Keep a reply."""
+        self.replies.append(reply)
+        self.on_reply(reply)
+
+    def refuse(self, failure: Failure) -> None:
+        """Keep a refusal."""
+        self.refusal = failure
+        self.close()
+
+    def close(self) -> None:
+        """Note the end and tell the session, as a connection would."""
+        if not self.is_closed:
+            self.is_closed = True
+            if self.session is not None:
+                self.session.end()
+
+
+@dataclass(slots=True)
+class SiteProxy(Node):
+    """One proxy."""
+
+    gateway: Gateway = field(init=False)
+    journal: MemoryJournal = field(default_factory=MemoryJournal)
+    dialer: SiteDialer = field(init=False)
+    # Seconds by which its machine was suspended.
+    suspended: float = 0.0
+
+
+class SiteViews:
+    """Fetches other proxies' views; implements the gateway's `Views`."""
+
+    def __init__(self, site: Site, node: SiteProxy) -> None:
+        self._site = site
+        self._node = node
+
+    def fetch(self, address: str) -> Deferred[StoreView]:
+        """Return the view of the proxy at an address."""
+        fabric, result = self._site.fabric, Deferred[StoreView]()
+        peer = next(p for p in self._site.proxies if p.gateway.address == address)
+
+        def look() -> None:
+            view = peer.gateway.describe_view()
+            fabric.deliver(peer.name, self._node.name, lambda: result.callback(view), reply=True)
+
+        def expire() -> None:
+            if not result.called:
+                result.errback(ViewUnavailableError("fetch view", address, "no answer"))
+
+        if peer.alive:
+            fabric.deliver(self._node.name, peer.name, look)
+        fabric.after(0.7, lambda: fabric.enter(self._node, expire))
+        return result
+
+
+class Site:
+    """A small deployment: proxies, one service of three instances, the store."""
+
+    def __init__(self, seed: int = 1, proxies: int = 3) -> None:
+        self.fabric = Fabric(seed)
+        self.network = Network(self.fabric)
+        self.fabric.nodes[STORE] = Node(STORE)
+        self.store = SiteStore(self.fabric)
+        self.group = SiteGroup(self.fabric, self._publish)
+        self.routes = RouteTable(
+            1, {route.database: route for route in ROUTES}, {SERVICE: ServiceLimits(30)}, 3.0
+        )
+        self.store.put("routes", "main", self.routes)
+        for name in self.group.members:
+            self.group.publish(name)
+        self.proxies: list[SiteProxy] = []
+        for number in range(1, proxies + 1):
+            self.add_proxy(f"entry-{number}")
+        self._requests = 0
+
+    # Proxies.
+
+    def add_proxy(self, name: str) -> SiteProxy:
+        """Start one more proxy."""
+        node = SiteProxy(name)
+        self.fabric.nodes[name] = node
+        self.proxies.append(node)
+        self.start(node)
+        return node
+
+    def start(self, node: SiteProxy) -> None:
+        """Start a proxy's process, perhaps again."""
+        node.alive, node.frozen = True, False
+        node.backlog.clear()
+        node.run += 1
+        number = len(self.proxies)
+        reactor = NodeReactor(self.network, node)
+        settings = GatewaySettings(
+            node.name,
+            f"zone-{'abc'[number % 3]}",
+            "10.1.0.1:1",
+            "10.1.0.1:2",
+            f"10.1.1.{node.name.rsplit('-', 1)[1]}:7440",
+            "10.1.0.1:7441",
+            "10.9.0.1:1",
+            "10.9.0.2:1",
+            6.0,
+        )
+        node.dialer = SiteDialer(self.group, node)
+        store: Any = StorePort(self.store, node)
+        promotions = SitePromotions(self.group, node)
+        outside = Outside(store, node.dialer, promotions, SiteViews(self, node))
+        journal: Any = node.journal
+        node.gateway = Gateway(
+            reactor,
+            settings,
+            outside,
+            journal,
+            boot_now=lambda: self.fabric.now + node.suspended,
+            random=Random(f"{self.fabric.random.random()}"),
+        )
+        kernel = build_kernel(reactor, node.gateway, journal)
+        kernel.start()
+
+    def kill(self, node: SiteProxy) -> None:
+        """End a proxy's process without a word; its connections break."""
+        node.alive = False
+        node.run += 1
+        for _, link in node.dialer.links:
+            link.close()
+
+    # Instances.
+
+    def crash(self, name: str) -> None:
+        """End an instance; its connections break and its entry lapses after a while."""
+        member = self.group.members[name]
+        member.alive = False
+        member.run += 1
+        for node in self.proxies:
+            node.dialer.lose_links(name)
+        self.fabric.after(3.6, lambda: self._lapse(name))
+
+    def drain(self, name: str) -> None:
+        """Let an instance announce that it will end."""
+        self.group.publish(name, InstanceState.DRAINING)
+
+    def _lapse(self, name: str) -> None:
+        if not self.group.members[name].alive:
+            self.store.delete("instances", name)
+
+    def _publish(self, entry: InstanceEntry) -> None:
+        self.store.put("instances", entry.id, entry)
+
+    def change_routes(self, *routes: Route) -> None:
+        """Put a new version of the configuration in force."""
+        version = self.routes.version + 1
+        table = {route.database: route for route in routes}
+        self.routes = replace(self.routes, version=version, routes=table)
+        self.store.put("routes", "main", self.routes)
+
+    # Callers.
+
+    def open(self, node: SiteProxy, database: str) -> SiteCaller:
+        """Open a session."""
+        caller = SiteCaller()
+        caller.session = node.gateway.sessions.open(caller, database)
+        return caller
+
+    def send(self, caller: SiteCaller, statement: Statement) -> str:
+        """Send a request; return its id."""
+        self._requests += 1
+        request = f"r{self._requests}"
+        caller.session.ask(request, statement)
+        return request
+
+    def ask(self, caller: SiteCaller, statement: Statement, limit: float = 3.0) -> Reply:
+        """Send a request and let time pass until it is answered; fail without an answer."""
+        answered = len(caller.replies)
+        self.send(caller, statement)
+        end = self.fabric.now + limit
+        while len(caller.replies) == answered and self.fabric.now < end:
+            self.fabric.run(self.fabric.now + 0.001)
+        if len(caller.replies) == answered:
+            raise AssertionError(f"{statement} was not answered in {limit} s")
+        return caller.replies[-1]
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        self.fabric.run(self.fabric.now + seconds)
+
+    # What is checked.
+
+    def promoted_terms(self) -> list[int]:
+        """Return the terms that were begun by promotions."""
+        return sorted(term for term in self.group.began if term > 1)
+
+    def committed_after(self, term: int) -> Position | None:
+        """Return the first position of a term, None without one."""
+        found = [e.position for e in self.group.primary().log if e.position.term == term]
+        return found[0] if found else None
--- a/orioleplank/tests/_site_instances.py
+++ b/orioleplank/tests/_site_instances.py
@@ -196,6 +196,7 @@
         self._node = node
         self._member = member
         self._member_run = member.run
+        self._node_run = node.run
         self._is_open = True
         self._queue: deque[_Work] = deque()
         self._pending: list[Deferred[Any]] = []
@@ -329,9 +330,7 @@
             self._group.commit(member, self._writes)
         self._end_transaction()
         self._group.ran.append(
-            Ran(
-                self._fabric.now, member.name, request, member.position, dict(self._values), None
-            )
+            Ran(self._fabric.now, member.name, request, member.position, dict(self._values), None)
         )
         return self._reply((), f"sig-{request}")
 
@@ -409,7 +408,7 @@
         def arrive() -> None:
             if result in self._pending:
                 self._pending.remove(result)
-            if result.called:
+            if result.called or self._node.run != self._node_run:
                 return
             if isinstance(answer, Exception):
                 result.errback(answer)
@@ -438,6 +437,7 @@
     def __init__(self, group: SiteGroup, node: Node) -> None:
         self._group = group
         self._node = node
+        self._run = node.run
         self.links: list[tuple[str, SiteLink]] = []
 
     def dial(self, entry: InstanceEntry) -> Deferred[InstanceLink]:
@@ -450,21 +450,19 @@
             self.links.append((member.name, link))
 
             def greet() -> None:
-                if not result.called:
+                if not result.called and self._node.run == self._run:
                     result.callback(link)
 
             fabric.deliver(member.name, self._node.name, greet, reply=True)
 
         def expire() -> None:
-            if not result.called:
+            if not result.called and self._node.run == self._run:
                 result.errback(InstanceUnreachableError("dial", member.name, "no answer"))
 
         if not member.alive:
             fabric.after(0.001, lambda: fabric.enter(self._node, expire))
             return result
-        fabric.after(
-            HANDSHAKE_S, lambda: fabric.deliver(self._node.name, member.name, open_link)
-        )
+        fabric.after(HANDSHAKE_S, lambda: fabric.deliver(self._node.name, member.name, open_link))
         fabric.after(1.0, lambda: fabric.enter(self._node, expire))
         return result
 
--- a/orioleplank/tests/_site_store.py
+++ b/orioleplank/tests/_site_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Generic, TypeVar
@@ -95,6 +96,8 @@
         self._store = store
         self._node = node
         self._kind = kind
+        # Answers to an earlier run of the proxy go nowhere.
+        self._run = node.run
 
     def list(self) -> Deferred[Listing[T]]:
         """Read all objects."""
@@ -119,7 +122,8 @@
             if revision < store.oldest:
                 self._answer(result, HistoryLostError("watch", STORE, "gone"))
                 return
-            found = [c for c in store.history if c.kind == self._kind and c.revision > revision]
+            first = bisect_right(store.history, revision, key=lambda change: change.revision)
+            found = [change for change in store.history[first:] if change.kind == self._kind]
             if found or store.fabric.now >= end:
                 items = tuple(self._show_change(change) for change in found)
                 self._answer(result, Changes(store.revision, items))
@@ -164,7 +168,7 @@
 
     def _answer(self, result: Deferred[Any], answer: Any) -> None:
         def arrive() -> None:
-            if result.called:
+            if result.called or self._node.run != self._run:
                 return
             if isinstance(answer, Exception):
                 result.errback(answer)
@@ -175,10 +179,9 @@
         fabric.after(self._store.slowness, lambda: fabric.deliver(STORE, name, arrive, reply=True))
 
     def _limit(self, result: Deferred[Any], seconds: float) -> None:
-        run = self._node.run
 
         def expire() -> None:
-            if not result.called and self._node.run == run and self._node.alive:
+            if not result.called and self._node.run == self._run and self._node.alive:
                 result.errback(StoreUnavailableError("call", STORE, "no answer"))
 
         fabric = self._store.fabric
