--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -12,11 +12,13 @@
 from orioleplank.decision.membership import Fleet
 from orioleplank.gateway._journal import Journal, Topic
 from orioleplank.gateway._pool import InstancePool
-from orioleplank.gateway._ports import Dialer
+from orioleplank.gateway._ports import Detour, Dialer
 from orioleplank.gateway._signal import Signal
 
 # Connections of an instance that no proxy counts on, for proxies that come and go.
 SPARE_CONNECTIONS = 2
+# How long new connections to an instance go through a peer before the direct way is tried again.
+DETOUR_S = 6.0
 
 
 class Beliefs:
@@ -46,6 +48,7 @@
         self._dialer = dialer
         self._journal = journal
         self._boot_now = boot_now
+        self._detours: dict[str, tuple[Detour, float]] = {}
         self._positions: dict[str, tuple[int, PositionHistory]] = {}
 
     # Time.
@@ -112,9 +115,22 @@
         def share() -> int:
             return self.connection_share(entry.service)
 
-        return InstancePool(
-            entry, self._dialer, self.now, share, lambda instance: self.on_trouble(instance)
-        )
+        def tell_trouble(instance: str) -> None:
+            self.on_trouble(instance)
+
+        return InstancePool(entry, self._dialer, self.now, share, tell_trouble, self._find_detour)
+
+    def take_detour(self, instance: str, detour: Detour, peer: str) -> None:
+        """Reach an instance through a peer for a while."""
+        self._detours[instance] = (detour, self.now() + DETOUR_S)
+        pool = self.pools.get(instance)
+        if pool is not None:
+            pool.try_again()
+        self._journal.note(Topic.SUSPICION, instance=instance, outcome="detour", peer=peer)
+
+    def _find_detour(self, instance: str) -> Detour | None:
+        detour, until = self._detours.get(instance, (None, 0.0))
+        return detour if self.now() < until else None
 
     def connection_share(self, service: str) -> int:
         """Return the connections that this proxy may hold to each instance of a service."""
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -27,6 +27,7 @@
 from orioleplank.gateway._settings import GatewaySettings
 from orioleplank.gateway._signal import sleep
 from orioleplank.gateway._statements import Statements
+from orioleplank.gateway._tunnel import PORT_OFFSET, TunnelFactory
 from orioleplank.gateway._views import StoreView, Views
 from orioleplank.kernel import Kernel, Service, Timer, TimerTick
 
@@ -139,6 +140,8 @@
         host, _, port = self._settings.peers.rpartition(":")
         self._reactor.listenUDP(int(port), socket, interface=host)
         self._reactor.listenTCP(int(port), self._relay.build_site(), interface=host)
+        tunnels = TunnelFactory(self._reactor, self._find_address)
+        self._reactor.listenTCP(int(port) + PORT_OFFSET, tunnels, interface=host)
         host, _, port = self._settings.metrics.rpartition(":")
         self._reactor.listenTCP(int(port), self.metrics.build_site(), interface=host)
         self._inspection.socket = self._releases.socket = socket
@@ -170,6 +173,10 @@
             self._was_ready = True
             self._journal.note(Topic.READY, routes=self.beliefs.routes.version)
 
+    def _find_address(self, instance: str) -> str | None:
+        entry = self.beliefs.directory.entry(instance)
+        return entry.address if entry else None
+
     def _take_trouble(self, instance: str) -> None:
         self.kernel.schedule(self._mover.look)
 
--- a/orioleplank/gateway/_inspection.py
+++ b/orioleplank/gateway/_inspection.py
@@ -57,7 +57,8 @@
     async def probe(self, pool: InstancePool) -> InstanceReport | None:
         """Ask an instance for its state on a pooled connection; None when it does not tell."""
         try:
-            connection = await pool.acquire({}, 0, 0).addTimeout(REPORT_LIMIT_S, self._reactor)
+            waiting = pool.acquire({}, 0, 0, probing=True)
+            connection = await waiting.addTimeout(REPORT_LIMIT_S, self._reactor)
         except UNREACHED as error:
             if isinstance(error, TwistedTimeoutError | CancelledError):
                 pool.note_failure()
@@ -95,7 +96,8 @@
     async def step_down(self, pool: InstancePool, term: int) -> bool:
         """Make an old primary a replica; False when it is not reached."""
         try:
-            connection = await pool.acquire({}, 0, 0).addTimeout(REPORT_LIMIT_S, self._reactor)
+            waiting = pool.acquire({}, 0, 0, probing=True)
+            connection = await waiting.addTimeout(REPORT_LIMIT_S, self._reactor)
         except UNREACHED:
             return False
         link: InstanceLink = connection.link
--- a/orioleplank/gateway/_mover.py
+++ b/orioleplank/gateway/_mover.py
@@ -16,9 +16,7 @@
     FoundDead,
     InstanceReport,
     Leaving,
-    Replaced,
     StillThere,
-    Verdict,
     choose_successors,
     has_caught_up,
     judge_primary,
@@ -36,6 +34,7 @@
 from orioleplank.gateway._records import dump_group, name_group, read_group, read_proxy
 from orioleplank.gateway._release import Releases
 from orioleplank.gateway._signal import sleep
+from orioleplank.gateway._tunnel import find_detour
 
 # Seconds between looks at each primary.
 LOOK_S = 0.25
@@ -43,6 +42,9 @@
 RANK_DELAY_S = 0.4
 # A primary that has not answered for this long is asked for its state, in seconds.
 QUIET_S = 1.5
+# An instance that owes answers and has given none for this long is asked too, in seconds: longer
+# than most statements take.
+OVERDUE_S = 0.3
 # An answer that a peer has had within this time shows that the primary lives, in seconds.
 ALIVE_S = 1.0
 # Without any peer's word a proxy waits this long before it trusts its own view, in seconds.
@@ -126,6 +128,8 @@
         """Look at every service once."""
         if self.is_stopped or not self._beliefs.leases.asked_at > float("-inf"):
             return
+        for instance in self._beliefs.pools:
+            self._probe_if_quiet(instance)
         for service in self._beliefs.routes.services:
             if service not in self._busy:
                 self._look_at(service)
@@ -140,12 +144,14 @@
             self._look_at_move(service, seen)
             return
         self._seen_moving.pop(service, None)
-        self._probe_if_quiet(seen.record.primary)
-        verdict = judge_primary(self._find_evidence(seen.record))
-        if isinstance(verdict, StillThere):
-            self._standing.pop(service, None)
-        elif self._may_act(service, verdict):
-            self._start(service, self._move_if_confirmed(service, seen, verdict))
+        match judge_primary(self._find_evidence(seen.record)):
+            case StillThere():
+                self._standing.pop(service, None)
+            case FoundDead(why) as verdict:
+                acts = self._may_act(service, verdict)
+                self._begin(service, self._inquire(service, seen, why, acts))
+            case verdict if self._may_act(service, verdict):
+                self._start(service, self._move(service, seen, isinstance(verdict, Leaving)))
 
     def _look_at_move(self, service: str, seen: SeenRecord) -> None:
         """Take over a move whose holder has gone silent."""
@@ -183,10 +189,15 @@
         )
 
     def _probe_if_quiet(self, instance: str) -> None:
-        pool = self._beliefs.pools.get(instance)
-        if pool is None or instance in self._probing:
+        """Ask an instance that fails, or whose answers are overdue; a primary also when idle."""
+        pool = self._beliefs.pools[instance]
+        if instance in self._probing:
             return
-        if pool.failures or self._beliefs.now() - pool.answered_at >= QUIET_S:
+        quiet = self._beliefs.now() - pool.answered_at
+        is_overdue = pool.in_flight > 0 and quiet >= OVERDUE_S
+        lease = self._beliefs.lease(pool.entry.service)
+        is_idle = lease is not None and lease.primary == instance and quiet >= QUIET_S
+        if pool.failures or is_overdue or is_idle:
             self._probing.add(instance)
             probe = Deferred.fromCoroutine(self._inspection.probe(pool))
 
@@ -199,8 +210,11 @@
     # Work on one service.
 
     def _start(self, service: str, work: Coroutine[Any, Any, None]) -> None:
-        self._busy.add(service)
         self._standing.pop(service, None)
+        self._begin(service, work)
+
+    def _begin(self, service: str, work: Coroutine[Any, Any, None]) -> None:
+        self._busy.add(service)
 
         def end(_: object) -> None:
             self._busy.discard(service)
@@ -225,17 +239,19 @@
         revision = await self._records.create(name_group(service), dump_group(record))
         self._take_record(record, revision)
 
-    async def _move_if_confirmed(self, service: str, seen: SeenRecord, verdict: Verdict) -> None:
-        match verdict:
-            case FoundDead(why):
-                if not await self._is_dead_for_all(seen.record, why):
-                    await sleep(self._reactor, AGAIN_S)
-                    return
-                await self._move(service, seen, planned=False)
-            case Leaving():
-                await self._move(service, seen, planned=True)
-            case Replaced():
-                await self._move(service, seen, planned=False)
+    async def _inquire(self, service: str, seen: SeenRecord, why: str, acts: bool) -> None:
+        """Ask the other proxies about a primary that does not answer here.
+
+        One that reaches it becomes the way to it. Otherwise it is replaced, if this proxy `acts`.
+        """
+        is_dead = await self._is_dead_for_all(seen.record, why)
+        if is_dead and acts:
+            self._standing.pop(service, None)
+            await self._move(service, seen, planned=False)
+            return
+        if not is_dead:
+            self._standing.pop(service, None)
+        await sleep(self._reactor, AGAIN_S)
 
     async def _is_dead_for_all(self, record: GroupRecord, why: str) -> bool:
         """Ask the other proxies; one that reaches the primary shows that it lives."""
@@ -252,8 +268,19 @@
             peers=ages,
             outcome="dead" if is_dead else "not confirmed",
         )
+        self._take_detour(record.primary, ages)
         return is_dead
 
+    def _take_detour(self, instance: str, ages: dict[str, float]) -> None:
+        """Reach an instance through the peer that had its last answer."""
+        alive = {name: age for name, age in ages.items() if age <= ALIVE_S}
+        if not alive:
+            return
+        nearest = min(alive, key=lambda name: alive[name])
+        peer = self._beliefs.fleet.proxies.get(nearest)
+        if peer is not None:
+            self._beliefs.take_detour(instance, find_detour(peer, instance), nearest)
+
     # A move.
 
     async def _move(self, service: str, seen: SeenRecord, planned: bool) -> None:
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -14,6 +14,7 @@
 from orioleplank.decision.instances import InstanceEntry
 from orioleplank.decision.session import FRESH_CONNECTION, ConnectionState, find_preparation
 from orioleplank.gateway._ports import (
+    Detour,
     Dialer,
     InstanceLink,
     InstanceRefusedError,
@@ -31,6 +32,9 @@
 FIRST_LATENCY_S = 0.03
 # After this long without an answer half of what was learned of an instance's time is forgotten.
 FORGET_S = 2.0
+# Failures in a row, and seconds since the first of them, after which only probes are sent.
+SUSPECT_FAILURES = 2
+SUSPECT_S = 0.2
 # Time that a failed statement counts for, in seconds.
 FAILURE_LATENCY_S = 1.0
 
@@ -74,12 +78,14 @@
         now: Callable[[], float],
         share: Callable[[], int],
         on_trouble: Callable[[str], None],
+        find_detour: Callable[[str], Detour | None] = lambda instance: None,
     ) -> None:
         self.entry = entry
         self._dialer = dialer
         self._now = now
         self._share = share
         self._on_trouble = on_trouble
+        self._find_detour = find_detour
         self._idle: list[PooledConnection] = []
         self._taken: set[PooledConnection] = set()
         self._opening = 0
@@ -122,6 +128,11 @@
         """Seconds since the first failure after the last answer; 0 without one."""
         return self._now() - self.failing_since if self.failures else 0.0
 
+    @property
+    def is_suspect(self) -> bool:
+        """True while it does not answer, so that work sent to it would only wait."""
+        return self.failures >= SUSPECT_FAILURES and self.failing_for >= SUSPECT_S
+
     def note_answer(self, elapsed: float | None = None) -> None:
         """Take note of an answer, which took `elapsed` seconds if it tells of the load."""
         self.failures = 0
@@ -135,6 +146,8 @@
             self.failing_since = self._now()
         self.failures += 1
         self._learn(FAILURE_LATENCY_S)
+        if self.is_suspect:
+            self.drop_idle()
         self._on_trouble(self.entry.id)
 
     def note_lagging(self) -> None:
@@ -149,11 +162,12 @@
     # Connections.
 
     def acquire(
-        self, values: Mapping[str, str], session: int, priority: int
+        self, values: Mapping[str, str], session: int, priority: int, probing: bool = False
     ) -> Deferred[PooledConnection]:
         """Return a connection, the one that needs the least preparation.
 
-        Fails with `InstanceUnreachableError` or `InstanceRefusedError` when none can be had.
+        Only a probe gets one of an instance that does not answer. Fails with
+        `InstanceUnreachableError` or `InstanceRefusedError` when none can be had.
         """
         if self._closed:
             error = InstanceUnreachableError("take connection", self.entry.id, "it is gone")
@@ -161,7 +175,7 @@
         connection = self._take_idle(values, session)
         if connection is not None:
             return succeed(connection)
-        if not self._can_hope():
+        if (self.is_suspect and not probing) or not self._can_hope():
             error = InstanceUnreachableError("take connection", self.entry.id, "it was unreachable")
             return fail(error)
 
@@ -193,6 +207,18 @@
         connection.usable = False
         self.release(connection)
 
+    def drop_idle(self) -> None:
+        """Close what is free: connections that went silent without a reset."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.link.close()
+
+    def try_again(self) -> None:
+        """Forget failures to open connections, because there is another way now."""
+        self._retry_at = 0.0
+        self._dial_failures = 0
+        self.drop_idle()
+
     def close(self) -> None:
         """Close what is free and refuse what waits; taken connections end with their work."""
         self._closed = True
@@ -225,7 +251,7 @@
                 return
             self._opening += 1
             opened_at = self._now()
-            dialing = self._dialer.dial(self.entry)
+            dialing = self._dialer.dial(self.entry, self._find_detour(self.entry.id))
             dialing.addCallbacks(self._take_opened, self._take_failure, callbackArgs=(opened_at,))
 
     def _take_opened(self, link: InstanceLink, opened_at: float) -> None:
--- a/orioleplank/gateway/_ports.py
+++ b/orioleplank/gateway/_ports.py
@@ -153,11 +153,21 @@
         """End the connection; what is unanswered fails."""
 
 
+@dataclass(frozen=True, slots=True)
+class Detour:
+    """A way to an instance through another proxy that reaches it."""
+
+    # Where the other proxy takes tunnels, HOST:PORT.
+    address: str
+    # What it has to be sent first.
+    prologue: bytes
+
+
 class Dialer(Protocol):
     """Opens connections to instances."""
 
-    def dial(self, entry: InstanceEntry) -> Deferred[InstanceLink]:
-        """Open a connection.
+    def dial(self, entry: InstanceEntry, detour: Detour | None) -> Deferred[InstanceLink]:
+        """Open a connection, directly or through another proxy.
 
         Fails with `InstanceUnreachableError`, or with `InstanceRefusedError` when the instance is
         another one or has no connection left.
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -18,7 +18,7 @@
 from orioleplank.decision.instances import DbRole, InstanceEntry
 from orioleplank.decision.keeper import InstanceReport
 from orioleplank.decision.session import Failure, Preparation, Reply, Runnable
-from orioleplank.gateway import InstanceLink, InstanceRefusedError, InstanceUnreachableError
+from orioleplank.gateway import Detour, InstanceLink, InstanceRefusedError, InstanceUnreachableError
 from orioleplank.platform import _codec as codec
 
 # Time for a connection and its greeting, in seconds: several round trips between regions.
@@ -52,8 +52,9 @@
     delimiter = b"\r\n"
     MAX_LENGTH = codec.MESSAGE_LIMIT
 
-    def __init__(self, entry: InstanceEntry) -> None:
+    def __init__(self, entry: InstanceEntry, prologue: bytes = b"") -> None:
         self._entry = entry
+        self._prologue = prologue
         self._questions: deque[_Question] = deque()
         self.opened_at_position: Position | None = None
         self.greeted: Deferred[InstanceLink] = Deferred()
@@ -105,6 +106,8 @@
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
         _set_time_limits(transport.getHandle())
+        if self._prologue:
+            transport.write(self._prologue)
         self._send(f"STARTUP {self._entry.service} {WHO} {self._entry.id}")
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
@@ -201,11 +204,12 @@
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
 
-    def dial(self, entry: InstanceEntry) -> Deferred[InstanceLink]:
-        """Open a connection and wait for its greeting."""
-        host, _, port = entry.address.rpartition(":")
+    def dial(self, entry: InstanceEntry, detour: Detour | None) -> Deferred[InstanceLink]:
+        """Open a connection, directly or through another proxy, and wait for its greeting."""
+        address = detour.address if detour else entry.address
+        host, _, port = address.rpartition(":")
         endpoint = TCP4ClientEndpoint(self._reactor, host, int(port), timeout=DIAL_LIMIT_S)
-        protocol = InstanceProtocol(entry)
+        protocol = InstanceProtocol(entry, detour.prologue if detour else b"")
 
         def refuse(failure: TwistedFailure) -> TwistedFailure:
             if isinstance(failure.value, OrioleplankError):
--- a/orioleplank/tests/_site.py
+++ b/orioleplank/tests/_site.py
@@ -181,7 +181,7 @@
             "10.9.0.2:1",
             6.0,
         )
-        node.dialer = SiteDialer(self.group, node)
+        node.dialer = SiteDialer(self.group, node, self._find_proxy)
         store: Any = StorePort(self.store, node)
         promotions = SitePromotions(self.group, node)
         outside = Outside(store, node.dialer, promotions, SiteViews(self, node))
@@ -197,6 +197,11 @@
         kernel = build_kernel(reactor, node.gateway, journal)
         kernel.start()
 
+    def _find_proxy(self, address: str) -> SiteProxy:
+        """Return the proxy that takes tunnels at an address."""
+        host = address.rpartition(":")[0]
+        return next(p for p in self.proxies if p.gateway.address.startswith(f"{host}:"))
+
     def kill(self, node: SiteProxy) -> None:
         """End a proxy's process without a word; its connections break."""
         node.alive = False
--- a/orioleplank/tests/_site_instances.py
+++ b/orioleplank/tests/_site_instances.py
@@ -28,7 +28,7 @@
     TransactionState,
     Write,
 )
-from orioleplank.gateway import InstanceLink, InstanceRefusedError, InstanceUnreachableError
+from orioleplank.gateway import Detour, InstanceLink, InstanceRefusedError, InstanceUnreachableError
 from orioleplank.tests._fabric import Fabric, Node
 
 SERVICE = "books"
@@ -189,7 +189,10 @@
 class SiteLink:
     """One connection; implements the gateway's `InstanceLink`."""
 
-    def __init__(self, group: SiteGroup, node: Node, member: SiteInstance) -> None:
+    def __init__(
+        self, group: SiteGroup, node: Node, member: SiteInstance, by_way_of: Node | None = None
+    ) -> None:
+        self._by_way_of = by_way_of
         self.opened_at_position: Position | None = member.position
         self._group = group
         self._fabric = group.fabric
@@ -384,7 +387,7 @@
                 self._queue.append(work)
                 self._work()
 
-        self._fabric.deliver(self._node.name, self._member.name, arrive)
+        _carry(self._fabric, self._node, self._by_way_of, self._member, arrive)
         return result
 
     def _work(self) -> None:
@@ -415,7 +418,7 @@
             else:
                 result.callback(answer)
 
-        self._fabric.deliver(self._member.name, self._node.name, arrive, reply=True)
+        _carry(self._fabric, self._member, self._by_way_of, self._node, arrive, reply=True)
 
     def _break(self) -> None:
         pending, self._pending = self._pending, []
@@ -431,29 +434,59 @@
             self._fabric.enter(self._node, self._break)
 
 
+def _carry(
+    fabric: Fabric,
+    source: Node,
+    by_way_of: Node | None,
+    target: Node,
+    call: Callable[[], None],
+    reply: bool = False,
+) -> None:
+    """Deliver a message, perhaps through a tunnel of another node."""
+    if by_way_of is None:
+        fabric.deliver(source.name, target.name, call, reply=reply)
+        return
+    middle = by_way_of
+
+    def pass_on() -> None:
+        fabric.deliver(middle.name, target.name, call, reply=reply)
+
+    fabric.deliver(source.name, middle.name, pass_on, reply=reply)
+
+
 class SiteDialer:
     """Opens connections for one proxy; implements the gateway's `Dialer`."""
 
-    def __init__(self, group: SiteGroup, node: Node) -> None:
+    def __init__(
+        self, group: SiteGroup, node: Node, find_peer: Callable[[str], Node] | None = None
+    ) -> None:
         self._group = group
         self._node = node
         self._run = node.run
+        self._find_peer = find_peer
         self.links: list[tuple[str, SiteLink]] = []
 
-    def dial(self, entry: InstanceEntry) -> Deferred[InstanceLink]:
-        """Open a connection; a dead instance refuses it, a cut one never answers."""
+    def dial(self, entry: InstanceEntry, detour: Detour | None) -> Deferred[InstanceLink]:
+        """Open a connection; a dead instance refuses it, a cut one never answers.
+
+        A tunnel reaches the instance as the proxy at its other end does.
+        """
         fabric, member = self._group.fabric, self._group.members[entry.id]
         result: Deferred[InstanceLink] = Deferred()
 
+        by_way_of = None
+        if detour is not None and self._find_peer is not None:
+            by_way_of = self._find_peer(detour.address)
+
         def open_link() -> None:
-            link = SiteLink(self._group, self._node, member)
+            link = SiteLink(self._group, self._node, member, by_way_of)
             self.links.append((member.name, link))
 
             def greet() -> None:
                 if not result.called and self._node.run == self._run:
                     result.callback(link)
 
-            fabric.deliver(member.name, self._node.name, greet, reply=True)
+            _carry(fabric, member, by_way_of, self._node, greet, reply=True)
 
         def expire() -> None:
             if not result.called and self._node.run == self._run:
@@ -462,7 +495,7 @@
         if not member.alive:
             fabric.after(0.001, lambda: fabric.enter(self._node, expire))
             return result
-        fabric.after(HANDSHAKE_S, lambda: fabric.deliver(self._node.name, member.name, open_link))
+        fabric.after(HANDSHAKE_S, lambda: _carry(fabric, self._node, by_way_of, member, open_link))
         fabric.after(1.0, lambda: fabric.enter(self._node, expire))
         return result
 
--- a/orioleplank/tests/test_site.py
+++ b/orioleplank/tests/test_site.py
@@ -155,8 +155,11 @@
             _keep_writing(site, caller)
         site.fabric.cut(cut.name, "db-a")
         site.fabric.cut("db-a", cut.name)
-        cut.dialer.lose_links("db-a")
+        own = site.open(cut, QUOTES)
+        site.run(3.0)
+        self.assertIsNone(site.ask(own, Write("own x")).failure)
         site.run(8.0)
+        self.assertIsNone(site.ask(own, Write("own x")).failure)
         self.assertEqual([], site.promoted_terms())
 
     def test_tokens_of_orders_only_move_up(self) -> None:
@@ -185,6 +188,37 @@
         self.assertGreaterEqual(held, acknowledged)
 
 
+class TestSilence(testtools.TestCase):
+    def test_silent_replica_is_left_and_used_again_once_it_answers(self) -> None:
+        site = _started()
+        proxy = site.proxies[0]
+        replica = next(n for n in "bc" if site.group.members[f"db-{n}"].entry.zone == "zone-b")
+        name = f"db-{replica}"
+        callers = [site.open(proxy, CATALOGUE) for _ in range(4)]
+        site.fabric.cut(proxy.name, name)
+        end = site.fabric.now + 4.0
+        while site.fabric.now < end:
+            for caller in callers:
+                self.assertIsNone(site.ask(caller, Read("q1")).failure)
+        self.assertTrue(proxy.gateway.beliefs.pools[name].is_suspect)
+        site.fabric.heal()
+        site.run(3.0)
+        self.assertFalse(proxy.gateway.beliefs.pools[name].is_suspect)
+
+    def test_cut_primary_is_noticed_before_the_first_statement_times_out(self) -> None:
+        site = _started()
+        cut = site.proxies[0]
+        for proxy in site.proxies[1:]:
+            _keep_writing(site, site.open(proxy, QUOTES))
+        site.fabric.cut(cut.name, "db-a")
+        site.fabric.cut("db-a", cut.name)
+        callers = [site.open(cut, QUOTES) for _ in range(3)]
+        for caller in callers:
+            site.send(caller, Read("q1"))
+        site.run(1.6)
+        self.assertIsNone(site.ask(callers[0], Read("q1")).failure)
+
+
 class TestLeases(testtools.TestCase):
     def test_no_answer_of_an_old_primary_is_passed_on(self) -> None:
         """A proxy that is cut off from everybody acknowledges nothing after its lease."""
