--- a/orioleplank/decision/routing/_placement.py
+++ b/orioleplank/decision/routing/_placement.py
@@ -88,7 +88,7 @@
 
 def _explain(candidates: Sequence[Candidate], need: ReadNeed) -> str:
     if not candidates:
-        return "no instance of the service is reachable"
+        return "no instance of the service answers here"
     if need.position is None:
-        return "no lease on a primary, and no position recent enough for a replica"
-    return "no lease on a primary, and every replica lags"
+        return "no position is recent enough for a replica"
+    return "every replica that answers here lags"
--- a/orioleplank/gateway/_journal.py
+++ b/orioleplank/gateway/_journal.py
@@ -20,24 +20,25 @@
 
 @unique
 class Topic(Enum):
-    """What a line is about; docs/EVENTS.md lists them."""
-
-    STARTED = "started"
-    STOPPING = "stopping"
-    STOPPED = "stopped"
-    RELOADED = "reloaded"
-    READY = "ready"
-    ROUTES = "routes"
-    INSTANCE = "instance"
-    GROUP = "group"
-    LEASE = "lease"
-    STORE = "store"
-    FLEET = "fleet"
-    MOVE = "move"
-    SUSPICION = "suspicion"
-    REQUEST = "request"
-    LEFT_OUT = "left-out"
-    ERROR = "error"
+    """What a line is about, by its number; docs/EVENTS.md lists them."""
+
+    STARTED = 1100
+    READY = 1101
+    STOPPING = 1102
+    STOPPED = 1103
+    RELOADED = 1104
+    ROUTES = 1200
+    INSTANCE = 1201
+    GROUP = 1300
+    LEASE = 1301
+    SUSPICION = 1302
+    MOVE = 1303
+    REQUEST = 1400
+    LEFT_OUT = 1401
+    STORE = 1500
+    FLEET = 1501
+    UNREADABLE = 1502
+    ERROR = 1900
 
 
 class _OutputHandler(Handler, StringFormatterHandlerMixin):
@@ -96,7 +97,13 @@
 
     def note(self, topic: Topic, **fields: object) -> None:
         """Write a line on a belief, a dependency, a start or a stop."""
-        line = {"at": round(self._now(), 3), "proxy": self._proxy, "topic": topic.value, **fields}
+        line = {
+            "at": round(self._now(), 3),
+            "event": topic.value,
+            "name": topic.name.lower(),
+            "proxy": self._proxy,
+            **fields,
+        }
         with self._handler.threadbound():
             self._logger.info(json.dumps(line, default=str))
 
--- a/orioleplank/gateway/_registry.py
+++ b/orioleplank/gateway/_registry.py
@@ -207,7 +207,7 @@
         self._journal.note(
             Topic.FLEET,
             outcome="seen" if record else "gone",
-            name=name,
+            peer=name,
             incarnation=record.incarnation if record else "",
             retired=record.retired if record else False,
             stopping=record.stopping if record else False,
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -121,7 +121,20 @@
             for entry in beliefs.directory.of_service(route.service)
             if not avoided.holds(entry.id) and self._takes_work(entry.id, primary)
         ]
-        return place_read(candidates, ReadNeed(self._needed_position(request)))
+        placement = place_read(candidates, ReadNeed(self._needed_position(request)))
+        if isinstance(placement, Nowhere) and lease is not None:
+            return Nowhere(f"primary {primary} takes no work now; {placement.why}")
+        return placement
+
+    def explain_no_primary(self, request: Request) -> str:
+        """Say why the primary cannot be sent work now."""
+        lease = self.beliefs.lease(request.route.service)
+        if lease is None:
+            return "no primary is in force for the service"
+        left = lease.ends_at - self.beliefs.lease_now()
+        if left <= 0:
+            return f"the lease on primary {lease.primary} ended {-left:.1f} s ago"
+        return f"primary {lease.primary} does not answer here, or is leaving"
 
     def _takes_work(self, instance: str, primary: str) -> bool:
         if instance not in self.beliefs.pools:
@@ -180,7 +193,7 @@
         while self.left(request) > LEAST_TRY_S:
             lease = self.writable_lease(request, avoided)
             if lease is None:
-                last = refuse(Code.BUSY, "place write", "no lease on a primary")
+                last = refuse(Code.BUSY, "place write", self.explain_no_primary(request))
                 if not self.may_hope(request, avoided):
                     return last
                 await self.beliefs.changed.wait(min(LOOK_AGAIN_S, self.left(request)))
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -153,7 +153,7 @@
         else:
             lease = self._statements.writable_lease(request, avoided)
             if lease is None:
-                return Nowhere("no lease on a primary")
+                return Nowhere(self._statements.explain_no_primary(request))
             instance, after = lease.primary, None
         pool = self._beliefs.pools[instance]
         seconds = self._statements.left(request) * TRY_SHARE
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -43,8 +43,12 @@
 
 
 def _build_gateway(reactor: Any, settings: GatewaySettings, journal: Journal) -> Gateway:
+
+    def note_unreadable(kind: str, name: str) -> None:
+        journal.note(Topic.UNREADABLE, kind=kind, object=name)
+
     outside = Outside(
-        PlatformStore(StoreClient(reactor, settings.store)),
+        PlatformStore(StoreClient(reactor, settings.store), note_unreadable),
         InstanceDialer(reactor),
         PromotionClient(reactor, settings.promotions, settings.name),
         HttpViews(reactor),
@@ -76,7 +80,7 @@
 
     def check() -> None:
         settings = load_settings()
-        journal.note(Topic.RELOADED, name=settings.name, store=settings.store)
+        journal.note(Topic.RELOADED, store=settings.store, promotions=settings.promotions)
 
     def start() -> None:
         signal.signal(signal.SIGTERM, end)
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -49,6 +49,8 @@
 
 T = TypeVar("T")
 Reader = Callable[[RawObject], "T | None"]
+# Told of the kind and name of an object that cannot be read.
+UnreadableListener = Callable[[str, str], None]
 
 
 class StoreClient:
@@ -110,10 +112,20 @@
 class ObjectKind(Generic[T]):
     """One kind of objects; implements the gateway's `Watched`."""
 
-    def __init__(self, client: StoreClient, kind: str, read: Reader[T]) -> None:
+    def __init__(
+        self, client: StoreClient, kind: str, read: Reader[T], on_unreadable: UnreadableListener
+    ) -> None:
         self._client = client
         self._kind = kind
-        self._read = read
+        self._read_object = read
+        self._on_unreadable = on_unreadable
+
+    def _read(self, raw: RawObject) -> T | None:
+        """Read an object; tell of one that cannot be read."""
+        item = self._read_object(raw)
+        if item is None:
+            self._on_unreadable(self._kind, raw.name)
+        return item
 
     async def list(self) -> Listing[T]:
         """Read all objects, linearizably; raise `StoreUnavailableError`."""
@@ -179,7 +191,11 @@
 class PlatformStore:
     """The platform's store; implements the gateway's `Store`."""
 
-    def __init__(self, client: StoreClient) -> None:
-        self.routes: Watched[RouteTable] = ObjectKind(client, ROUTES_KIND, read_routes)
-        self.instances: Watched[InstanceEntry] = ObjectKind(client, INSTANCES_KIND, read_instance)
-        self.records: Records = RecordKind(client, RECORDS_KIND, read_record)
+    def __init__(self, client: StoreClient, on_unreadable: UnreadableListener) -> None:
+        self.routes: Watched[RouteTable] = ObjectKind(
+            client, ROUTES_KIND, read_routes, on_unreadable
+        )
+        self.instances: Watched[InstanceEntry] = ObjectKind(
+            client, INSTANCES_KIND, read_instance, on_unreadable
+        )
+        self.records: Records = RecordKind(client, RECORDS_KIND, read_record, on_unreadable)
--- a/orioleplank/tests/test_docs.py
+++ b/orioleplank/tests/test_docs.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from orioleplank.decision import Event, Reason
+from orioleplank.gateway import Topic
 
 DOCS = Path(__file__).parents[2] / "docs"
 
@@ -16,8 +17,14 @@
             with self.subTest(event.name):
                 self.assertIn(f"| {event.value} | {event.name.lower()} |", text)
 
+    def test_every_event_of_the_gateway_is_in_the_catalogue(self) -> None:
+        text = (DOCS / "EVENTS.md").read_text(encoding="utf-8")
+        for topic in Topic:
+            with self.subTest(topic.name):
+                self.assertIn(f"| {topic.value} | {topic.name.lower()} |", text)
+
     def test_every_reason_is_explained_to_operators(self) -> None:
-        text = (DOCS / "OPERATING.md").read_text(encoding="utf-8")
+        text = (DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
         for reason in Reason:
             with self.subTest(reason.name):
                 self.assertIn(reason.value, text)
