--- a/orioleplank/decision/instances/_directory.py
+++ b/orioleplank/decision/instances/_directory.py
@@ -12,6 +12,10 @@
 
 # How long a vanished entry is kept while the store is reached: lapsed entries are back by then.
 MISSING_GRACE_S = 2.0
+# The same for an instance that leads: its group is led by another one by then.
+MISSING_PRIMARY_GRACE_S = 5.0
+# After this long without its entry an instance that answers is taken for one that leaves.
+MISSING_LEAVES_S = 2.2
 # How long a draining primary is sent work while its successor is named: well within the time for
 # which it goes on serving.
 DRAINING_PRIMARY_S = 4.0
@@ -67,6 +71,12 @@
     # When it was first seen draining, in seconds; None while it is not.
     draining_since: float | None = None
 
+    def is_leaving(self, now: float) -> bool:
+        """Tell whether it will end, or has to be taken for one that does."""
+        if self.draining_since is not None:
+            return True
+        return self.missing_since is not None and now - self.missing_since >= MISSING_LEAVES_S
+
 
 @dataclass(frozen=True, slots=True)
 class Directory:
@@ -95,17 +105,22 @@
             return self
         return Directory({**self.instances, name: replace(known, missing_since=now)})
 
-    def expire(self, now: float, contact_at: float) -> Directory:
+    def expire(
+        self, now: float, contact_at: float, leading: frozenset[str] = frozenset()
+    ) -> Directory:
         """Drop what is missing for longer than its grace, all of it in contact with the store.
 
-        `contact_at` is the last moment at which the store was heard after being away.
+        `contact_at` is the last moment at which the store was heard after being away, `leading`
+        names the primaries.
         """
-        kept = {
-            name: known
-            for name, known in self.instances.items()
-            if known.missing_since is None
-            or now - max(known.missing_since, contact_at) < MISSING_GRACE_S
-        }
+
+        def is_kept(name: str, known: KnownInstance) -> bool:
+            if known.missing_since is None:
+                return True
+            grace = MISSING_PRIMARY_GRACE_S if name in leading else MISSING_GRACE_S
+            return now - max(known.missing_since, contact_at) < grace
+
+        kept = {name: known for name, known in self.instances.items() if is_kept(name, known)}
         return self if len(kept) == len(self.instances) else Directory(kept)
 
     def of_service(self, service: str) -> tuple[InstanceEntry, ...]:
@@ -121,8 +136,10 @@
 
     def takes_work(self, name: str) -> bool:
         """Tell whether an instance may be sent new work."""
-        entry = self.entry(name)
-        return entry is not None and entry.state is InstanceState.READY
+        known = self.instances.get(name)
+        if known is None or known.missing_since is not None:
+            return False
+        return known.entry.state is InstanceState.READY
 
     def takes_work_as_primary(self, name: str, now: float) -> bool:
         """Tell whether a primary may be sent new work; one that drains may for a moment."""
--- a/orioleplank/decision/keeper/_evidence.py
+++ b/orioleplank/decision/keeper/_evidence.py
@@ -16,8 +16,8 @@
 
     # True when its entry exists.
     listed: bool
-    # True when its entry says that it will end.
-    draining: bool
+    # True when its entry says that it will end, or is missing although it answers.
+    leaving: bool
     # Seconds since the first failure after its last answer; 0 without a failure.
     failing_for: float
     # Failures since its last answer.
@@ -60,6 +60,6 @@
         return FoundDead("its entry is gone")
     if evidence.failures >= LEAST_FAILURES and evidence.failing_for >= SILENCE_S:
         return FoundDead(f"{evidence.failures} failures in {evidence.failing_for:.1f} s")
-    if evidence.draining:
+    if evidence.leaving:
         return Leaving()
     return StillThere()
--- a/orioleplank/gateway/_mover.py
+++ b/orioleplank/gateway/_mover.py
@@ -10,7 +10,7 @@
 
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.group import GroupRecord, Phase, SeenRecord
-from orioleplank.decision.instances import DbRole, InstanceState
+from orioleplank.decision.instances import DbRole
 from orioleplank.decision.keeper import (
     Evidence,
     FoundDead,
@@ -52,8 +52,9 @@
 # A promotion is ordered within this time after the record was written, in seconds.
 ORDER_WINDOW_S = 2.0
 # A move whose record has not changed for this long is taken over, in seconds: its holder writes
-# the record at least every `REFRESH_S`, and orders nothing after `ORDER_WINDOW_S`.
-TAKE_OVER_S = 6.0
+# the record at least every `REFRESH_S`, orders nothing after `ORDER_WINDOW_S`, and cuts an order
+# that is not answered a second later.
+TAKE_OVER_S = 4.0
 REFRESH_S = 1.0
 # Time for a promotion to take effect before another one is ordered, in seconds.
 EFFECT_S = 3.0
@@ -160,11 +161,18 @@
         if revision != seen.revision:
             self._seen_moving[service] = (seen.revision, now)
             return
-        delay = TAKE_OVER_S + self._rank(service) * RANK_DELAY_S
-        mine = seen.record.incarnation == self._me.incarnation
-        if mine or now - since >= delay:
+        patience = 0.0 if self._has_holder_ended(seen.record) else TAKE_OVER_S
+        delay = patience + self._rank(service) * RANK_DELAY_S
+        if now - since >= delay:
             self._start(service, self._move(service, seen, seen.record.planned))
 
+    def _has_holder_ended(self, record: GroupRecord) -> bool:
+        """Tell whether the run that holds a move has ended for sure."""
+        if record.holder == self._me.name:
+            return True
+        holder = self._beliefs.fleet.proxies.get(record.holder)
+        return holder is not None and holder.incarnation != record.incarnation
+
     def _may_act(self, service: str, verdict: object) -> bool:
         """Tell whether a verdict has stood for long enough for this proxy's rank."""
         now, kind = self._beliefs.now(), type(verdict)
@@ -179,11 +187,11 @@
         return rank_proxies(service, names).index(self._me.name)
 
     def _find_evidence(self, record: GroupRecord) -> Evidence:
-        entry = self._beliefs.directory.entry(record.primary)
+        known = self._beliefs.directory.instances.get(record.primary)
         pool = self._beliefs.pools.get(record.primary)
         return Evidence(
-            listed=entry is not None,
-            draining=entry is not None and entry.state is InstanceState.DRAINING,
+            listed=known is not None,
+            leaving=known is not None and known.is_leaving(self._beliefs.now()),
             failing_for=pool.failing_for if pool else 0.0,
             failures=pool.failures if pool else 0,
         )
--- a/orioleplank/gateway/_platform_view.py
+++ b/orioleplank/gateway/_platform_view.py
@@ -59,7 +59,9 @@
         if self._trouble:
             return
         beliefs = self._beliefs
-        left = beliefs.directory.expire(beliefs.now(), self._contact_at)
+        records = (seen.record for seen in beliefs.leases.seen.values())
+        leading = frozenset(record.primary for record in records)
+        left = beliefs.directory.expire(beliefs.now(), self._contact_at, leading)
         if left is not beliefs.directory:
             beliefs.take_directory(left)
 
--- a/orioleplank/gateway/_ports.py
+++ b/orioleplank/gateway/_ports.py
@@ -197,6 +197,9 @@
     def refuse(self, failure: Failure) -> None:
         """Refuse the session and end it."""
 
+    def read_on(self) -> None:
+        """Read requests again after the session was behind."""
+
     def close(self) -> None:
         """End the session once what was sent is delivered."""
 
@@ -204,6 +207,10 @@
 class CallerSession(Protocol):
     """The gateway's side of one session."""
 
+    @property
+    def is_behind(self) -> bool:
+        """True while so many requests wait that no more should be read."""
+
     def ask(self, request: str, statement: Statement) -> None:
         """Take a request; it is answered on the session's link."""
 
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -42,8 +42,8 @@
 from orioleplank.gateway._statements import Statements
 from orioleplank.gateway._transactions import Transaction, Transactions
 
-# Requests of one session that may wait; a caller that sends more breaks the protocol.
-WAITING_LIMIT = 64
+# Requests of one session that wait before no more are read.
+BEHIND_LIMIT = 4
 # Time for statements that no route limits, in seconds.
 DEFAULT_TIMEOUT_S = 1.0
 
@@ -80,6 +80,11 @@
         self._is_running = False
         self._has_ended = False
 
+    @property
+    def is_behind(self) -> bool:
+        """True while so many requests wait that no more should be read."""
+        return len(self._waiting) >= BEHIND_LIMIT
+
     @property
     def is_resting(self) -> bool:
         """True when it is in no transaction and no request is in progress."""
@@ -90,9 +95,6 @@
     def ask(self, request: str, statement: Statement) -> None:
         """Take a request; it is answered on the session's link."""
         beliefs = self._parts.beliefs
-        if len(self._waiting) >= WAITING_LIMIT:
-            self._link.refuse(Failure(Code.MALFORMED, "program session: too many requests wait"))
-            return
         asked = _Asked(request, statement, beliefs.lease_now(), beliefs.now())
         self._waiting.append(asked)
         if not self._is_running:
@@ -151,6 +153,8 @@
                 break
             state = _STATES[self._session.phase]
             self._link.reply(replace(reply, state=state))
+            if not self.is_behind:
+                self._link.read_on()
         self._is_running = False
         if self._has_ended:
             await self._abandon()
--- a/orioleplank/platform/_caller.py
+++ b/orioleplank/platform/_caller.py
@@ -28,6 +28,9 @@
         self._reactor = reactor
         self._session: CallerSession | None = None
         self._timer: Any = None
+        # True while the caller does not take its replies.
+        self._is_slow = False
+        self._is_paused = False
 
     # Twisted's side.
 
@@ -36,8 +39,22 @@
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
         transport.setTcpKeepAlive(True)
+        transport.registerProducer(self, True)
         self._timer = self._reactor.callLater(STARTUP_LIMIT_S, self.close)
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Read nothing more: the caller does not take its replies."""
+        self._is_slow = True
+        self._read_if_wanted()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Read again: the caller has taken its replies."""
+        self._is_slow = False
+        self._read_if_wanted()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Nothing to do: the connection is lost."""
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Take one message."""
         word, _, rest = line.decode(codec.ENCODING).partition(" ")
@@ -47,6 +64,7 @@
             case "QUERY" if self._session is not None:
                 request, _, text = rest.partition(" ")
                 self._session.ask(request, codec.parse_statement(text))
+                self._read_if_wanted()
             case "TERMINATE":
                 self.close()
             case _:
@@ -85,12 +103,28 @@
         self._send_lines([_format_failure(failure)])
         self.close()
 
+    def read_on(self) -> None:
+        """Read requests again after the session was behind."""
+        self._read_if_wanted()
+
     def close(self) -> None:
         """End the session once what was sent is delivered."""
         transport: Any = self.transport
         if transport is not None:
+            transport.unregisterProducer()
             transport.loseConnection()
 
+    def _read_if_wanted(self) -> None:
+        transport: Any = self.transport
+        wanted = not self._is_slow and not (self._session is not None and self._session.is_behind)
+        if transport is None or wanted is not self._is_paused:
+            return
+        self._is_paused = not wanted
+        if wanted:
+            transport.resumeProducing()
+        else:
+            transport.pauseProducing()
+
     def _open(self, rest: str) -> None:
         self._stop_timer()
         # The word after the database names the caller.
--- a/orioleplank/tests/_site.py
+++ b/orioleplank/tests/_site.py
@@ -88,6 +88,9 @@
         self.refusal = failure
         self.close()
 
+    def read_on(self) -> None:
+        """Nothing to do: requests come one by one."""
+
     def close(self) -> None:
         """Note the end and tell the session, as a connection would."""
         if not self.is_closed:
