--- a/orioleplank/decision/group/_lease.py
+++ b/orioleplank/decision/group/_lease.py
@@ -16,7 +16,7 @@
 from enum import Enum, unique
 
 # How long a read of the record may be relied on: the store's usual outages, plus a renewal.
-LEASE_S = 10.0
+LEASE_S = 9.0
 # Added by whoever waits for leases to end: differences in the rate of two clocks.
 RELEASE_MARGIN_S = 0.5
 
@@ -49,6 +49,8 @@
     number: int = 0
     # True while the primary that is being left still runs.
     planned: bool = False
+    # True once nobody relies on the primary that is being left, so that another one is promoted.
+    released: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/decision/membership/__init__.py
+++ b/orioleplank/decision/membership/__init__.py
@@ -3,10 +3,14 @@
 from orioleplank.decision.membership._fleet import (
     Fleet,
     ProxyRecord,
+    find_watched,
     rank_proxies,
 )
 from orioleplank.decision.membership._peer import (
     PeerMessage,
+    Ping,
+    PingAsked,
+    Pong,
     ReachAsked,
     ReachTold,
     ReleaseAsked,
@@ -16,10 +20,14 @@
 __all__ = [
     "Fleet",
     "PeerMessage",
+    "Ping",
+    "PingAsked",
+    "Pong",
     "ProxyRecord",
     "ReachAsked",
     "ReachTold",
     "ReleaseAsked",
     "Released",
+    "find_watched",
     "rank_proxies",
 ]
--- a/orioleplank/decision/membership/_fleet.py
+++ b/orioleplank/decision/membership/_fleet.py
@@ -43,6 +43,18 @@
         return tuple(r for r in records if not r.retired and not r.stopping)
 
 
+# Proxies that each proxy watches, so that one is still watched when its neighbour dies too.
+WATCHED_COUNT = 2
+
+
+def find_watched(me: str, names: Iterable[str]) -> tuple[str, ...]:
+    """Return the proxies that `me` watches: the next ones in a ring of all."""
+    ring = rank_proxies("ring", {*names, me})
+    place = ring.index(me)
+    following = ring[place + 1 :] + ring[:place]
+    return following[:WATCHED_COUNT]
+
+
 def rank_proxies(service: str, names: Iterable[str]) -> tuple[str, ...]:
     """Order proxies by who acts first for a service (rendezvous hashing, Thaler, 1996)."""
 
--- a/orioleplank/decision/membership/_peer.py
+++ b/orioleplank/decision/membership/_peer.py
@@ -57,4 +57,34 @@
     age: float
 
 
-PeerMessage = ReleaseAsked | Released | ReachAsked | ReachTold
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks a proxy whether it lives."""
+
+    # Name of the asking proxy.
+    sender: str
+    # Name of the proxy that wants to know, to which the answer goes.
+    asker: str
+
+
+@dataclass(frozen=True, slots=True)
+class PingAsked:
+    """Asks a proxy to ask another one whether it lives, since it may reach it."""
+
+    # Name of the asking proxy.
+    sender: str
+    # Name of the other one.
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """A proxy lives."""
+
+    # Name of the proxy.
+    sender: str
+    # Its run.
+    incarnation: str
+
+
+PeerMessage = ReleaseAsked | Released | ReachAsked | ReachTold | Ping | PingAsked | Pong
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -9,7 +9,7 @@
 from orioleplank.decision import Position
 from orioleplank.decision.group import Lease, LeaseBook, Phase, PositionHistory, SeenRecord
 from orioleplank.decision.instances import Directory, InstanceEntry, Route, RouteTable
-from orioleplank.decision.membership import Fleet
+from orioleplank.decision.membership import Fleet, ProxyRecord
 from orioleplank.gateway._journal import Journal, Topic
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._ports import Detour, Dialer
@@ -17,6 +17,11 @@
 
 # Connections of an instance that no proxy counts on, for proxies that come and go.
 SPARE_CONNECTIONS = 2
+# Time in which the words of proxies that live come in, in seconds: two rounds between regions, and
+# the end of the work at a primary that is left on purpose.
+WORDS_S = 1.0
+# Time in which an ordered promotion takes effect, in seconds.
+PROMOTION_S = 2.0
 # How long new connections to an instance go through a peer before the direct way is tried again.
 DETOUR_S = 6.0
 
@@ -40,6 +45,8 @@
         self.pools: dict[str, InstancePool] = {}
         # Statements and transactions that rely on a service's primary now.
         self.primary_work: Counter[str] = Counter()
+        # When runs of proxies were first seen as retired, in seconds of the clock of leases.
+        self.retired_at: dict[str, float] = {}
         # Fires whenever a belief changes.
         self.changed = Signal(reactor)
         # Called with an instance's id whenever it did not answer.
@@ -48,6 +55,7 @@
         self._dialer = dialer
         self._journal = journal
         self._boot_now = boot_now
+        self._moving_since: dict[str, tuple[bool, float]] = {}
         self._detours: dict[str, tuple[Detour, float]] = {}
         self._positions: dict[str, tuple[int, PositionHistory]] = {}
 
@@ -67,6 +75,31 @@
         """Return the route of a database, or None."""
         return self.routes.routes.get(database)
 
+    def take_fleet(self, fleet: Fleet) -> None:
+        """Take the registered proxies."""
+        before, self.fleet = self.fleet, fleet
+        for name in sorted(before.proxies.keys() | fleet.proxies.keys()):
+            old, new = before.proxies.get(name), fleet.proxies.get(name)
+            if old != new:
+                self._note_proxy(name, new)
+        retired = {r.incarnation for r in fleet.proxies.values() if r.retired}
+        now = self.lease_now()
+        self.retired_at = {run: self.retired_at.get(run, now) for run in retired}
+        if fleet != before:
+            self.changed.fire()
+
+    def _note_proxy(self, name: str, record: ProxyRecord | None) -> None:
+        self._journal.note(
+            Topic.FLEET,
+            outcome="seen" if record else "gone",
+            peer=name,
+            incarnation=record.incarnation if record else "",
+            retired=record.retired if record else False,
+            stopping=record.stopping if record else False,
+        )
+
+    # Routes.
+
     def take_routes(self, table: RouteTable) -> None:
         """Take a version of the configuration; an older one changes nothing."""
         newest = self.routes.newer(table)
@@ -152,8 +185,17 @@
         for service, seen in book.seen.items():
             if before.seen.get(service) != seen:
                 self._note_group(seen)
+                self._note_move(seen)
         self.changed.fire()
 
+    def _note_move(self, seen: SeenRecord) -> None:
+        """Keep since when a move has been in its present stage."""
+        service, released = seen.record.service, seen.record.released
+        if seen.record.phase is not Phase.MOVING:
+            self._moving_since.pop(service, None)
+        elif self._moving_since.get(service, (None, 0.0))[0] is not released:
+            self._moving_since[service] = (released, self.now())
+
     def _note_group(self, seen: SeenRecord) -> None:
         record = seen.record
         self._journal.note(
@@ -167,10 +209,18 @@
             lease_asked_at=round(self.leases.asked_at, 3),
         )
 
-    def is_moving(self, service: str) -> bool:
-        """Tell whether a new primary is being named."""
+    def expects_primary(self, service: str) -> bool:
+        """Tell whether a new primary is likely to lead within a statement's time.
+
+        It is at the beginning of a move, when words come in quickly, and once a promotion is
+        ordered; not while leases of proxies that are silent have to be waited out.
+        """
         seen = self.leases.seen.get(service)
-        return seen is not None and seen.record.phase is Phase.MOVING
+        if seen is None or seen.record.phase is not Phase.MOVING:
+            return False
+        since = self._moving_since.get(service, (False, 0.0))[1]
+        limit = PROMOTION_S if seen.record.released else WORDS_S
+        return self.now() - since < limit
 
     # Positions.
 
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from orioleplank.gateway._clock import boot_seconds
 from orioleplank.gateway._inspection import Inspection
 from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._liveness import PING_S, Liveness
 from orioleplank.gateway._metrics import Metrics
 from orioleplank.gateway._mover import LOOK_S, Mover
 from orioleplank.gateway._peers import PeerSocket
@@ -101,6 +102,14 @@
             outside.views,
         )
         self._inspection = Inspection(reactor, self.beliefs, settings.name)
+        self._liveness = Liveness(
+            self.beliefs,
+            outside.store.records,
+            journal,
+            me,
+            self._registry.find_revision,
+            self._random,
+        )
         self._releases = Releases(reactor, self.beliefs, journal, me)
         self._mover = Mover(
             reactor,
@@ -144,11 +153,12 @@
         self._reactor.listenTCP(int(port) + PORT_OFFSET, tunnels, interface=host)
         host, _, port = self._settings.metrics.rpartition(":")
         self._reactor.listenTCP(int(port), self.metrics.build_site(), interface=host)
-        self._inspection.socket = self._releases.socket = socket
+        self._inspection.socket = self._releases.socket = self._liveness.socket = socket
         timer = self.kernel.find("timer")
         assert isinstance(timer, Timer)
         timer.subscribe(self, "look", LOOK_S)
         timer.subscribe(self, "housekeeping", HOUSEKEEPING_S)
+        timer.subscribe(self, "ping", PING_S)
         self._run(self._registry.run())
         self._run(self._registry.renew())
         self._run(self._view.routes.run())
@@ -161,6 +171,8 @@
             case TimerTick("look"):
                 self._mover.look()
                 self._note_ready()
+            case TimerTick("ping") if not self._is_stopping:
+                self._run(self._liveness.watch())
             case TimerTick("housekeeping"):
                 self._view.expire_instances()
                 if self._view.is_away:
@@ -183,6 +195,7 @@
     def _take_peer_message(self, message: PeerMessage) -> None:
         self._inspection.take(message)
         self._releases.take(message)
+        self._liveness.take(message)
 
     def _run(self, work: Coroutine[Any, Any, None]) -> None:
         Deferred.fromCoroutine(work).addErrback(self._fail)
--- a/orioleplank/gateway/_mover.py
+++ b/orioleplank/gateway/_mover.py
@@ -309,7 +309,7 @@
         await self._retire(late)
 
     async def _claim(self, old: GroupRecord, revision: int, planned: bool) -> _Move:
-        record = replace(old, phase=Phase.MOVING, planned=planned)
+        record = replace(old, phase=Phase.MOVING, planned=planned, released=False)
         move = _Move(record, revision, self._beliefs.lease_now())
         await self._write(move, record)
         return move
@@ -361,14 +361,19 @@
     def _find_leading(
         self, reports: tuple[InstanceReport, ...], old: GroupRecord
     ) -> InstanceReport | None:
-        """Find an instance that leads a higher term already."""
-        leading = [r for r in reports if r.role is DbRole.PRIMARY and r.term > old.term]
+        """Find an instance that leads already.
+
+        An instance that was replaced with its log and its lead has a new id and the old term.
+        """
+        leading = [report for report in reports if _leads_after(report, old)]
         return max(leading, key=lambda report: report.term) if leading else None
 
     async def _order(self, move: _Move, successor: str) -> bool:
         """Order a promotion; False when that instance cannot take over."""
         if self._beliefs.lease_now() - move.asked_at >= ORDER_WINDOW_S / 2:
             await self._write(move, move.record)
+        elif not move.record.released:
+            await self._write(move, replace(move.record, released=True))
         if self._beliefs.lease_now() - move.asked_at >= ORDER_WINDOW_S:
             return False
         service = move.record.service
@@ -388,7 +393,7 @@
         while self._beliefs.now() < limit:
             pool = self._beliefs.pools.get(successor)
             report = await self._inspection.probe(pool) if pool is not None else None
-            if report is not None and report.role is DbRole.PRIMARY and report.term > old.term:
+            if report is not None and _leads_after(report, old):
                 return report
             if self._beliefs.lease_now() - move.asked_at >= REFRESH_S:
                 await self._write(move, move.record)
@@ -470,3 +475,9 @@
             outcome=outcome,
             **fields,
         )
+
+
+def _leads_after(report: InstanceReport, old: GroupRecord) -> bool:
+    if report.role is not DbRole.PRIMARY:
+        return False
+    return report.term > old.term or (report.id != old.primary and report.term == old.term)
--- a/orioleplank/gateway/_peers.py
+++ b/orioleplank/gateway/_peers.py
@@ -13,6 +13,9 @@
 
 from orioleplank.decision.membership import (
     PeerMessage,
+    Ping,
+    PingAsked,
+    Pong,
     ReachAsked,
     ReachTold,
     ReleaseAsked,
@@ -20,7 +23,10 @@
 )
 
 _TYPES = MappingProxyType(
-    {kind.__name__: TypeAdapter(kind) for kind in (ReleaseAsked, Released, ReachAsked, ReachTold)}
+    {
+        kind.__name__: TypeAdapter(kind)
+        for kind in (ReleaseAsked, Released, ReachAsked, ReachTold, Ping, PingAsked, Pong)
+    }
 )
 
 
--- a/orioleplank/gateway/_registry.py
+++ b/orioleplank/gateway/_registry.py
@@ -34,7 +34,7 @@
 from orioleplank.gateway._signal import sleep
 
 # Seconds between renewals of the leases: a fifth of a lease.
-RENEW_S = 2.0
+RENEW_S = 1.6
 # Longest wait of a watch, in seconds.
 WATCH_S = 10.0
 # Pause before a registration that failed is tried again, in seconds.
@@ -75,6 +75,10 @@
         seen = self._beliefs.fleet.proxies.get(self._me.name)
         return seen is not None and seen.incarnation == self._me.incarnation and not seen.retired
 
+    def find_revision(self, proxy: str) -> int | None:
+        """Return the revision of a proxy's record; None when there is none."""
+        return self.revisions.get(proxy)
+
     async def run(self) -> None:
         """Register, then follow the records."""
         await self.register()
@@ -160,7 +164,7 @@
         self, proxies: Iterable[ProxyRecord], groups: Iterable[SeenRecord], asked_at: float
     ) -> None:
         """Take a linearizable listing that was asked for at `asked_at`, on the clock of leases."""
-        self._take_fleet(Fleet({record.name: record for record in proxies}))
+        self._beliefs.take_fleet(Fleet({record.name: record for record in proxies}))
         records = {seen.record.service: seen for seen in groups}
         book = self._beliefs.leases.take_listing(asked_at, records, self.is_registered)
         self._beliefs.take_leases(book)
@@ -180,7 +184,7 @@
         if record is not None and item.revision > self.revisions.get(record.name, 0):
             self.revisions[record.name] = item.revision
             proxies = {**self._beliefs.fleet.proxies, record.name: record}
-            self._take_fleet(Fleet(proxies))
+            self._beliefs.take_fleet(Fleet(proxies))
             self._register_again_if_needed()
 
     def _take_removal(self, name: str) -> None:
@@ -189,30 +193,9 @@
         proxy = name.removeprefix(PROXY_PREFIX)
         self.revisions.pop(proxy, None)
         kept = {n: r for n, r in self._beliefs.fleet.proxies.items() if n != proxy}
-        self._take_fleet(Fleet(kept))
+        self._beliefs.take_fleet(Fleet(kept))
         self._register_again_if_needed()
 
-    def _take_fleet(self, fleet: Fleet) -> None:
-        before = self._beliefs.fleet
-        if fleet == before:
-            return
-        self._beliefs.fleet = fleet
-        for name in sorted(before.proxies.keys() | fleet.proxies.keys()):
-            old, new = before.proxies.get(name), fleet.proxies.get(name)
-            if old != new:
-                self._note_proxy(name, new)
-        self._beliefs.changed.fire()
-
-    def _note_proxy(self, name: str, record: ProxyRecord | None) -> None:
-        self._journal.note(
-            Topic.FLEET,
-            outcome="seen" if record else "gone",
-            peer=name,
-            incarnation=record.incarnation if record else "",
-            retired=record.retired if record else False,
-            stopping=record.stopping if record else False,
-        )
-
     def _register_again_if_needed(self) -> None:
         if self.is_registered or self._is_stopped or self._is_registering:
             return
--- a/orioleplank/gateway/_relay.py
+++ b/orioleplank/gateway/_relay.py
@@ -17,8 +17,8 @@
 from orioleplank.gateway._registry import Registry
 from orioleplank.gateway._views import PATH, StoreView, Views, ViewUnavailableError, dump_view
 
-# A listing older than this gives no lease worth having, in seconds; no one passes it on.
-OLDEST_S = 9.0
+# A listing older than this gives hardly a lease any more, in seconds; nobody passes it on.
+OLDEST_S = 8.0
 
 
 class Relay(Resource):
--- a/orioleplank/gateway/_release.py
+++ b/orioleplank/gateway/_release.py
@@ -84,26 +84,39 @@
         """
         gathering = _Gathering(revision)
         self._gatherings[service] = gathering
-        limit = self._beliefs.lease_now() + LEASE_S + RELEASE_MARGIN_S
+        began = self._beliefs.lease_now()
         own = Deferred.fromCoroutine(self.give_up(service, revision, planned))
+        late: set[str] = set()
         missing = self._find_missing(gathering, holders)
-        while missing and self._beliefs.lease_now() < limit:
+        while missing:
             for peer in missing:
                 if self.socket is not None:
                     asked = ReleaseAsked(self._me.name, service, revision, planned)
                     self.socket.send(peer.address, asked)
             await sleep(self._reactor, ASK_AGAIN_S)
-            missing = self._find_missing(gathering, holders)
+            late.update(peer.name for peer in missing if self._has_lapsed(peer, began))
+            waiting = self._find_missing(gathering, holders)
+            missing = tuple(peer for peer in waiting if peer.name not in late)
         await own
         if self._gatherings.get(service) is gathering:
             del self._gatherings[service]
-        return missing
+        return tuple(holder for holder in holders if holder.name in late)
 
     def _find_missing(
         self, gathering: _Gathering, holders: tuple[ProxyRecord, ...]
     ) -> tuple[ProxyRecord, ...]:
         return tuple(holder for holder in holders if not self._is_free(gathering, holder))
 
+    def _has_lapsed(self, holder: ProxyRecord, began: float) -> bool:
+        """Tell whether all leases that a holder may have had are over.
+
+        They rest on listings from before the move began, or from before it was retired.
+        """
+        since = began
+        if holder.retired:
+            since = min(began, self._beliefs.retired_at.get(holder.incarnation, began))
+        return self._beliefs.lease_now() >= since + LEASE_S + RELEASE_MARGIN_S
+
     def _is_free(self, gathering: _Gathering, holder: ProxyRecord) -> bool:
         """Tell whether a holder's run has given its word or has ended."""
         if holder.name == self._me.name:
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -28,6 +28,9 @@
 AVOID_S = 0.1
 # How long an instance whose log lacked a position is passed over by all reads, in seconds.
 LAGGING_PAUSE_S = 0.1
+# How long a primary that does not answer is waited for, in seconds: until others are asked about
+# it, and a way around or a move is found.
+HOPE_S = 1.5
 # How long a statement waits before it looks again, if nothing changes, in seconds.
 LOOK_AGAIN_S = 0.05
 # How long an answer waits for a newer lease that covers it, in seconds: a renewal period.
@@ -181,7 +184,13 @@
 
     def may_hope(self, request: Request, avoided: Avoided) -> bool:
         """Tell whether an instance may be found soon, so that waiting for a moment makes sense."""
-        return avoided.any or self.beliefs.is_moving(request.route.service)
+        lease = self.beliefs.lease(request.route.service)
+        if lease is None:
+            return self.beliefs.expects_primary(request.route.service)
+        pool = self.beliefs.pools.get(lease.primary)
+        if pool is None or pool.failing_for >= HOPE_S:
+            return False
+        return avoided.any
 
     # Writes.
 
--- a/orioleplank/tests/_site.py
+++ b/orioleplank/tests/_site.py
@@ -30,7 +30,13 @@
 )
 from orioleplank.tests._fabric import Fabric, Node
 from orioleplank.tests._node_reactor import Network, NodeReactor
-from orioleplank.tests._site_instances import SERVICE, SiteDialer, SiteGroup, SitePromotions
+from orioleplank.tests._site_instances import (
+    SERVICE,
+    SiteDialer,
+    SiteGroup,
+    SiteInstance,
+    SitePromotions,
+)
 from orioleplank.tests._site_store import STORE, SiteStore, StorePort
 
 QUOTES = "quotes"
@@ -223,6 +229,20 @@
             node.dialer.lose_links(name)
         self.fabric.after(3.6, lambda: self._lapse(name))
 
+    def replace_primary(self, name: str, successor: str) -> None:
+        """End a primary; an instance of another id takes over its log, lead and address."""
+        old = self.group.members.pop(name)
+        new = SiteInstance(successor, role=old.role, term=old.term, log=list(old.log))
+        new.entry = replace(old.entry, id=successor, born=old.entry.born + 1)
+        self.group.members[successor] = new
+        self.fabric.nodes[successor] = new
+        old.alive = False
+        old.run += 1
+        for node in self.proxies:
+            node.dialer.lose_links(name)
+        self.store.delete("instances", name)
+        self.group.publish(successor)
+
     def drain(self, name: str) -> None:
         """Let an instance announce that it will end."""
         self.group.publish(name, InstanceState.DRAINING)
--- a/orioleplank/tests/_site_instances.py
+++ b/orioleplank/tests/_site_instances.py
@@ -471,8 +471,11 @@
 
         A tunnel reaches the instance as the proxy at its other end does.
         """
-        fabric, member = self._group.fabric, self._group.members[entry.id]
+        fabric, member = self._group.fabric, self._group.members.get(entry.id)
         result: Deferred[InstanceLink] = Deferred()
+        if member is None:
+            result.errback(InstanceRefusedError("dial", entry.id, "wrong instance"))
+            return result
 
         by_way_of = None
         if detour is not None and self._find_peer is not None:
@@ -516,14 +519,15 @@
         self._node = node
 
     def order(self, service: str, instance: str, token: int) -> Deferred[bool]:
-        """Order a promotion."""
+        """Order a promotion; for the present primary nothing changes."""
         group, result = self._group, Deferred[bool]()
         group.orders.append((self._node.name, token, instance))
         member = group.members[instance]
         if not member.alive:
             result.callback(False)
             return result
-        term = max(m.term for m in group.members.values()) + 1
-        group.fabric.after(PROMOTE_S, lambda: group.promote(instance, term))
+        if member is not group.primary():
+            term = max(m.term for m in group.members.values()) + 1
+            group.fabric.after(PROMOTE_S, lambda: group.promote(instance, term))
         group.fabric.after(0.03, lambda: result.callback(True))
         return result
--- a/orioleplank/tests/test_site.py
+++ b/orioleplank/tests/test_site.py
@@ -7,6 +7,7 @@
 import testtools
 from twisted.internet.defer import Deferred
 
+from orioleplank.decision.group import LEASE_S
 from orioleplank.decision.session import (
     Begin,
     Code,
@@ -131,11 +132,69 @@
         site.crash("db-a")
         crashed_at = site.fabric.now
         site.run(20.0)
-        lease = silent.gateway.beliefs.leases.asked_at + 10.0
+        lease = silent.gateway.beliefs.leases.asked_at + LEASE_S
         self.assertEqual([2], site.promoted_terms())
         self.assertGreater(site.group.began[2], lease)
         self.assertLess(site.group.began[2], crashed_at + 16.0)
 
+    def test_proxy_that_died_long_before_is_not_waited_for(self) -> None:
+        site = _started()
+        site.run(2.0)
+        site.proxies[2].frozen = True
+        site.run(LEASE_S + 5.0)
+        self.assertNotIn("entry-3", site.proxies[0].gateway.beliefs.fleet.proxies)
+        site.crash("db-a")
+        crashed_at = site.fabric.now
+        site.run(6.0)
+        self.assertEqual([2], site.promoted_terms())
+        self.assertLess(site.group.began[2], crashed_at + 5.0)
+
+    def test_wait_for_a_dead_proxy_begins_when_it_is_retired(self) -> None:
+        site = _started()
+        site.run(2.0)
+        site.proxies[2].frozen = True
+        died_at = site.fabric.now
+        site.run(6.0)
+        self.assertTrue(site.proxies[0].gateway.beliefs.fleet.proxies["entry-3"].retired)
+        site.crash("db-a")
+        site.run(12.0)
+        self.assertEqual([2], site.promoted_terms())
+        self.assertGreater(site.group.began[2], died_at + LEASE_S - 2.0)
+        self.assertLess(site.group.began[2], died_at + LEASE_S + 5.0)
+
+    def test_proxy_that_wakes_up_registers_again_and_serves(self) -> None:
+        site = _started()
+        site.run(2.0)
+        site.fabric.freeze("entry-3", 6.0)
+        site.run(8.0)
+        self.assertFalse(site.proxies[0].gateway.beliefs.fleet.proxies["entry-3"].retired)
+        caller = site.open(site.proxies[2], QUOTES)
+        self.assertIsNone(site.ask(caller, Write("q1 oak")).failure)
+
+    def test_instance_that_was_replaced_with_its_lead_is_taken_as_primary(self) -> None:
+        site = _started()
+        caller = site.open(site.proxies[0], QUOTES)
+        site.ask(caller, Write("q1 oak"))
+        site.replace_primary("db-a", "db-n")
+        site.run(12.0)
+        self.assertEqual(("oak",), site.ask(caller, Read("q1")).rows)
+
+    def test_moves_of_a_fleet_that_died_are_finished_by_the_next(self) -> None:
+        site = _started()
+        site.crash("db-a")
+        while site.proxies[0].gateway.beliefs.leases.lease("books") is not None:
+            site.run(0.05)
+        for proxy in site.proxies:
+            site.kill(proxy)
+        site.run(0.5)
+        for proxy in site.proxies:
+            site.start(proxy)
+        started_at = site.fabric.now
+        site.run(8.0)
+        caller = site.open(site.proxies[1], QUOTES)
+        self.assertIsNone(site.ask(caller, Write("q1 oak")).failure)
+        self.assertLess(max(site.group.began.values()), started_at + 6.0)
+
     def test_restarted_proxy_is_not_waited_for(self) -> None:
         site = _started()
         site.kill(site.proxies[2])
