--- a/orioleplank/tests/_site.py
+++ b/orioleplank/tests/_site.py
@@ -12,6 +12,7 @@
 from orioleplank.decision import Position
 from orioleplank.decision.instances import (
     Consistency,
+    DbRole,
     InstanceEntry,
     InstanceState,
     Route,
@@ -79,6 +80,8 @@
     session: Any = None
     # Called with each reply.
     on_reply: Callable[[Reply], None] = lambda reply: None
+    # Called once when the session ends.
+    on_close: Callable[[], None] = lambda: None
 
     def greet(self) -> None:
         """Note that the session is open."""
@@ -103,6 +106,13 @@
             self.is_closed = True
             if self.session is not None:
                 self.session.end()
+            self.on_close()
+
+    def lose(self) -> None:
+        """Note that the proxy's process has ended."""
+        if not self.is_closed:
+            self.is_closed = True
+            self.on_close()
 
 
 @dataclass(slots=True)
@@ -112,6 +122,8 @@
     gateway: Gateway = field(init=False)
     journal: MemoryJournal = field(default_factory=MemoryJournal)
     dialer: SiteDialer = field(init=False)
+    # Sessions of this run.
+    callers: list[SiteCaller] = field(default_factory=list)
     # Seconds by which its machine was suspended.
     suspended: float = 0.0
 
@@ -130,7 +142,12 @@
 
         def look() -> None:
             view = peer.gateway.describe_view()
-            fabric.deliver(peer.name, self._node.name, lambda: result.callback(view), reply=True)
+
+            def arrive() -> None:
+                if not result.called:
+                    result.callback(view)
+
+            fabric.deliver(peer.name, self._node.name, arrive, reply=True)
 
         def expire() -> None:
             if not result.called:
@@ -217,6 +234,9 @@
         node.run += 1
         for _, link in node.dialer.links:
             link.close()
+        callers, node.callers = node.callers, []
+        for caller in callers:
+            caller.lose()
 
     # Instances.
 
@@ -243,6 +263,16 @@
         self.store.delete("instances", name)
         self.group.publish(successor)
 
+    def return_instance(self, name: str) -> None:
+        """Start a crashed instance again with its log, as a replica if another one leads."""
+        member = self.group.members[name]
+        member.alive = True
+        primary = self.group.primary()
+        if primary is not member:
+            member.role = DbRole.REPLICA
+            self.group.catch_up(name)
+        self.group.publish(name, InstanceState.READY)
+
     def drain(self, name: str) -> None:
         """Let an instance announce that it will end."""
         self.group.publish(name, InstanceState.DRAINING)
@@ -267,6 +297,7 @@
         """Open a session."""
         caller = SiteCaller()
         caller.session = node.gateway.sessions.open(caller, database)
+        node.callers.append(caller)
         return caller
 
     def send(self, caller: SiteCaller, statement: Statement) -> str:
--- a/orioleplank/tests/_site_instances.py
+++ b/orioleplank/tests/_site_instances.py
@@ -106,6 +106,9 @@
         self.began: dict[int, float] = {1: 0.0}
         # Fencing tokens and instances of all orders.
         self.orders: list[tuple[str, int, str]] = []
+        # Called with each statement that runs, and each commit that writes.
+        self.on_run: Callable[[SiteInstance, str, dict[str, str]], None] = lambda *_: None
+        self.on_commit: Callable[[SiteInstance, dict[str, str]], None] = lambda *_: None
         self._publish = publish
         self.members: dict[str, SiteInstance] = {}
         for number, letter in enumerate("abc"):
@@ -151,6 +154,7 @@
         """Append a commit and send it to the replicas of its term."""
         at = Position(primary.term, primary.position.index + 1)
         entry = Entry(at, tuple(writes.items()))
+        self.on_commit(primary, writes)
         primary.log.append(entry)
         for member in self.members.values():
             if member is not primary and member.role is DbRole.REPLICA:
@@ -293,6 +297,7 @@
                 shape,
             )
         )
+        self._group.on_run(member, request, dict(self._values))
         if member.is_failing:
             return self._fail(Code.EXECUTION_FAILED)
         item, _, data = statement.arguments.partition(" ")
