--- a/orioleplank/decision/keeper/_evidence.py
+++ b/orioleplank/decision/keeper/_evidence.py
@@ -22,8 +22,6 @@
     failing_for: float
     # Failures since its last answer.
     failures: int
-    # True when another instance leads a higher term.
-    replaced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,18 +42,11 @@
     why: str
 
 
-@dataclass(frozen=True, slots=True)
-class Replaced:
-    """Another instance leads already."""
-
-
-Verdict = StillThere | Leaving | FoundDead | Replaced
+Verdict = StillThere | Leaving | FoundDead
 
 
 def judge_primary(evidence: Evidence) -> Verdict:
     """Judge a primary; `FoundDead` still needs the word of other proxies."""
-    if evidence.replaced:
-        return Replaced()
     if not evidence.listed:
         return FoundDead("its entry is gone")
     if evidence.failures >= LEAST_FAILURES and evidence.failing_for >= SILENCE_S:
--- a/orioleplank/gateway/__init__.py
+++ b/orioleplank/gateway/__init__.py
@@ -3,6 +3,7 @@
 from orioleplank.gateway._clock import boot_seconds
 from orioleplank.gateway._gateway import Gateway, Outside, build_kernel
 from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._metrics import Metrics
 from orioleplank.gateway._ports import (
     CallerLink,
     CallerSession,
@@ -43,6 +44,7 @@
     "InstanceUnreachableError",
     "Journal",
     "Listing",
+    "Metrics",
     "Outside",
     "Promotions",
     "Records",
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -17,7 +17,7 @@
 from orioleplank.gateway._journal import Journal, Topic
 from orioleplank.gateway._liveness import PING_S, Liveness
 from orioleplank.gateway._metrics import Metrics
-from orioleplank.gateway._mover import LOOK_S, Mover
+from orioleplank.gateway._moves import Moves
 from orioleplank.gateway._peers import PeerSocket
 from orioleplank.gateway._platform_view import PlatformView
 from orioleplank.gateway._ports import Dialer, Promotions, Store
@@ -30,6 +30,7 @@
 from orioleplank.gateway._statements import Statements
 from orioleplank.gateway._tunnel import PORT_OFFSET, TunnelFactory
 from orioleplank.gateway._views import StoreView, Views
+from orioleplank.gateway._watch import LOOK_S, Watch
 from orioleplank.kernel import Kernel, Service, Timer, TimerTick
 
 # Time for the balancer to notice that no new sessions are wanted, in seconds: two of its questions
@@ -67,6 +68,7 @@
         settings: GatewaySettings,
         outside: Outside,
         journal: Journal,
+        metrics: Metrics,
         boot_now: Callable[[], float] = boot_seconds,
         random: Random | None = None,
     ) -> None:
@@ -77,7 +79,7 @@
         self._random = random or Random()
         self._is_stopping = False
         self._was_ready = False
-        self.metrics = Metrics()
+        self.metrics = metrics
         me = ProxyRecord(
             settings.name, f"{settings.name}-{uuid.uuid4().hex[:12]}", settings.peers, settings.zone
         )
@@ -111,7 +113,7 @@
             self._random,
         )
         self._releases = Releases(reactor, self.beliefs, journal, me)
-        self._mover = Mover(
+        self._moves = Moves(
             reactor,
             self.beliefs,
             journal,
@@ -121,6 +123,7 @@
             self._releases,
             me,
         )
+        self._watch = Watch(reactor, self.beliefs, journal, self._inspection, self._moves, me)
         statements = Statements(self.beliefs, reactor, settings.zone)
         self.sessions = SessionTable(self.beliefs, statements, journal, self.metrics)
         self._me = me
@@ -169,7 +172,7 @@
         """Let time pass."""
         match message:
             case TimerTick("look"):
-                self._mover.look()
+                self._watch.look()
                 self._note_ready()
             case TimerTick("ping") if not self._is_stopping:
                 self._run(self._liveness.watch())
@@ -190,7 +193,7 @@
         return entry.address if entry else None
 
     def _take_trouble(self, instance: str) -> None:
-        self.kernel.schedule(self._mover.look)
+        self.kernel.schedule(self._watch.look)
 
     def _take_peer_message(self, message: PeerMessage) -> None:
         self._inspection.take(message)
@@ -213,7 +216,7 @@
         began = self.beliefs.now()
         grace = self._settings.grace
         self._journal.note(Topic.STOPPING, sessions=len(self.sessions), grace=grace)
-        self._mover.is_stopped = True
+        self._moves.is_stopped = True
         self._run(self._registry.leave())
         await sleep(self._reactor, min(NOTICE_S, grace * TRANSACTION_SHARE))
         self.sessions.leave()
--- a/orioleplank/gateway/_journal.py
+++ b/orioleplank/gateway/_journal.py
@@ -84,9 +84,12 @@
 class Journal:
     """Writes what was decided and why."""
 
-    def __init__(self, proxy: str, now: Callable[[], float]) -> None:
+    def __init__(
+        self, proxy: str, now: Callable[[], float], on_event: Callable[[str], None]
+    ) -> None:
         self._proxy = proxy
         self._now = now
+        self._on_event = on_event
         descriptor = sys.stdout.fileno()
         os.set_blocking(descriptor, False)
         self._handler = _OutputHandler(descriptor)
@@ -97,6 +100,7 @@
 
     def note(self, topic: Topic, **fields: object) -> None:
         """Write a line on a belief, a dependency, a start or a stop."""
+        self._on_event(topic.name.lower())
         line = {
             "at": round(self._now(), 3),
             "event": topic.value,
--- a/orioleplank/gateway/_metrics.py
+++ b/orioleplank/gateway/_metrics.py
@@ -38,6 +38,15 @@
             registry=self.registry,
             buckets=_BUCKETS,
         )
+        self.events = Counter(
+            "orioleplank_events", "Numbered events.", ("event",), registry=self.registry
+        )
+        self.store_calls = Counter(
+            "orioleplank_store_calls",
+            "Calls to the platform's store, by answer.",
+            ("method", "answer"),
+            registry=self.registry,
+        )
         self.served_by = Counter(
             "orioleplank_served_by",
             "Statements that an instance answered.",
--- a/orioleplank/gateway/_mover.py
+++ b/orioleplank/gateway/_moves.py
@@ -1,8 +1,7 @@
-"""Names a group's next primary: on its own when one is dead, ahead of time when one leaves."""
+"""One move: gathers words, promotes the best instance, and writes who leads."""
 
 from __future__ import annotations
 
-from collections.abc import Coroutine
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -11,17 +10,8 @@
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.group import GroupRecord, Phase, SeenRecord
 from orioleplank.decision.instances import DbRole
-from orioleplank.decision.keeper import (
-    Evidence,
-    FoundDead,
-    InstanceReport,
-    Leaving,
-    StillThere,
-    choose_successors,
-    has_caught_up,
-    judge_primary,
-)
-from orioleplank.decision.membership import ProxyRecord, rank_proxies
+from orioleplank.decision.keeper import InstanceReport, choose_successors, has_caught_up
+from orioleplank.decision.membership import ProxyRecord
 from orioleplank.gateway._beliefs import Beliefs
 from orioleplank.gateway._inspection import Inspection
 from orioleplank.gateway._journal import Journal, Topic
@@ -34,28 +24,9 @@
 from orioleplank.gateway._records import dump_group, name_group, read_group, read_proxy
 from orioleplank.gateway._release import Releases
 from orioleplank.gateway._signal import sleep
-from orioleplank.gateway._tunnel import find_detour
-
-# Seconds between looks at each primary.
-LOOK_S = 0.25
-# A proxy acts this much later than the one ranked before it, in seconds.
-RANK_DELAY_S = 0.4
-# A primary that has not answered for this long is asked for its state, in seconds.
-QUIET_S = 1.5
-# An instance that owes answers and has given none for this long is asked too, in seconds: longer
-# than most statements take.
-OVERDUE_S = 0.3
-# An answer that a peer has had within this time shows that the primary lives, in seconds.
-ALIVE_S = 1.0
-# Without any peer's word a proxy waits this long before it trusts its own view, in seconds.
-ALONE_S = 3.0
+
 # A promotion is ordered within this time after the record was written, in seconds.
 ORDER_WINDOW_S = 2.0
-# A move whose record has not changed for this long is taken over, in seconds: its holder writes
-# the record at least every `REFRESH_S`, orders nothing after `ORDER_WINDOW_S`, and cuts an order
-# that is not answered a second later.
-TAKE_OVER_S = 4.0
-REFRESH_S = 1.0
 # Time for a promotion to take effect before another one is ordered, in seconds.
 EFFECT_S = 3.0
 # Pause between looks at the instance that is being promoted, in seconds.
@@ -66,6 +37,10 @@
 CATCH_UP_LOOK_S = 0.02
 # Pause after a step that failed, in seconds.
 AGAIN_S = 0.2
+# Seconds between two writes of the record of a move that goes on, so that nobody takes it over.
+REFRESH_S = 1.0
+# Pause between looks whether all words are in, in seconds.
+GATHER_LOOK_S = 0.05
 
 
 class MoveLostError(OrioleplankError):
@@ -84,18 +59,8 @@
     asked_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class _Standing:
-    """A verdict and since when it stands."""
-
-    # Kind of the verdict.
-    kind: type[object]
-    # Since when, in seconds.
-    since: float
-
-
-class Mover:
-    """Watches all primaries and moves those that have to be."""
+class Moves:
+    """Carries out moves of primaries."""
 
     def __init__(
         self,
@@ -116,182 +81,11 @@
         self._inspection = inspection
         self._releases = releases
         self._me = me
-        self._standing: dict[str, _Standing] = {}
-        self._seen_moving: dict[str, tuple[int, float]] = {}
-        self._busy: set[str] = set()
-        self._probing: set[str] = set()
         self._number = 0
         self.is_stopped = False
 
-    # Watching.
-
-    def look(self) -> None:
-        """Look at every service once."""
-        if self.is_stopped or not self._beliefs.leases.asked_at > float("-inf"):
-            return
-        for instance in self._beliefs.pools:
-            self._probe_if_quiet(instance)
-        for service in self._beliefs.routes.services:
-            if service not in self._busy:
-                self._look_at(service)
-
-    def _look_at(self, service: str) -> None:
-        seen = self._beliefs.leases.seen.get(service)
-        if seen is None:
-            if self._may_act(service, "absent"):
-                self._start(service, self._create_record(service))
-            return
-        if seen.record.phase is Phase.MOVING:
-            self._look_at_move(service, seen)
-            return
-        self._seen_moving.pop(service, None)
-        match judge_primary(self._find_evidence(seen.record)):
-            case StillThere():
-                self._standing.pop(service, None)
-            case FoundDead(why) as verdict:
-                acts = self._may_act(service, verdict)
-                self._begin(service, self._inquire(service, seen, why, acts))
-            case verdict if self._may_act(service, verdict):
-                self._start(service, self._move(service, seen, isinstance(verdict, Leaving)))
-
-    def _look_at_move(self, service: str, seen: SeenRecord) -> None:
-        """Take over a move whose holder has gone silent."""
-        now = self._beliefs.now()
-        revision, since = self._seen_moving.get(service, (0, now))
-        if revision != seen.revision:
-            self._seen_moving[service] = (seen.revision, now)
-            return
-        patience = 0.0 if self._has_holder_ended(seen.record) else TAKE_OVER_S
-        delay = patience + self._rank(service) * RANK_DELAY_S
-        if now - since >= delay:
-            self._start(service, self._move(service, seen, seen.record.planned))
-
-    def _has_holder_ended(self, record: GroupRecord) -> bool:
-        """Tell whether the run that holds a move has ended for sure."""
-        if record.holder == self._me.name:
-            return True
-        holder = self._beliefs.fleet.proxies.get(record.holder)
-        return holder is not None and holder.incarnation != record.incarnation
-
-    def _may_act(self, service: str, verdict: object) -> bool:
-        """Tell whether a verdict has stood for long enough for this proxy's rank."""
-        now, kind = self._beliefs.now(), type(verdict)
-        standing = self._standing.get(service)
-        if standing is None or standing.kind is not kind:
-            standing = _Standing(kind, now)
-            self._standing[service] = standing
-        return now - standing.since >= self._rank(service) * RANK_DELAY_S
-
-    def _rank(self, service: str) -> int:
-        names = {record.name for record in self._beliefs.fleet.active()} | {self._me.name}
-        return rank_proxies(service, names).index(self._me.name)
-
-    def _find_evidence(self, record: GroupRecord) -> Evidence:
-        known = self._beliefs.directory.instances.get(record.primary)
-        pool = self._beliefs.pools.get(record.primary)
-        return Evidence(
-            listed=known is not None,
-            leaving=known is not None and known.is_leaving(self._beliefs.now()),
-            failing_for=pool.failing_for if pool else 0.0,
-            failures=pool.failures if pool else 0,
-        )
-
-    def _probe_if_quiet(self, instance: str) -> None:
-        """Ask an instance that fails, or whose answers are overdue; a primary also when idle."""
-        pool = self._beliefs.pools[instance]
-        if instance in self._probing:
-            return
-        quiet = self._beliefs.now() - pool.answered_at
-        is_overdue = pool.in_flight > 0 and quiet >= OVERDUE_S
-        lease = self._beliefs.lease(pool.entry.service)
-        is_idle = lease is not None and lease.primary == instance and quiet >= QUIET_S
-        if pool.failures or is_overdue or is_idle:
-            self._probing.add(instance)
-            probe = Deferred.fromCoroutine(self._inspection.probe(pool))
-
-            def forget(result: object) -> object:
-                self._probing.discard(instance)
-                return result
-
-            probe.addBoth(forget).addErrback(self._fail)
-
-    # Work on one service.
-
-    def _start(self, service: str, work: Coroutine[Any, Any, None]) -> None:
-        self._standing.pop(service, None)
-        self._begin(service, work)
-
-    def _begin(self, service: str, work: Coroutine[Any, Any, None]) -> None:
-        self._busy.add(service)
-
-        def end(_: object) -> None:
-            self._busy.discard(service)
-
-        Deferred.fromCoroutine(work).addErrback(self._fail).addBoth(end)
-
-    def _fail(self, failure: Any) -> None:
-        if isinstance(failure.value, OrioleplankError):
-            self._journal.note(Topic.MOVE, outcome="given up", why=str(failure.value))
-            return
-        self._journal.note(Topic.ERROR, step="move primary", detail=failure.getTraceback())
-
-    async def _create_record(self, service: str) -> None:
-        """Write the first record of a service, from what its instances say."""
-        reports = await self._inspection.report_all(self._beliefs.directory.of_service(service))
-        leading = [report for report in reports if report.role is DbRole.PRIMARY]
-        if not leading:
-            self._journal.note(Topic.MOVE, service=service, outcome="no primary found")
-            return
-        leader = max(leading, key=lambda report: report.term)
-        record = self._sign(GroupRecord(service, Phase.STABLE, leader.id, leader.term, "", ""))
-        revision = await self._records.create(name_group(service), dump_group(record))
-        self._take_record(record, revision)
-
-    async def _inquire(self, service: str, seen: SeenRecord, why: str, acts: bool) -> None:
-        """Ask the other proxies about a primary that does not answer here.
-
-        One that reaches it becomes the way to it. Otherwise it is replaced, if this proxy `acts`.
-        """
-        is_dead = await self._is_dead_for_all(seen.record, why)
-        if is_dead and acts:
-            self._standing.pop(service, None)
-            await self._move(service, seen, planned=False)
-            return
-        if not is_dead:
-            self._standing.pop(service, None)
-        await sleep(self._reactor, AGAIN_S)
-
-    async def _is_dead_for_all(self, record: GroupRecord, why: str) -> bool:
-        """Ask the other proxies; one that reaches the primary shows that it lives."""
-        peers = [peer for peer in self._beliefs.fleet.active() if peer.name != self._me.name]
-        ages = await self._inspection.ask_reach(record.primary, peers)
-        pool = self._beliefs.pools.get(record.primary)
-        alone = bool(peers) and not ages and (pool is None or pool.failing_for < ALONE_S)
-        is_dead = not alone and all(age > ALIVE_S for age in ages.values())
-        self._journal.note(
-            Topic.SUSPICION,
-            service=record.service,
-            primary=record.primary,
-            why=why,
-            peers=ages,
-            outcome="dead" if is_dead else "not confirmed",
-        )
-        self._take_detour(record.primary, ages)
-        return is_dead
-
-    def _take_detour(self, instance: str, ages: dict[str, float]) -> None:
-        """Reach an instance through the peer that had its last answer."""
-        alive = {name: age for name, age in ages.items() if age <= ALIVE_S}
-        if not alive:
-            return
-        nearest = min(alive, key=lambda name: alive[name])
-        peer = self._beliefs.fleet.proxies.get(nearest)
-        if peer is not None:
-            self._beliefs.take_detour(instance, find_detour(peer, instance), nearest)
-
-    # A move.
-
-    async def _move(self, service: str, seen: SeenRecord, planned: bool) -> None:
+    async def move(self, service: str, seen: SeenRecord, planned: bool) -> None:
+        """Move the primary of a service away from the one that `seen` names."""
         old = seen.record
         move = await self._claim(old, seen.revision, planned)
         self._note_move(move, "claimed", old_primary=old.primary, planned=planned)
@@ -330,7 +124,7 @@
     ) -> tuple[ProxyRecord, ...]:
         """Keep the move while words are gathered; return whose leases had to be waited out."""
         while not gathering.called:
-            await sleep(self._reactor, LOOK_S / 5)
+            await sleep(self._reactor, GATHER_LOOK_S)
             if self._beliefs.lease_now() - move.asked_at >= REFRESH_S:
                 await self._write(move, move.record)
         return await gathering
@@ -424,6 +218,18 @@
             except StoreConflictError:
                 continue
 
+    async def create_record(self, service: str) -> None:
+        """Write the first record of a service, from what its instances say."""
+        reports = await self._inspection.report_all(self._beliefs.directory.of_service(service))
+        leading = [report for report in reports if report.role is DbRole.PRIMARY]
+        if not leading:
+            self._journal.note(Topic.MOVE, service=service, outcome="no primary found")
+            return
+        leader = max(leading, key=lambda report: report.term)
+        record = self._sign(GroupRecord(service, Phase.STABLE, leader.id, leader.term, "", ""))
+        revision = await self._records.create(name_group(service), dump_group(record))
+        self._take_record(record, revision)
+
     # The record.
 
     def _sign(self, record: GroupRecord) -> GroupRecord:
--- a/orioleplank/gateway/_ports.py
+++ b/orioleplank/gateway/_ports.py
@@ -123,9 +123,6 @@
     A question's result fails with `InstanceUnreachableError` when the connection breaks.
     """
 
-    # Position of the instance's log when the connection was opened.
-    opened_at_position: Position | None
-
     def prepare(self, step: Preparation) -> Deferred[Reply]:
         """Change values or prepared names."""
 
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -56,7 +56,6 @@
         self._entry = entry
         self._prologue = prologue
         self._questions: deque[_Question] = deque()
-        self.opened_at_position: Position | None = None
         self.greeted: Deferred[InstanceLink] = Deferred()
         self._is_greeted = False
 
@@ -165,7 +164,6 @@
     def _take_greeting(self, word: str, rest: str) -> None:
         self._is_greeted = True
         if word == "READY":
-            self.opened_at_position = codec.parse_position(rest.partition(" ")[2])
             self.greeted.callback(self)
             return
         error = InstanceRefusedError("open connection", self._entry.id, rest or word)
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -7,12 +7,14 @@
 
 from twisted.internet.defer import Deferred
 
+from orioleplank._exceptions import SettingsError
 from orioleplank._reactor import find_reactor
 from orioleplank.gateway import (
     Gateway,
     GatewaySettings,
     HttpViews,
     Journal,
+    Metrics,
     Outside,
     Topic,
     boot_seconds,
@@ -33,8 +35,9 @@
     """Run until the platform asks the process to end; raise `SettingsError` before."""
     settings = load_settings()
     reactor = find_reactor()
-    journal = Journal(settings.name, boot_seconds)
-    gateway = _build_gateway(reactor, settings, journal)
+    metrics = Metrics()
+    journal = Journal(settings.name, boot_seconds, lambda event: metrics.events.labels(event).inc())
+    gateway = _build_gateway(reactor, settings, journal, metrics)
     kernel = build_kernel(reactor, gateway, journal)
     _listen(reactor, settings, gateway)
     _handle_signals(reactor, gateway, journal)
@@ -42,18 +45,22 @@
     reactor.run(installSignalHandlers=False)
 
 
-def _build_gateway(reactor: Any, settings: GatewaySettings, journal: Journal) -> Gateway:
+def _build_gateway(
+    reactor: Any, settings: GatewaySettings, journal: Journal, metrics: Metrics
+) -> Gateway:
+    def count_call(method: str, answer: str) -> None:
+        metrics.store_calls.labels(method, answer).inc()
 
     def note_unreadable(kind: str, name: str) -> None:
         journal.note(Topic.UNREADABLE, kind=kind, object=name)
 
     outside = Outside(
-        PlatformStore(StoreClient(reactor, settings.store), note_unreadable),
+        PlatformStore(StoreClient(reactor, settings.store, count_call), note_unreadable),
         InstanceDialer(reactor),
         PromotionClient(reactor, settings.promotions, settings.name),
         HttpViews(reactor),
     )
-    return Gateway(reactor, settings, outside, journal)
+    return Gateway(reactor, settings, outside, journal, metrics)
 
 
 def _listen(reactor: Any, settings: GatewaySettings, gateway: Gateway) -> None:
@@ -79,7 +86,11 @@
         reactor.callFromThread(check)
 
     def check() -> None:
-        settings = load_settings()
+        try:
+            settings = load_settings()
+        except SettingsError as error:
+            journal.note(Topic.ERROR, step="reload", detail=str(error))
+            return
         journal.note(Topic.RELOADED, store=settings.store, promotions=settings.promotions)
 
     def start() -> None:
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -49,6 +49,8 @@
 
 T = TypeVar("T")
 Reader = Callable[[RawObject], "T | None"]
+# Told of the method and the answer of each call.
+CallListener = Callable[[str, str], None]
 # Told of the kind and name of an object that cannot be read.
 UnreadableListener = Callable[[str, str], None]
 
@@ -56,7 +58,7 @@
 class StoreClient:
     """Calls to the store; one client for all kinds."""
 
-    def __init__(self, reactor: Any, address: str) -> None:
+    def __init__(self, reactor: Any, address: str, on_call: CallListener) -> None:
         self._base = f"http://{address}/orioleplank/objects"
         self._address = address
         self._reactor = reactor
@@ -64,7 +66,7 @@
         pool.maxPersistentPerHost = 8
         pool.retryAutomatically = False
         self._agent: Any = Agent(reactor, connectTimeout=CONNECT_LIMIT_S, pool=pool)
-        self.calls = 0
+        self._on_call = on_call
 
     async def call(
         self, method: str, path: str, body: object = None, limit: float = CALL_LIMIT_S
@@ -73,7 +75,6 @@
 
         Raise `StoreUnavailableError`, `StoreConflictError` or `HistoryLostError`.
         """
-        self.calls += 1
         step = f"{method} {path.partition('?')[0]}"
         headers: Any = {"Content-Type": ["application/json"]} if body is not None else {}
         data = None if body is None else json.dumps(body).encode()
@@ -90,7 +91,9 @@
             text = await treq.content(response).addTimeout(limit, self._reactor)
         except _BROKEN as error:
             detail = type(error).__name__
+            self._on_call(method, detail)
             raise StoreUnavailableError(step, self._address, detail) from error
+        self._on_call(method, str(response.code))
         return self._read(step, response.code, text)
 
     def _read(self, step: str, code: int, text: bytes) -> Any:
--- a/orioleplank/tests/_site.py
+++ b/orioleplank/tests/_site.py
@@ -23,6 +23,7 @@
 from orioleplank.gateway import (
     Gateway,
     GatewaySettings,
+    Metrics,
     Outside,
     StoreView,
     Topic,
@@ -217,6 +218,7 @@
             settings,
             outside,
             journal,
+            Metrics(),
             boot_now=lambda: self.fabric.now + node.suspended,
             random=Random(f"{self.fabric.random.random()}"),
         )
--- a/orioleplank/tests/_site_instances.py
+++ b/orioleplank/tests/_site_instances.py
@@ -197,7 +197,6 @@
         self, group: SiteGroup, node: Node, member: SiteInstance, by_way_of: Node | None = None
     ) -> None:
         self._by_way_of = by_way_of
-        self.opened_at_position: Position | None = member.position
         self._group = group
         self._fabric = group.fabric
         self._node = node
