--- a/orioleplank/decision/keeper/_evidence.py
+++ b/orioleplank/decision/keeper/_evidence.py
@@ -4,8 +4,9 @@
 
 from dataclasses import dataclass
 
-# Silence after which a primary counts as unreachable from here, in seconds.
-SILENCE_S = 0.6
+# Silence after which other proxies are asked about a primary, in seconds: longer than a reconnect
+# between regions takes.
+SILENCE_S = 0.4
 # Failures in a row that count, so that one reset connection is not a dead instance.
 LEAST_FAILURES = 2
 
--- a/orioleplank/decision/membership/_peer.py
+++ b/orioleplank/decision/membership/_peer.py
@@ -55,6 +55,8 @@
     number: int
     # Seconds since the answer; infinite when there was none.
     age: float
+    # Failures since the answer.
+    failures: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from random import Random
+from traceback import format_exc
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -43,6 +44,8 @@
 # Pause between looks whether all sessions have ended, in seconds.
 LEAVE_LOOK_S = 0.05
 HOUSEKEEPING_S = 0.5
+# Pause before a loop that failed is run again, in seconds.
+LOOP_AGAIN_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,10 +165,13 @@
         timer.subscribe(self, "look", LOOK_S)
         timer.subscribe(self, "housekeeping", HOUSEKEEPING_S)
         timer.subscribe(self, "ping", PING_S)
-        self._run(self._registry.run())
-        self._run(self._registry.renew())
-        self._run(self._view.routes.run())
-        self._run(self._view.instances.run())
+        for loop in (
+            self._registry.run,
+            self._registry.renew,
+            self._view.routes.run,
+            self._view.instances.run,
+        ):
+            self._run(self._keep_running(loop))
         self._journal.note(Topic.STARTED, incarnation=self._me.incarnation, zone=self._me.zone)
 
     def receive(self, message: object) -> None:
@@ -200,6 +206,16 @@
         self._releases.take(message)
         self._liveness.take(message)
 
+    async def _keep_running(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run a loop to its end; after a fault of this program run it again."""
+        while not self._is_stopping:
+            try:
+                await loop()
+                return
+            except Exception:
+                self._journal.note(Topic.ERROR, step=loop.__qualname__, detail=format_exc())
+                await sleep(self._reactor, LOOP_AGAIN_S)
+
     def _run(self, work: Coroutine[Any, Any, None]) -> None:
         Deferred.fromCoroutine(work).addErrback(self._fail)
 
--- a/orioleplank/gateway/_inspection.py
+++ b/orioleplank/gateway/_inspection.py
@@ -24,6 +24,9 @@
 # Time for other proxies' words, in seconds, and how often they are asked in it.
 REACH_LIMIT_S = 0.2
 REACH_ROUNDS = 2
+# A proxy that is asked about an instance looks itself if it has heard nothing of it for this long,
+# in seconds; the next round has what it found.
+LOOK_SELF_S = 0.3
 
 UNREACHED = (
     InstanceUnreachableError,
@@ -112,14 +115,17 @@
     # Other proxies.
 
     async def ask_reach(self, instance: str, peers: Iterable[ProxyRecord]) -> dict[str, float]:
-        """Return the seconds since each peer's last answer from an instance, by its name."""
+        """Return the seconds since each peer's last answer from an instance, by its name.
+
+        They are infinite for a peer whose tries have failed since.
+        """
         number, question = next(self._numbers), _Question()
         self._questions[number] = question
         asked = ReachAsked(self._me, number, instance)
         others = [peer for peer in peers if peer.name != self._me]
         for _ in range(REACH_ROUNDS):
             for peer in others:
-                if peer.name not in question.ages and self.socket is not None:
+                if self.socket is not None:
                     self.socket.send(peer.address, asked)
             await sleep(self._reactor, REACH_LIMIT_S / REACH_ROUNDS)
         del self._questions[number]
@@ -130,15 +136,17 @@
         match message:
             case ReachAsked(sender, number, instance):
                 self._tell_reach(sender, number, instance)
-            case ReachTold(sender, number, age):
+            case ReachTold(sender, number, age, failures):
                 question = self._questions.get(number)
                 if question is not None:
-                    question.ages[sender] = age
+                    question.ages[sender] = age if failures == 0 else float("inf")
 
     def _tell_reach(self, sender: str, number: int, instance: str) -> None:
         peer = self._beliefs.fleet.proxies.get(sender)
         pool = self._beliefs.pools.get(instance)
-        if peer is None or self.socket is None:
+        if peer is None or self.socket is None or pool is None:
             return
-        age = self._beliefs.now() - pool.answered_at if pool is not None else float("inf")
-        self.socket.send(peer.address, ReachTold(self._me, number, age))
+        age = self._beliefs.now() - pool.answered_at
+        if age >= LOOK_SELF_S:
+            Deferred.fromCoroutine(self.probe(pool))
+        self.socket.send(peer.address, ReachTold(self._me, number, age, pool.failures))
--- a/orioleplank/gateway/_views.py
+++ b/orioleplank/gateway/_views.py
@@ -8,11 +8,9 @@
 
 import treq
 from pydantic import TypeAdapter, ValidationError
-from twisted.internet.defer import CancelledError
-from twisted.internet.defer import TimeoutError as DeferredTimeoutError
-from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
-from twisted.web.client import Agent, ResponseFailed, ResponseNeverReceived
+from twisted.web.client import Agent
 
+from orioleplank._calls import UNANSWERED
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.group import SeenRecord
 from orioleplank.decision.instances import InstanceEntry, RouteTable
@@ -22,17 +20,6 @@
 # Time for a peer's answer, in seconds: several round trips between regions.
 ASK_LIMIT_S = 0.7
 
-_BROKEN = (
-    CancelledError,
-    ConnectError,
-    ConnectionDone,
-    ConnectionLost,
-    DeferredTimeoutError,
-    ResponseFailed,
-    ResponseNeverReceived,
-    ValidationError,
-)
-
 
 class ViewUnavailableError(OrioleplankError):
     """Another proxy gave no view of the store."""
@@ -90,6 +77,6 @@
             body = await treq.content(response).addTimeout(ASK_LIMIT_S, self._reactor)
             if response.code == 200:
                 return _VIEW.validate_json(body)
-        except _BROKEN as error:
+        except (*UNANSWERED, ValidationError) as error:
             raise ViewUnavailableError("fetch view", address, type(error).__name__) from error
         raise ViewUnavailableError("fetch view", address, f"code {response.code}")
--- a/orioleplank/platform/_promotions.py
+++ b/orioleplank/platform/_promotions.py
@@ -6,28 +6,14 @@
 from typing import Any
 
 import treq
-from twisted.internet.defer import CancelledError
-from twisted.internet.defer import TimeoutError as DeferredTimeoutError
-from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
-from twisted.internet.error import TimeoutError as TwistedTimeoutError
-from twisted.web.client import Agent, ResponseFailed, ResponseNeverReceived
+from twisted.web.client import Agent
 
+from orioleplank._calls import UNANSWERED
 from orioleplank.gateway import StoreUnavailableError
 
 # Time for the call, in seconds; then its connection is cut.
 CALL_LIMIT_S = 1.0
 
-_BROKEN = (
-    CancelledError,
-    DeferredTimeoutError,
-    ConnectError,
-    ConnectionDone,
-    ConnectionLost,
-    TwistedTimeoutError,
-    ResponseFailed,
-    ResponseNeverReceived,
-)
-
 
 class PromotionClient:
     """Orders promotions; implements the gateway's `Promotions`."""
@@ -60,7 +46,7 @@
                 timeout=CALL_LIMIT_S,
                 reactor=self._reactor,
             )
-        except _BROKEN as error:
+        except UNANSWERED as error:
             detail = type(error).__name__
             raise StoreUnavailableError("order promotion", self._address, detail) from error
         if response.code == 409:
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -8,12 +8,9 @@
 from urllib.parse import quote
 
 import treq
-from twisted.internet.defer import CancelledError
-from twisted.internet.defer import TimeoutError as DeferredTimeoutError
-from twisted.internet.error import ConnectError, ConnectionDone, ConnectionLost
-from twisted.internet.error import TimeoutError as TwistedTimeoutError
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseFailed, ResponseNeverReceived
+from twisted.web.client import Agent, HTTPConnectionPool
 
+from orioleplank._calls import UNANSWERED
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.gateway import (
     Changes,
@@ -36,17 +33,6 @@
 INSTANCES_KIND = "servers"
 RECORDS_KIND = "orioleplank"
 
-_BROKEN = (
-    CancelledError,
-    DeferredTimeoutError,
-    ConnectError,
-    ConnectionDone,
-    ConnectionLost,
-    TwistedTimeoutError,
-    ResponseFailed,
-    ResponseNeverReceived,
-)
-
 T = TypeVar("T")
 Reader = Callable[[RawObject], "T | None"]
 # Told of the method and the answer of each call.
@@ -89,7 +75,7 @@
                 reactor=self._reactor,
             )
             text = await treq.content(response).addTimeout(limit, self._reactor)
-        except _BROKEN as error:
+        except UNANSWERED as error:
             detail = type(error).__name__
             self._on_call(method, detail)
             raise StoreUnavailableError(step, self._address, detail) from error
--- a/orioleplank/tests/test_site.py
+++ b/orioleplank/tests/test_site.py
@@ -25,6 +25,7 @@
 )
 from orioleplank.gateway import Topic
 from orioleplank.tests._site import CATALOGUE, JOBS, QUOTES, Site, SiteCaller
+from orioleplank.tests._site_instances import PROMOTE_S
 
 START_S = 3.0
 
@@ -137,6 +138,17 @@
         self.assertGreater(site.group.began[2], lease)
         self.assertLess(site.group.began[2], crashed_at + 16.0)
 
+    def test_dead_primary_is_noticed_within_a_second_of_its_first_failure(self) -> None:
+        site = _started()
+        for proxy in site.proxies:
+            for _ in range(2):
+                _keep_writing(site, site.open(proxy, QUOTES))
+        site.run(1.0)
+        site.crash("db-a")
+        crashed_at = site.fabric.now
+        site.run(4.0)
+        self.assertLess(site.group.began[2] - crashed_at, 1.0 + PROMOTE_S)
+
     def test_proxy_that_died_long_before_is_not_waited_for(self) -> None:
         site = _started()
         site.run(2.0)
