Find a promotion that no proxy knows of; stop reading a caller that is being refused; read the store's answers strictly

Cause: (a) a primary that answers 'read only' reset its own failures with each answer, so a record that named the wrong primary stood for ever; (b) a refused caller that went on sending was read into memory until it took its refusal.

--- a/orioleplank/decision/keeper/__init__.py
+++ b/orioleplank/decision/keeper/__init__.py
@@ -1,6 +1,7 @@
 """When a primary is replaced, by whom, and by which instance."""
 
 from orioleplank.decision.keeper._evidence import (
+    Deposed,
     Evidence,
     FoundDead,
     Leaving,
@@ -11,6 +12,7 @@
 from orioleplank.decision.keeper._successor import InstanceReport, choose_successors, has_caught_up
 
 __all__ = [
+    "Deposed",
     "Evidence",
     "FoundDead",
     "InstanceReport",
--- a/orioleplank/decision/keeper/_evidence.py
+++ b/orioleplank/decision/keeper/_evidence.py
@@ -23,6 +23,8 @@
     failing_for: float
     # Failures since its last answer.
     failures: int
+    # True when it answers that it does not lead.
+    denies_lead: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,11 +45,18 @@
     why: str
 
 
-Verdict = StillThere | Leaving | FoundDead
+@dataclass(frozen=True, slots=True)
+class Deposed:
+    """It lives and does not lead: a promotion took effect that no proxy knows of."""
+
+
+Verdict = StillThere | Leaving | FoundDead | Deposed
 
 
 def judge_primary(evidence: Evidence) -> Verdict:
     """Judge a primary; `FoundDead` still needs the word of other proxies."""
+    if evidence.denies_lead:
+        return Deposed()
     if not evidence.listed:
         return FoundDead("its entry is gone")
     if evidence.failures >= LEAST_FAILURES and evidence.failing_for >= SILENCE_S:
--- a/orioleplank/decision/keeper/tests/test_keeper.py
+++ b/orioleplank/decision/keeper/tests/test_keeper.py
@@ -7,6 +7,7 @@
 from orioleplank.decision import Position
 from orioleplank.decision.instances import DbRole
 from orioleplank.decision.keeper import (
+    Deposed,
     Evidence,
     FoundDead,
     InstanceReport,
@@ -35,6 +36,10 @@
     def test_missing_entry_is_a_death(self) -> None:
         self.assertIsInstance(judge_primary(Evidence(False, False, 0.0, 0)), FoundDead)
 
+    def test_primary_that_denies_its_lead_is_replaced_in_the_record(self) -> None:
+        verdict = judge_primary(Evidence(True, False, 0.0, 0, denies_lead=True))
+        self.assertEqual(Deposed(), verdict)
+
     def test_draining_primary_is_left_in_time(self) -> None:
         self.assertEqual(Leaving(), judge_primary(Evidence(True, True, 0.0, 0)))
 
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -186,6 +186,7 @@
             if before.seen.get(service) != seen:
                 self._note_group(seen)
                 self._note_move(seen)
+                self._expect_lead(seen)
         self.changed.fire()
 
     def _note_move(self, seen: SeenRecord) -> None:
@@ -196,6 +197,12 @@
         elif self._moving_since.get(service, (None, 0.0))[0] is not released:
             self._moving_since[service] = (released, self.now())
 
+    def _expect_lead(self, seen: SeenRecord) -> None:
+        """Believe a new record over what its primary answered before."""
+        pool = self.pools.get(seen.record.primary)
+        if pool is not None and seen.record.phase is Phase.STABLE:
+            pool.denies_lead = False
+
     def _note_group(self, seen: SeenRecord) -> None:
         record = seen.record
         self._journal.note(
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -101,6 +101,8 @@
         self.answered_at = float("-inf")
         # When it said last that its log lacks a position.
         self.lagging_at = float("-inf")
+        # True once it has answered that it does not lead, although the record says so.
+        self.denies_lead = False
         self._latency = FIRST_LATENCY_S
         self._latency_at = now()
 
@@ -150,6 +152,11 @@
             self.drop_idle()
         self._on_trouble(self.entry.id)
 
+    def note_denied_lead(self) -> None:
+        """Take note that it answers that it does not lead."""
+        self.denies_lead = True
+        self._on_trouble(self.entry.id)
+
     def note_lagging(self) -> None:
         """Take note that its log lacks a position."""
         self.lagging_at = self._now()
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -256,7 +256,7 @@
         assert reply.failure is not None
         code = reply.failure.code
         if code is Code.READ_ONLY:
-            pool.note_failure()
+            pool.note_denied_lead()
         detail = f"{pool.entry.id} {reply.failure.detail}"
         return refuse(code, "run write", detail, pool.entry.id), code in PROVES_NOT_RUN
 
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -184,7 +184,7 @@
         if reply.failure.code is Code.LAGGING:
             pool.note_lagging()
         if reply.failure.code is Code.READ_ONLY:
-            pool.note_failure()
+            pool.note_denied_lead()
         detail = f"{pool.entry.id} {reply.failure.code.value} {reply.failure.detail}"
         return refuse(Code.BUSY, "begin transaction", detail, pool.entry.id)
 
--- a/orioleplank/gateway/_watch.py
+++ b/orioleplank/gateway/_watch.py
@@ -151,6 +151,7 @@
             leaving=known is not None and known.is_leaving(self._beliefs.now()),
             failing_for=pool.failing_for if pool else 0.0,
             failures=pool.failures if pool else 0,
+            denies_lead=pool is not None and pool.denies_lead,
         )
 
     def _probe_if_quiet(self, instance: str) -> None:
--- a/orioleplank/platform/_caller.py
+++ b/orioleplank/platform/_caller.py
@@ -15,6 +15,8 @@
 
 # Time for the first message of a connection, in seconds.
 STARTUP_LIMIT_S = 5.0
+# Time for a caller to take what was sent before its connection is cut, in seconds.
+CLOSE_LIMIT_S = 3.0
 
 
 class CallerProtocol(LineOnlyReceiver):
@@ -31,6 +33,8 @@
         # True while the caller does not take its replies.
         self._is_slow = False
         self._is_paused = False
+        # True once the connection is being closed.
+        self._is_closing = False
 
     # Twisted's side.
 
@@ -55,6 +59,11 @@
     def stopProducing(self) -> None:  # noqa: N802
         """Nothing to do: the connection is lost."""
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes; those that come while the connection is being closed are dropped."""
+        if not self._is_closing:
+            super().dataReceived(data)  # type: ignore[no-untyped-call]
+
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Take one message."""
         word, _, rest = line.decode(codec.ENCODING).partition(" ")
@@ -108,16 +117,20 @@
         self._read_if_wanted()
 
     def close(self) -> None:
-        """End the session once what was sent is delivered."""
+        """End the session once what was sent is delivered; nothing more is read."""
         transport: Any = self.transport
-        if transport is not None:
-            transport.unregisterProducer()
-            transport.loseConnection()
+        if transport is None or self._is_closing:
+            return
+        self._is_closing = True
+        self._stop_timer()
+        self._timer = self._reactor.callLater(CLOSE_LIMIT_S, transport.abortConnection)
+        transport.unregisterProducer()
+        transport.loseConnection()
 
     def _read_if_wanted(self) -> None:
         transport: Any = self.transport
         wanted = not self._is_slow and not (self._session is not None and self._session.is_behind)
-        if transport is None or wanted is not self._is_paused:
+        if transport is None or self._is_closing or wanted is not self._is_paused:
             return
         self._is_paused = not wanted
         if wanted:
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -123,8 +123,11 @@
         while True:
             path = f"{self._kind}?after={quote(after)}" if after else self._kind
             page = await self._client.call("GET", path)
-            revision = revision or int(page["at"])
-            raws = [RawObject.read(item) for item in page["items"]]
+            try:
+                revision = revision or int(page["at"])
+                raws = [RawObject.read(item) for item in page["items"]]
+            except (KeyError, TypeError, ValueError) as error:
+                raise StoreUnavailableError("list objects", self._kind, "bad page") from error
             items += [item for raw in raws if raw and (item := self._read(raw)) is not None]
             if not page.get("hasMore") or not raws:
                 return Listing(revision, tuple(items))
@@ -140,14 +143,20 @@
         """
         path = f"{self._kind}?watch={revision}&waitMs={int(wait * 1000)}"
         answer = await self._client.call("GET", path, limit=wait + CALL_LIMIT_S)
+        try:
+            return Changes(int(answer["at"]), self._read_events(answer.get("events", ())))
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise StoreUnavailableError("watch objects", self._kind, "bad events") from error
+
+    def _read_events(self, events: Any) -> tuple[T | Gone, ...]:
         items: list[T | Gone] = []
-        for event in answer.get("events", ()):
+        for event in events:
             raw = RawObject.read(event.get("object"))
             if raw is None:
                 continue
             item = None if event.get("deleted") else self._read(raw)
             items.append(Gone(raw.name) if item is None else item)
-        return Changes(int(answer["at"]), tuple(items))
+        return tuple(items)
 
 
 class RecordKind(ObjectKind[StoredRecord]):
@@ -156,8 +165,7 @@
     async def create(self, name: str, content: Mapping[str, object]) -> int:
         """Create an object; return its revision. Raise `StoreConflictError` if it exists."""
         body = {"meta": {"name": name}, "spec": dict(content)}
-        answer = await self._client.call("POST", self._kind, body)
-        return int(answer["meta"]["revision"])
+        return _read_revision(await self._client.call("POST", self._kind, body))
 
     async def replace(self, name: str, content: Mapping[str, object], revision: int) -> int:
         """Replace an object that is at `revision`; return the new one.
@@ -165,8 +173,8 @@
         Raise `StoreConflictError` when it is at another revision or does not exist.
         """
         body = {"meta": {"name": name, "revision": revision}, "spec": dict(content)}
-        answer = await self._client.call("PUT", f"{self._kind}/{quote(name)}", body)
-        return int(answer["meta"]["revision"])
+        path = f"{self._kind}/{quote(name)}"
+        return _read_revision(await self._client.call("PUT", path, body))
 
     async def remove(self, name: str, revision: int) -> None:
         """Remove an object that is at `revision`; one that is gone already is no error."""
@@ -177,6 +185,14 @@
             return
 
 
+def _read_revision(answer: Any) -> int:
+    """Return the revision of an object that was written; the write was made in any case."""
+    raw = RawObject.read(answer)
+    if raw is None:
+        raise StoreUnavailableError("write object", "", "the answer shows no object")
+    return raw.revision
+
+
 class PlatformStore:
     """The platform's store; implements the gateway's `Store`."""
 
--- /dev/null
+++ b/orioleplank/platform/tests/test_instance.py
@@ -0,0 +1,144 @@
+"""Tests of a connection to an instance."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import testtools
+from twisted.internet.testing import StringTransport
+
+from orioleplank.decision import Position
+from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
+from orioleplank.decision.session import Code, Read, Reply, TransactionState
+from orioleplank.gateway import InstanceRefusedError, InstanceUnreachableError
+from orioleplank.platform import _instance
+from orioleplank.platform._instance import InstanceProtocol
+
+_ENTRY = InstanceEntry(
+    "i-7f3a", "huvo11a", "10.0.0.9:8080", "akl-a", InstanceState.READY, DbRole.PRIMARY, 5
+)
+
+
+class _Transport(StringTransport):
+    """A transport without a socket."""
+
+    connected = True
+    has_aborted = False
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Nothing to set."""
+
+    def getHandle(self) -> None:  # noqa: N802
+        """There is no socket."""
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Note the end."""
+        self.has_aborted = True
+
+
+class InstanceTestCase(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.patch(_instance, "_set_time_limits", lambda handle: None)
+        self.results: list[Any] = []
+        self.connect()
+
+    def connect(self) -> None:
+        """Begin with a new connection."""
+        build: Any = _Transport
+        self.transport: Any = build()
+        build_protocol: Any = InstanceProtocol
+        self.protocol: Any = build_protocol(_ENTRY, b"tunnel\r\n")
+        self.protocol.makeConnection(self.transport)
+
+    def open(self) -> None:
+        """Greet."""
+        self.protocol.dataReceived(b"READY I 3.1207\r\n")
+        self.protocol.greeted.addBoth(lambda _: None)
+
+    def keep(self, deferred: Any) -> None:
+        """Keep a result or an error."""
+        deferred.addCallbacks(self.results.append, lambda f: self.results.append(f.value))
+
+
+class TestGreeting(InstanceTestCase):
+    def test_expected_id_is_named_after_the_prologue(self) -> None:
+        sent = self.transport.value()
+        self.assertEqual(b"tunnel\r\nSTARTUP huvo11a orioleplank i-7f3a\r\n", sent)
+
+    def test_wrong_instance_is_a_refusal(self) -> None:
+        self.keep(self.protocol.greeted)
+        self.protocol.dataReceived(b"ERROR WRONGNODE i-9\r\n")
+        self.assertIsInstance(self.results[0], InstanceRefusedError)
+        self.assertTrue(self.transport.has_aborted)
+
+    def test_connection_that_ends_before_is_unreachable(self) -> None:
+        self.keep(self.protocol.greeted)
+        self.protocol.connectionLost()
+        self.assertIsInstance(self.results[0], InstanceUnreachableError)
+
+
+class TestReplies(InstanceTestCase):
+    def test_reply_is_whole_only_with_its_state(self) -> None:
+        self.open()
+        self.keep(self.protocol.run("5c", Read("1a4"), "", Position(3, 1207)))
+        self.assertIn(b"QUERY 5c AFTERLSN 3.1207 READ 1a4\r\n", self.transport.value())
+        self.protocol.dataReceived(b"DATAROW oak\r\nCOMPLETE 7.1f\r\n")
+        self.assertEqual([], self.results)
+        self.protocol.dataReceived(b"READY I 3.1209\r\n")
+        expected = Reply(("oak",), "7.1f", None, TransactionState.IDLE, Position(3, 1209))
+        self.assertEqual([expected], self.results)
+
+    def test_replies_come_in_the_order_of_the_questions(self) -> None:
+        self.open()
+        self.keep(self.protocol.run("1", Read("a"), "", None))
+        self.keep(self.protocol.run("2", Read("b"), "", None))
+        self.protocol.dataReceived(
+            b"COMPLETE s1\r\nREADY I 3.1\r\nERROR BUSY full\r\nREADY I 3.1\r\n"
+        )
+        self.assertEqual("s1", self.results[0].signature)
+        self.assertEqual(Code.BUSY, self.results[1].failure.code)
+
+    def test_cut_reply_is_no_reply(self) -> None:
+        self.open()
+        self.keep(self.protocol.run("1", Read("a"), "", None))
+        self.protocol.dataReceived(b"DATAROW oak\r\nCOMPLETE 7.1f\r\n")
+        self.protocol.connectionLost()
+        self.assertIsInstance(self.results[0], InstanceUnreachableError)
+
+    def test_message_that_nobody_asked_for_ends_the_connection(self) -> None:
+        self.open()
+        self.protocol.dataReceived(b"DATAROW oak\r\n")
+        self.assertTrue(self.transport.has_aborted)
+
+    def test_unknown_message_or_state_ends_the_connection(self) -> None:
+        for line in (b"SURPRISE\r\n", b"READY X 3.1\r\n", b"READY I 3.1\r\n"):
+            self.connect()
+            self.open()
+            self.keep(self.protocol.run("1", Read("a"), "", None))
+            self.protocol.dataReceived(line)
+            self.assertTrue(self.transport.has_aborted, repr(line))
+
+
+class TestReports(InstanceTestCase):
+    def test_report_is_read(self) -> None:
+        self.open()
+        self.keep(self.protocol.report())
+        self.protocol.dataReceived(
+            b"DATAROW replica 3 3.1209 0 12 2 17\r\nCOMPLETE -\r\nREADY I 3.1204\r\n"
+        )
+        report = self.results[0]
+        self.assertEqual((DbRole.REPLICA, 3), (report.role, report.term))
+        self.assertEqual((Position(3, 1209), 2), (report.received, report.busy))
+
+    def test_busy_instance_tells_nothing(self) -> None:
+        self.open()
+        self.keep(self.protocol.report())
+        self.protocol.dataReceived(b"ERROR BUSY full\r\nREADY I 3.1204\r\n")
+        self.assertIsInstance(self.results[0], InstanceRefusedError)
+
+    def test_report_that_cannot_be_read_tells_nothing(self) -> None:
+        self.open()
+        self.keep(self.protocol.report())
+        self.protocol.dataReceived(b"DATAROW boss x y\r\nCOMPLETE -\r\nREADY I 3.1\r\n")
+        self.assertIsInstance(self.results[0], InstanceRefusedError)
--- a/orioleplank/tests/test_site.py
+++ b/orioleplank/tests/test_site.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from orioleplank.decision.group import LEASE_S
+from orioleplank.decision.instances import DbRole
 from orioleplank.decision.session import (
     Begin,
     Code,
@@ -149,6 +150,18 @@
         site.run(4.0)
         self.assertLess(site.group.began[2] - crashed_at, 1.0 + PROMOTE_S)
 
+    def test_promotion_that_no_proxy_knows_of_is_found(self) -> None:
+        site = _started()
+        caller = site.open(site.proxies[0], QUOTES)
+        self.assertIsNone(site.ask(caller, Write("q1 oak")).failure)
+        site.run(0.5)
+        site.group.members["db-a"].role = DbRole.REPLICA
+        site.group.promote("db-b", 2)
+        site.ask(caller, Write("q2 ash"))
+        site.run(1.0)
+        self.assertIsNone(site.ask(caller, Write("q2 ash")).failure)
+        self.assertEqual([2], site.promoted_terms())
+
     def test_proxy_that_died_long_before_is_not_waited_for(self) -> None:
         site = _started()
         site.run(2.0)
