--- a/orioleplank/tests/test_site.py
+++ b/orioleplank/tests/test_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
+from unittest import mock
 
 import testtools
 from twisted.internet.defer import Deferred
@@ -24,7 +25,7 @@
     TransactionState,
     Write,
 )
-from orioleplank.gateway import Topic
+from orioleplank.gateway import Topic, _release
 from orioleplank.tests._site import CATALOGUE, JOBS, QUOTES, Site, SiteCaller
 from orioleplank.tests._site_instances import PROMOTE_S
 
@@ -306,6 +307,16 @@
 class TestLeases(testtools.TestCase):
     def test_no_answer_of_an_old_primary_is_passed_on(self) -> None:
         """A proxy that is cut off from everybody acknowledges nothing after its lease."""
+        answered, began = self._cut_one_proxy_off()
+        self.assertLess(max(answered), began)
+
+    def test_without_words_an_old_primary_would_be_believed(self) -> None:
+        with mock.patch.object(_release.Releases, "gather", _gather_nothing):
+            answered, began = self._cut_one_proxy_off()
+        self.assertGreater(max(answered), began)
+
+    def _cut_one_proxy_off(self) -> tuple[list[float], float]:
+        """Cut one proxy off with the primary; return when it answered, and when another led."""
         site = _started()
         cut = site.proxies[0]
         caller = site.open(cut, QUOTES)
@@ -323,7 +334,7 @@
             proxy.dialer.lose_links("db-a")
         site.run(20.0)
         self.assertEqual([2], site.promoted_terms())
-        self.assertLess(max(answered), site.group.began[2])
+        return answered, site.group.began[2]
 
     def test_suspended_proxy_reads_nothing_from_an_old_primary(self) -> None:
         site = _started()
@@ -447,6 +458,10 @@
         self.assertEqual([], site.group.primary().log)
 
 
+async def _gather_nothing(*_: object) -> tuple[()]:
+    return ()
+
+
 STORE_NAME = "store"
 
 
--- a/orioleplank/tests/test_site_storm.py
+++ b/orioleplank/tests/test_site_storm.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
 import testtools
 
+from orioleplank.decision import ORIGIN, Position
+from orioleplank.decision.instances import Consistency
+from orioleplank.decision.session import Code
+from orioleplank.gateway import _exchange, _statements
+from orioleplank.gateway._exchange import Request
+from orioleplank.gateway._outcome import Outcome, refuse
+from orioleplank.gateway._pool import InstancePool
 from orioleplank.tests._site_storm import Storm
 
 SEEDS = range(20261204, 20261212)
@@ -16,3 +25,27 @@
                 audit = Storm(seed).play()
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
+
+
+class TestChecksBite(testtools.TestCase):
+    """With a mechanism switched off the audit finds what it is there for."""
+
+    def test_without_preparation_values_of_sessions_mix(self) -> None:
+        with mock.patch.object(_exchange, "find_preparation", lambda *_: ()):
+            self.assertNotEqual([], Storm(20261204).play().violations)
+
+    def test_without_positions_replicas_show_stale_data(self) -> None:
+        with mock.patch.object(_statements.Statements, "_needed_position", _ask_for_nothing):
+            self.assertNotEqual([], Storm(20261204).play().violations)
+
+    def test_without_doubt_a_refusal_is_not_true(self) -> None:
+        with mock.patch.object(_statements, "_refuse_unanswered", _promise_falsely):
+            self.assertNotEqual([], Storm(20261205).play().violations)
+
+
+def _ask_for_nothing(statements: object, request: Request) -> Position | None:
+    return None if request.route.consistency is Consistency.PRIMARY else ORIGIN
+
+
+def _promise_falsely(error: Exception, pool: InstancePool, step: str) -> Outcome:
+    return refuse(Code.BUSY, step, "a false promise", pool.entry.id)
