One proxy a zone reads the store; the others have its news from that one

Changed: the first proxy of a zone by rendezvous hashing reads; the others ask it every 0.4 s how new its view is, fetch what they lack, and count its listing for their leases, dated by when they asked less its stated age. Silent for two questions, or older than 2 s: the next in order, or the store itself. Rings of pings prefer the own zone. Ruled out: serializable reads (seconds old, so no leases); views pushed without a question (they cannot be dated).

--- a/orioleplank/decision/membership/__init__.py
+++ b/orioleplank/decision/membership/__init__.py
@@ -15,7 +15,10 @@
     ReachTold,
     ReleaseAsked,
     Released,
+    ViewAsked,
+    ViewTold,
 )
+from orioleplank.decision.membership._source import ViewVersions, choose_source
 
 __all__ = [
     "Fleet",
@@ -28,6 +31,10 @@
     "ReachTold",
     "ReleaseAsked",
     "Released",
+    "ViewAsked",
+    "ViewTold",
+    "ViewVersions",
+    "choose_source",
     "find_watched",
     "rank_proxies",
 ]
--- a/orioleplank/decision/membership/_fleet.py
+++ b/orioleplank/decision/membership/_fleet.py
@@ -47,12 +47,22 @@
 WATCHED_COUNT = 2
 
 
-def find_watched(me: str, names: Iterable[str]) -> tuple[str, ...]:
-    """Return the proxies that `me` watches: the next ones in a ring of all."""
-    ring = rank_proxies("ring", {*names, me})
+def find_watched(me: ProxyRecord, active: Iterable[ProxyRecord]) -> tuple[str, ...]:
+    """Return the proxies that `me` watches: the next in the ring of its zone, and in that of all.
+
+    The first costs no bytes between zones; the other is there when a whole zone dies.
+    """
+    zones = {record.name: record.zone for record in active} | {me.name: me.zone}
+    in_zone = _follow_ring(me.name, [name for name, zone in zones.items() if zone == me.zone])[:1]
+    of_all = _follow_ring(me.name, [name for name in zones if name not in in_zone])
+    return in_zone + of_all[: WATCHED_COUNT - len(in_zone)]
+
+
+def _follow_ring(me: str, names: Iterable[str]) -> tuple[str, ...]:
+    """Return the others in the order of a ring, from the one after `me` on."""
+    ring = rank_proxies("ring", names)
     place = ring.index(me)
-    following = ring[place + 1 :] + ring[:place]
-    return following[:WATCHED_COUNT]
+    return ring[place + 1 :] + ring[:place]
 
 
 def rank_proxies(service: str, names: Iterable[str]) -> tuple[str, ...]:
--- a/orioleplank/decision/membership/_peer.py
+++ b/orioleplank/decision/membership/_peer.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from orioleplank.decision.membership._source import ViewVersions
+
 
 @dataclass(frozen=True, slots=True)
 class ReleaseAsked:
@@ -89,4 +91,38 @@
     incarnation: str
 
 
-PeerMessage = ReleaseAsked | Released | ReachAsked | ReachTold | Ping | PingAsked | Pong
+@dataclass(frozen=True, slots=True)
+class ViewAsked:
+    """Asks a proxy how new its view of the store is."""
+
+    # Name of the asking proxy.
+    sender: str
+    # Number of the question.
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class ViewTold:
+    """How new a proxy's view of the store is."""
+
+    # Name of the proxy.
+    sender: str
+    # Number of the question; 0 when nobody asked, because the view has changed.
+    number: int
+    # Seconds since the listing of the records was asked for; infinite before one.
+    age: float
+    # How new it is.
+    versions: ViewVersions
+
+
+PeerMessage = (
+    ReleaseAsked
+    | Released
+    | ReachAsked
+    | ReachTold
+    | Ping
+    | PingAsked
+    | Pong
+    | ViewAsked
+    | ViewTold
+)
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -9,7 +9,7 @@
 from orioleplank.decision import Position
 from orioleplank.decision.group import Lease, LeaseBook, Phase, PositionHistory, SeenRecord
 from orioleplank.decision.instances import Directory, InstanceEntry, Route, RouteTable
-from orioleplank.decision.membership import Fleet, ProxyRecord
+from orioleplank.decision.membership import Fleet, ProxyRecord, ViewVersions
 from orioleplank.gateway._journal import Journal, Topic
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._ports import Detour, Dialer
@@ -38,6 +38,8 @@
     ) -> None:
         self.routes = RouteTable()
         self.directory = Directory()
+        # The store's revision up to which the product's own records are known completely.
+        self.records_revision = 0
         # The store's revision of the newest listing of instances.
         self.directory_revision = 0
         self.leases = LeaseBook()
@@ -59,6 +61,11 @@
         self._detours: dict[str, tuple[Detour, float]] = {}
         self._positions: dict[str, tuple[int, PositionHistory]] = {}
 
+    @property
+    def versions(self) -> ViewVersions:
+        """How new this proxy's view of the store is."""
+        return ViewVersions(self.records_revision, self.directory_revision, self.routes.version)
+
     # Time.
 
     def now(self) -> float:
--- /dev/null
+++ b/orioleplank/gateway/_feed.py
@@ -0,0 +1,186 @@
+"""Has the store's news from another proxy nearby, or opens the gate to read the store itself."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.defer import Deferred
+
+from orioleplank.decision.membership import (
+    PeerMessage,
+    ProxyRecord,
+    ViewAsked,
+    ViewTold,
+    choose_source,
+)
+from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._gate import Gate
+from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._peers import PeerSocket
+from orioleplank.gateway._registry import Registry
+from orioleplank.gateway._views import StoreView, Views, ViewUnavailableError
+
+# Seconds between questions to the source: twice that without an answer and another one is asked,
+# still within the time in which a new configuration has to be in force.
+ASK_S = 0.4
+# Questions without an answer after which a source is avoided.
+SILENT_AFTER = 2
+# How long a source that is silent or out of date is avoided, in seconds.
+AVOID_S = 3.0
+# News older than this are no news, in seconds: a renewal of the source and a slow answer of the
+# store. The rest of the time in which a configuration has to be in force is left for reading it.
+STALE_S = 2.0
+# Questions whose time is kept.
+KEPT_QUESTIONS = 8
+
+
+class Feed:
+    """Follows a source, and decides whether this proxy has to read the store itself."""
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        registry: Registry,
+        journal: Journal,
+        me: ProxyRecord,
+        random: Random,
+        views: Views,
+        gate: Gate,
+        note_contact: Callable[[str], None],
+    ) -> None:
+        self._beliefs = beliefs
+        self._registry = registry
+        self._journal = journal
+        self._me = me
+        self._random = random
+        self._views = views
+        self._gate = gate
+        self._note_contact = note_contact
+        self._source: ProxyRecord | None = None
+        # When each question was asked, on the clock of leases, by its number.
+        self._asked: dict[int, float] = {}
+        self._number = 0
+        self._unanswered = 0
+        # Until when sources are avoided, in seconds, by their names.
+        self._avoided: dict[str, float] = {}
+        # True once the source has answered since it was chosen.
+        self._is_confirmed = False
+        self._is_fetching = False
+        # True when the source told of something new while its view was being fetched.
+        self._is_behind = False
+        self.socket: PeerSocket | None = None
+
+    # Following.
+
+    def look(self) -> None:
+        """Ask the source how new its view is; without a good one let the store be read."""
+        if self._unanswered >= SILENT_AFTER and self._source is not None:
+            self._avoid("silent")
+        self._choose()
+        self._ask()
+        self._set_gate()
+
+    def take(self, message: PeerMessage) -> None:
+        """Take the source's answer, or its word that its view has changed."""
+        match message:
+            case ViewTold(sender) if self._source is not None and sender == self._source.name:
+                self._take_told(message, self._source)
+                self._set_gate()
+
+    def _choose(self) -> None:
+        before = self._source.name if self._source else ""
+        active = self._beliefs.fleet.active()
+        is_known = self._registry.is_registered
+        self._source = choose_source(self._me, active, self._is_avoided) if is_known else None
+        name = self._source.name if self._source else ""
+        if name != before:
+            self._unanswered = 0
+            self._is_confirmed = False
+            self._asked.clear()
+            self._journal.note(Topic.STORE, outcome="source chosen", peer=name or "the store")
+
+    def _ask(self) -> None:
+        if self._source is None or self.socket is None:
+            return
+        self._number += 1
+        self._unanswered += 1
+        self._asked[self._number] = self._beliefs.lease_now()
+        self._asked.pop(self._number - KEPT_QUESTIONS, None)
+        self.socket.send(self._source.address, ViewAsked(self._me.name, self._number))
+
+    def _take_told(self, told: ViewTold, source: ProxyRecord) -> None:
+        self._unanswered = 0
+        if told.age >= STALE_S:
+            self._avoid("out of date")
+            return
+        self._is_confirmed = True
+        if not self._beliefs.versions.knows(told.versions):
+            self._fetch_from(source)
+            return
+        asked_at = self._asked.get(told.number)
+        if asked_at is not None:
+            # Everything the source has read is known here, so its last listing counts here too.
+            self._registry.take_groups((), asked_at - told.age)
+
+    def _avoid(self, why: str) -> None:
+        assert self._source is not None
+        name = self._source.name
+        self._avoided[name] = self._beliefs.now() + AVOID_S
+        self._journal.note(Topic.STORE, outcome="source avoided", peer=name, why=why)
+        self._source, self._unanswered = None, 0
+
+    def _is_avoided(self, name: str) -> bool:
+        return self._beliefs.now() < self._avoided.get(name, 0.0)
+
+    def _set_gate(self) -> None:
+        age = self._beliefs.lease_now() - self._beliefs.leases.asked_at
+        if self._source is None or age >= STALE_S:
+            self._gate.open()
+        elif self._is_confirmed:
+            # A source that was just chosen in the place of another one leaves it as it is.
+            self._gate.close()
+            self._note_contact("")
+
+    # Views.
+
+    def ask_anybody(self) -> None:
+        """Fetch the view of some other proxy, because the store does not answer this one."""
+        peers = [peer for peer in self._beliefs.fleet.active() if peer.name != self._me.name]
+        if peers:
+            self._fetch_from(self._random.choice(peers))
+
+    def _fetch_from(self, peer: ProxyRecord) -> None:
+        self._is_behind = self._is_fetching
+        if not self._is_fetching:
+            self._is_fetching = True
+            Deferred.fromCoroutine(self._fetch(peer)).addErrback(self._fail)
+
+    async def _fetch(self, peer: ProxyRecord) -> None:
+        asked_at = self._beliefs.lease_now()
+        try:
+            view = await self._views.fetch(peer.address, self._beliefs.versions)
+        except ViewUnavailableError as error:
+            self._journal.note(Topic.STORE, outcome="no view", peer=peer.name, why=error.detail)
+            if self._source is not None and self._source.name == peer.name:
+                self._avoid("gives no view")
+            return
+        finally:
+            self._is_fetching = False
+        self._take_view(view, asked_at)
+        self._set_gate()
+        if self._is_behind:
+            self._fetch_from(peer)
+
+    def _take_view(self, view: StoreView, asked_at: float) -> None:
+        """Take a view that was asked for at `asked_at`, on the clock of leases."""
+        beliefs = self._beliefs
+        if view.routes is not None:
+            beliefs.take_routes(view.routes)
+        if view.instances is not None and view.versions.instances > beliefs.directory_revision:
+            beliefs.directory_revision = view.versions.instances
+            beliefs.take_directory(beliefs.directory.take_listing(view.instances, beliefs.now()))
+        self._registry.take_view(view, asked_at - view.age)
+
+    def _fail(self, failure: object) -> None:
+        self._journal.note(Topic.ERROR, step="fetch view", detail=str(failure))
--- a/orioleplank/gateway/_follower.py
+++ b/orioleplank/gateway/_follower.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import Any, Generic, TypeVar
 
+from orioleplank.gateway._gate import Gate
 from orioleplank.gateway._ports import (
     Changes,
     HistoryLostError,
@@ -46,8 +47,10 @@
         lease_now: Callable[[], float],
         wait: float,
         random: Random,
+        gate: Gate,
     ) -> None:
         self._reactor = reactor
+        self._gate = gate
         self._kind = kind
         self._listener = listener
         self._lease_now = lease_now
@@ -57,12 +60,14 @@
         self.is_stopped = False
 
     async def run(self) -> None:
-        """List and watch until stopped."""
+        """List and watch whenever the gate is open, until stopped."""
         while not self.is_stopped:
+            await self._gate.wait()
+            closings = self._gate.closings
             try:
                 revision = await self.list_now()
-                while not self.is_stopped:
-                    revision = await self._watch(revision)
+                while not self.is_stopped and self._gate.closings == closings:
+                    revision = await self._watch(revision, closings)
             except HistoryLostError:
                 continue
             except StoreUnavailableError as error:
@@ -77,10 +82,11 @@
         self._listener.on_listing(listing, asked_at)
         return listing.revision
 
-    async def _watch(self, revision: int) -> int:
+    async def _watch(self, revision: int, closings: int) -> int:
         changes = await self._kind.watch(revision, self._wait)
         self._note_success()
-        if changes.items:
+        # What another proxy told since the gate was closed may be newer.
+        if changes.items and self._gate.closings == closings:
             self._listener.on_changes(changes)
         return changes.revision
 
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -11,9 +11,11 @@
 
 from twisted.internet.defer import Deferred
 
-from orioleplank.decision.membership import PeerMessage, ProxyRecord
+from orioleplank.decision.membership import PeerMessage, ProxyRecord, ViewVersions
 from orioleplank.gateway._beliefs import Beliefs
 from orioleplank.gateway._clock import boot_seconds
+from orioleplank.gateway._feed import ASK_S, Feed
+from orioleplank.gateway._gate import Gate
 from orioleplank.gateway._inspection import Inspection
 from orioleplank.gateway._journal import Journal, Topic
 from orioleplank.gateway._liveness import PING_S, Liveness
@@ -88,7 +90,8 @@
         )
         self.beliefs = Beliefs(reactor, outside.dialer, journal, boot_now)
         self.beliefs.on_trouble = self._take_trouble
-        self._view = PlatformView(reactor, outside.store, self.beliefs, journal, self._random)
+        gate = Gate(reactor)
+        self._view = PlatformView(reactor, outside.store, self.beliefs, journal, self._random, gate)
         self._registry = Registry(
             reactor,
             outside.store.records,
@@ -97,14 +100,18 @@
             me,
             self._view.note_contact,
             self._random,
+            gate,
         )
-        self._relay = Relay(
+        self._relay = Relay(self.beliefs, self._registry, settings.name)
+        self._feed = Feed(
             self.beliefs,
             self._registry,
             journal,
-            settings.name,
+            me,
             self._random,
             outside.views,
+            gate,
+            self._view.note_contact,
         )
         self._inspection = Inspection(reactor, self.beliefs, settings.name)
         self._liveness = Liveness(
@@ -143,9 +150,14 @@
         """Return where other proxies reach this one, HOST:PORT."""
         return self._settings.peers
 
-    def describe_view(self) -> StoreView:
-        """Return what this proxy knows from the store."""
-        return self._relay.describe()
+    @property
+    def zone(self) -> str:
+        """Return its availability zone."""
+        return self._settings.zone
+
+    def describe_view(self, known: ViewVersions) -> StoreView:
+        """Return what this proxy knows from the store beyond `known`."""
+        return self._relay.describe(known)
 
     # The kernel's side.
 
@@ -159,17 +171,26 @@
         self._reactor.listenTCP(int(port) + PORT_OFFSET, tunnels, interface=host)
         host, _, port = self._settings.metrics.rpartition(":")
         self._reactor.listenTCP(int(port), self.metrics.build_site(), interface=host)
-        self._inspection.socket = self._releases.socket = self._liveness.socket = socket
+        for part in (
+            self._inspection,
+            self._releases,
+            self._liveness,
+            self._relay,
+            self._feed,
+        ):
+            part.socket = socket
         timer = self.kernel.find("timer")
         assert isinstance(timer, Timer)
         timer.subscribe(self, "look", LOOK_S)
         timer.subscribe(self, "housekeeping", HOUSEKEEPING_S)
         timer.subscribe(self, "ping", PING_S)
+        timer.subscribe(self, "feed", ASK_S)
         for loop in (
             self._registry.run,
             self._registry.renew,
             self._view.routes.run,
             self._view.instances.run,
+            self._relay.tell_changes,
         ):
             self._run(self._keep_running(loop))
         self._journal.note(Topic.STARTED, incarnation=self._me.incarnation, zone=self._me.zone)
@@ -182,10 +203,12 @@
                 self._note_ready()
             case TimerTick("ping") if not self._is_stopping:
                 self._run(self._liveness.watch())
+            case TimerTick("feed"):
+                self._feed.look()
             case TimerTick("housekeeping"):
                 self._view.expire_instances()
                 if self._view.is_away:
-                    self._run(self._relay.ask())
+                    self._feed.ask_anybody()
                 idle = self.beliefs.routes.transaction_idle
                 self.sessions.end_resting_transactions(self.beliefs.now(), idle)
 
@@ -205,6 +228,8 @@
         self._inspection.take(message)
         self._releases.take(message)
         self._liveness.take(message)
+        self._relay.take(message)
+        self._feed.take(message)
 
     async def _keep_running(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Run a loop to its end; after a fault of this program run it again."""
--- a/orioleplank/gateway/_liveness.py
+++ b/orioleplank/gateway/_liveness.py
@@ -80,7 +80,7 @@
         """Ask once; retire and remove those that are dead."""
         fleet = self._beliefs.fleet
         active = {record.name: record for record in fleet.active()}
-        watched = [active[name] for name in find_watched(self._me.name, active) if name in active]
+        watched = [active[name] for name in find_watched(self._me, active.values())]
         self._alone_for += 1
         self._missed = {r.incarnation: self._missed.get(r.incarnation, 0) + 1 for r in watched}
         for record in watched:
--- a/orioleplank/gateway/_peers.py
+++ b/orioleplank/gateway/_peers.py
@@ -6,28 +6,14 @@
 from collections.abc import Callable
 from dataclasses import asdict
 from types import MappingProxyType
-from typing import Any
+from typing import Any, get_args
 
 from pydantic import TypeAdapter, ValidationError
 from twisted.internet.protocol import DatagramProtocol
 
-from orioleplank.decision.membership import (
-    PeerMessage,
-    Ping,
-    PingAsked,
-    Pong,
-    ReachAsked,
-    ReachTold,
-    ReleaseAsked,
-    Released,
-)
+from orioleplank.decision.membership import PeerMessage
 
-_TYPES = MappingProxyType(
-    {
-        kind.__name__: TypeAdapter(kind)
-        for kind in (ReleaseAsked, Released, ReachAsked, ReachTold, Ping, PingAsked, Pong)
-    }
-)
+_TYPES = MappingProxyType({kind.__name__: TypeAdapter(kind) for kind in get_args(PeerMessage)})
 
 
 class PeerSocket(DatagramProtocol):
--- a/orioleplank/gateway/_platform_view.py
+++ b/orioleplank/gateway/_platform_view.py
@@ -8,6 +8,7 @@
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.gateway._beliefs import Beliefs
 from orioleplank.gateway._follower import Follower, Listener
+from orioleplank.gateway._gate import Gate
 from orioleplank.gateway._journal import Journal, Topic
 from orioleplank.gateway._ports import Changes, Gone, Listing, Store
 
@@ -21,7 +22,13 @@
     """Keeps routes and instances current."""
 
     def __init__(
-        self, reactor: Any, store: Store, beliefs: Beliefs, journal: Journal, random: Random
+        self,
+        reactor: Any,
+        store: Store,
+        beliefs: Beliefs,
+        journal: Journal,
+        random: Random,
+        gate: Gate,
     ) -> None:
         self._beliefs = beliefs
         self._journal = journal
@@ -35,9 +42,9 @@
             self._take_instances, self._take_instance_changes, self.note_contact
         )
         now = beliefs.lease_now
-        self.routes = Follower(reactor, store.routes, routes, now, ROUTES_WATCH_S, random)
+        self.routes = Follower(reactor, store.routes, routes, now, ROUTES_WATCH_S, random, gate)
         self.instances = Follower(
-            reactor, store.instances, instances, now, INSTANCES_WATCH_S, random
+            reactor, store.instances, instances, now, INSTANCES_WATCH_S, random, gate
         )
 
     @property
@@ -76,6 +83,8 @@
 
     def _take_instances(self, listing: Listing[InstanceEntry], asked_at: float) -> None:
         beliefs = self._beliefs
+        if listing.revision < beliefs.directory_revision:
+            return
         beliefs.directory_revision = listing.revision
         beliefs.take_directory(beliefs.directory.take_listing(listing.items, beliefs.now()))
 
--- a/orioleplank/gateway/_registry.py
+++ b/orioleplank/gateway/_registry.py
@@ -13,6 +13,7 @@
 from orioleplank.decision.membership import Fleet, ProxyRecord
 from orioleplank.gateway._beliefs import Beliefs
 from orioleplank.gateway._follower import Follower, Listener
+from orioleplank.gateway._gate import Gate
 from orioleplank.gateway._journal import Journal, Topic
 from orioleplank.gateway._ports import (
     Changes,
@@ -32,9 +33,11 @@
     read_proxy,
 )
 from orioleplank.gateway._signal import sleep
+from orioleplank.gateway._views import StoreView
 
-# Seconds between renewals of the leases: a fifth of a lease.
-RENEW_S = 1.6
+# Seconds between renewals of the leases: short enough that a proxy which has the store's news from
+# this one never counts them as stale (see `STALE_S` of the feed).
+RENEW_S = 1.2
 # Longest wait of a watch, in seconds.
 WATCH_S = 10.0
 # Pause before a registration that failed is tried again, in seconds.
@@ -53,6 +56,7 @@
         me: ProxyRecord,
         on_contact: Callable[[str], None],
         random: Random,
+        gate: Gate,
     ) -> None:
         self._reactor = reactor
         self._records = records
@@ -60,14 +64,19 @@
         self._journal = journal
         self._me = me
         self._random = random
+        self._gate = gate
         # Revisions of the proxies' records, by the proxies' names.
         self.revisions: dict[str, int] = {}
+        # Revision of this run's own record as it was written last; 0 before.
+        self._registered_at = 0
         self._is_registering = False
         self._is_stopped = False
         listener: Listener[StoredRecord] = Listener(
             self._take_listing, self._take_changes, on_contact
         )
-        self._follower = Follower(reactor, records, listener, beliefs.lease_now, WATCH_S, random)
+        self._follower = Follower(
+            reactor, records, listener, beliefs.lease_now, WATCH_S, random, gate
+        )
 
     @property
     def is_registered(self) -> bool:
@@ -88,7 +97,8 @@
         """Renew the leases over and over."""
         while not self._is_stopped:
             await sleep(self._reactor, RENEW_S * (0.9 + 0.2 * self._random.random()))
-            await self.renew_now()
+            if self._gate.is_open:
+                await self.renew_now()
 
     async def renew_now(self) -> None:
         """Read all records once, which renews the leases."""
@@ -148,28 +158,54 @@
         except StoreConflictError:
             self.revisions.pop(record.name, None)
             raise
-        self.revisions[record.name] = written
+        self.revisions[record.name] = self._registered_at = written
 
     # What the store says.
 
     def _take_listing(self, listing: Listing[StoredRecord], asked_at: float) -> None:
-        proxies = [(item, read_proxy(item)) for item in listing.items]
-        known = [record for _, record in proxies if record is not None]
-        self.revisions = {record.name: item.revision for item, record in proxies if record}
         groups = [seen for item in listing.items if (seen := read_group(item)) is not None]
-        self.take_records(known, groups, asked_at)
+        # What another proxy has told meanwhile may be newer than a listing that was on its way.
+        if listing.revision >= self._beliefs.records_revision:
+            self._beliefs.records_revision = listing.revision
+            self._take_proxies(listing.items)
+        self.take_groups(groups, asked_at)
         self._register_again_if_needed()
 
-    def take_records(
-        self, proxies: Iterable[ProxyRecord], groups: Iterable[SeenRecord], asked_at: float
-    ) -> None:
-        """Take a linearizable listing that was asked for at `asked_at`, on the clock of leases."""
-        self._beliefs.take_fleet(Fleet({record.name: record for record in proxies}))
+    def _take_proxies(self, items: Iterable[StoredRecord]) -> None:
+        known = [(item.revision, record) for item in items if (record := read_proxy(item))]
+        self.revisions = {record.name: revision for revision, record in known}
+        self._beliefs.take_fleet(Fleet({record.name: record for _, record in known}))
+
+    def take_view(self, view: StoreView, asked_at: float) -> None:
+        """Take what another proxy knows; its listing was asked for at `asked_at`."""
+        if view.versions.records >= self._beliefs.records_revision:
+            self._beliefs.records_revision = view.versions.records
+            self._merge_proxies(view)
+        self.take_groups(view.groups, asked_at)
+        self._register_again_if_needed()
+
+    def _merge_proxies(self, view: StoreView) -> None:
+        """Take the proxies that changed, and drop those that are gone."""
+        revisions = {name: self.revisions[name] for name in view.names if name in self.revisions}
+        proxies = {n: r for n, r in self._beliefs.fleet.proxies.items() if n in view.names}
+        for seen in view.proxies:
+            if seen.revision >= revisions.get(seen.record.name, 0):
+                revisions[seen.record.name] = seen.revision
+                proxies[seen.record.name] = seen.record
+        self.revisions = revisions
+        self._beliefs.take_fleet(Fleet(proxies))
+
+    def take_groups(self, groups: Iterable[SeenRecord], asked_at: float) -> None:
+        """Take groups' records as new as a listing asked for at `asked_at`, or newer.
+
+        `asked_at` is on the clock of leases; it renews the leases.
+        """
         records = {seen.record.service: seen for seen in groups}
         book = self._beliefs.leases.take_listing(asked_at, records, self.is_registered)
         self._beliefs.take_leases(book)
 
     def _take_changes(self, changes: Changes[StoredRecord]) -> None:
+        self._beliefs.records_revision = max(self._beliefs.records_revision, changes.revision)
         for item in changes.items:
             if isinstance(item, Gone):
                 self._take_removal(item.name)
@@ -199,6 +235,8 @@
     def _register_again_if_needed(self) -> None:
         if self.is_registered or self._is_stopped or self._is_registering:
             return
+        if self._registered_at > self._beliefs.records_revision:
+            return
         Deferred.fromCoroutine(self.register()).addErrback(self._fail)
 
     def _fail(self, failure: object) -> None:
--- a/orioleplank/gateway/_relay.py
+++ b/orioleplank/gateway/_relay.py
@@ -1,4 +1,4 @@
-"""What the store says, passed on to a proxy that the store does not answer.
+"""Tells other proxies what this one knows from the store.
 
 The receiver dates what it gets by when it asked, less the age that the sender states; so it never
 counts as younger than it is.
@@ -6,43 +6,37 @@
 
 from __future__ import annotations
 
-from random import Random
-
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
 
-from orioleplank.decision.membership import ProxyRecord
+from orioleplank.decision.membership import PeerMessage, ViewAsked, ViewTold, ViewVersions
 from orioleplank.gateway._beliefs import Beliefs
-from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._peers import PeerSocket
 from orioleplank.gateway._registry import Registry
-from orioleplank.gateway._views import PATH, StoreView, Views, ViewUnavailableError, dump_view
+from orioleplank.gateway._views import PATH, SeenProxy, StoreView, dump_view, read_known
 
 # A listing older than this gives hardly a lease any more, in seconds; nobody passes it on.
 OLDEST_S = 8.0
+# How long a proxy that asked once is told of changes, in seconds: several of its questions.
+LISTENS_S = 3.0
+# How often changes are looked for although nothing was told, in seconds.
+LOOK_AGAIN_S = 10.0
 
 
 class Relay(Resource):
-    """Serves this proxy's view, and asks others for theirs."""
+    """Serves this proxy's view, and tells those who follow it when it has changed."""
 
     isLeaf = True  # noqa: N815
 
-    def __init__(
-        self,
-        beliefs: Beliefs,
-        registry: Registry,
-        journal: Journal,
-        me: str,
-        random: Random,
-        views: Views,
-    ) -> None:
+    def __init__(self, beliefs: Beliefs, registry: Registry, me: str) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
-        self._views = views
         self._beliefs = beliefs
         self._registry = registry
-        self._journal = journal
         self._me = me
-        self._random = random
-        self._is_asking = False
+        # When each listener asked last, in seconds, by its name.
+        self._listeners: dict[str, float] = {}
+        self._told = beliefs.versions
+        self.socket: PeerSocket | None = None
 
     def build_site(self) -> Site:
         """Return a site that serves the view."""
@@ -51,56 +45,63 @@
         return site
 
     def render_GET(self, request: Request) -> bytes:  # noqa: N802
-        """Serve the view; 503 while it is too old to be of use."""
-        view = self.describe()
+        """Serve what is newer than the asker's view; 503 while it is too old to be of use."""
         if request.path != b"/" + PATH:
             request.setResponseCode(404)
             return b""
+        try:
+            known = read_known(request.args or {})
+        except ValueError:
+            request.setResponseCode(400)
+            return b""
+        view = self.describe(known)
         if view.age > OLDEST_S:
             request.setResponseCode(503)
             return b""
         return dump_view(view)
 
-    def describe(self) -> StoreView:
-        """Return what this proxy knows from the store."""
-        beliefs = self._beliefs
-        known = beliefs.directory.instances.values()
+    def describe(self, known: ViewVersions) -> StoreView:
+        """Return what this proxy knows from the store beyond `known`."""
+        beliefs, revisions = self._beliefs, self._registry.revisions
+        fleet = beliefs.fleet.proxies
+        seen = (SeenProxy(record, revisions.get(name, 0)) for name, record in fleet.items())
+        instances = beliefs.directory.instances.values()
+        listed = tuple(known.entry for known in instances if known.missing_since is None)
         return StoreView(
-            beliefs.lease_now() - beliefs.leases.asked_at,
-            tuple(beliefs.fleet.proxies.values()),
-            tuple(beliefs.leases.seen.values()),
-            beliefs.routes,
-            tuple(instance.entry for instance in known if instance.missing_since is None),
-            beliefs.directory_revision,
+            self._age,
+            beliefs.versions,
+            tuple(fleet),
+            tuple(proxy for proxy in seen if proxy.revision > known.records),
+            tuple(g for g in beliefs.leases.seen.values() if g.revision > known.records),
+            beliefs.routes if beliefs.routes.version > known.routes else None,
+            listed if beliefs.directory_revision > known.instances else None,
         )
 
-    async def ask(self) -> None:
-        """Ask one other proxy for its view."""
-        peers = [peer for peer in self._beliefs.fleet.active() if peer.name != self._me]
-        if not peers or self._is_asking:
-            return
-        peer = self._random.choice(peers)
-        self._is_asking = True
-        asked_at = self._beliefs.lease_now()
-        try:
-            view = await self._views.fetch(peer.address)
-        except ViewUnavailableError as error:
-            self._note(peer, "no view", why=error.detail)
-            return
-        finally:
-            self._is_asking = False
-        self._note(peer, "view taken", age=round(view.age, 3), routes=view.routes.version)
-        self.take(view, asked_at)
-
-    def take(self, view: StoreView, asked_at: float) -> None:
-        """Take a view that was asked for at `asked_at`, on the clock of leases."""
-        beliefs = self._beliefs
-        beliefs.take_routes(view.routes)
-        if view.instances_revision > beliefs.directory_revision:
-            beliefs.directory_revision = view.instances_revision
-            beliefs.take_directory(beliefs.directory.take_listing(view.instances, beliefs.now()))
-        if asked_at - view.age > beliefs.leases.asked_at:
-            self._registry.take_records(view.proxies, view.groups, asked_at - view.age)
-
-    def _note(self, peer: ProxyRecord, outcome: str, **fields: object) -> None:
-        self._journal.note(Topic.STORE, peer=peer.name, outcome=outcome, **fields)
+    def take(self, message: PeerMessage) -> None:
+        """Tell a proxy that asks how new this one's view is."""
+        match message:
+            case ViewAsked(sender, number):
+                self._listeners[sender] = self._beliefs.now()
+                self._tell(sender, number)
+
+    async def tell_changes(self) -> None:
+        """Tell the listeners whenever the view has changed."""
+        while True:
+            await self._beliefs.changed.wait(LOOK_AGAIN_S)
+            if self._beliefs.versions == self._told:
+                continue
+            self._told = self._beliefs.versions
+            since = self._beliefs.now() - LISTENS_S
+            self._listeners = {n: at for n, at in self._listeners.items() if at >= since}
+            for name in self._listeners:
+                self._tell(name, 0)
+
+    @property
+    def _age(self) -> float:
+        return self._beliefs.lease_now() - self._beliefs.leases.asked_at
+
+    def _tell(self, name: str, number: int) -> None:
+        record = self._beliefs.fleet.proxies.get(name)
+        if record is not None and self.socket is not None:
+            told = ViewTold(self._me, number, self._age, self._beliefs.versions)
+            self.socket.send(record.address, told)
--- a/orioleplank/gateway/_views.py
+++ b/orioleplank/gateway/_views.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Mapping
+from dataclasses import asdict, dataclass
 from typing import Any, Protocol
 
 import treq
@@ -14,7 +14,7 @@
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.group import SeenRecord
 from orioleplank.decision.instances import InstanceEntry, RouteTable
-from orioleplank.decision.membership import ProxyRecord
+from orioleplank.decision.membership import ProxyRecord, ViewVersions
 
 PATH = b"view"
 # Time for a peer's answer, in seconds: several round trips between regions.
@@ -25,27 +25,47 @@
     """Another proxy gave no view of the store."""
 
 
+@dataclass(frozen=True, slots=True)
+class SeenProxy:
+    """A proxy's record with the revision at which it was seen."""
+
+    # The record.
+    record: ProxyRecord
+    # The store's revision of its last change.
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class StoreView:
-    """What one proxy knows from the store."""
+    """What one proxy knows from the store, without what the asker knows already."""
 
     # Seconds since the listing of the records was asked for.
     age: float
-    # The registered proxies.
-    proxies: tuple[ProxyRecord, ...]
-    # The groups' records.
+    # How new it is.
+    versions: ViewVersions
+    # Names of all registered proxies.
+    names: tuple[str, ...]
+    # The proxies' records that are newer than the asker's.
+    proxies: tuple[SeenProxy, ...]
+    # The groups' records that are newer than the asker's.
     groups: tuple[SeenRecord, ...]
-    # The configuration.
-    routes: RouteTable
-    # The instances.
-    instances: tuple[InstanceEntry, ...]
-    # The store's revision of their listing.
-    instances_revision: int
+    # The configuration; None when the asker has it.
+    routes: RouteTable | None
+    # The instances; None when the asker knows them.
+    instances: tuple[InstanceEntry, ...] | None
 
 
 _VIEW = TypeAdapter(StoreView)
 
 
+_KNOWN = TypeAdapter(ViewVersions)
+
+
+def read_known(query: Mapping[bytes, list[bytes]]) -> ViewVersions:
+    """Read what an asker knows from its query; raise `ValueError` when it is not valid."""
+    return _KNOWN.validate_python({key.decode(): values[0] for key, values in query.items()})
+
+
 def dump_view(view: StoreView) -> bytes:
     """Return the form of a view between proxies."""
     return _VIEW.dump_json(view)
@@ -54,8 +74,8 @@
 class Views(Protocol):
     """Fetches other proxies' views."""
 
-    def fetch(self, address: str) -> Awaitable[StoreView]:
-        """Return the view of the proxy at HOST:PORT; raise `ViewUnavailableError`."""
+    def fetch(self, address: str, known: ViewVersions) -> Awaitable[StoreView]:
+        """Return what the proxy at HOST:PORT knows beyond `known`; raise `ViewUnavailableError`."""
 
 
 class HttpViews:
@@ -65,11 +85,12 @@
         self._reactor = reactor
         self._agent: Any = Agent(reactor, connectTimeout=ASK_LIMIT_S)
 
-    async def fetch(self, address: str) -> StoreView:
-        """Return the view of the proxy at HOST:PORT; raise `ViewUnavailableError`."""
+    async def fetch(self, address: str, known: ViewVersions) -> StoreView:
+        """Return what the proxy at HOST:PORT knows beyond `known`; raise `ViewUnavailableError`."""
         try:
             response = await treq.get(
                 f"http://{address}/{PATH.decode()}",
+                params=asdict(known),
                 agent=self._agent,
                 timeout=ASK_LIMIT_S,
                 reactor=self._reactor,
--- a/orioleplank/tests/_site.py
+++ b/orioleplank/tests/_site.py
@@ -19,6 +19,7 @@
     RouteTable,
     ServiceLimits,
 )
+from orioleplank.decision.membership import ViewVersions
 from orioleplank.decision.session import Failure, Reply, Statement
 from orioleplank.gateway import (
     Gateway,
@@ -136,13 +137,13 @@
         self._site = site
         self._node = node
 
-    def fetch(self, address: str) -> Deferred[StoreView]:
-        """Return the view of the proxy at an address."""
+    def fetch(self, address: str, known: ViewVersions) -> Deferred[StoreView]:
+        """Return what the proxy at an address knows beyond `known`."""
         fabric, result = self._site.fabric, Deferred[StoreView]()
         peer = next(p for p in self._site.proxies if p.gateway.address == address)
 
         def look() -> None:
-            view = peer.gateway.describe_view()
+            view = peer.gateway.describe_view(known)
 
             def arrive() -> None:
                 if not result.called:
@@ -195,7 +196,7 @@
         node.alive, node.frozen = True, False
         node.backlog.clear()
         node.run += 1
-        number = len(self.proxies)
+        number = int(node.name.rsplit("-", 1)[1])
         reactor = NodeReactor(self.network, node)
         settings = GatewaySettings(
             node.name,
--- a/orioleplank/tests/_site_store.py
+++ b/orioleplank/tests/_site_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Generic, TypeVar
@@ -54,7 +55,8 @@
     loses_answers: bool = False
     # Seconds added to each answer.
     slowness: float = 0.0
-    calls: int = 0
+    # Calls, watches included, by the proxy that made them.
+    calls: Counter[str] = field(default_factory=Counter)
 
     def put(self, kind: str, name: str, item: Any) -> int:
         """Write an object; return its revision."""
@@ -111,6 +113,7 @@
     def watch(self, revision: int, wait: float) -> Deferred[Changes[T]]:
         """Wait for changes."""
         store, result = self._store, Deferred[Any]()
+        store.calls[self._node.name] += 1
         end = store.fabric.now + wait
 
         def look() -> None:
@@ -146,7 +149,7 @@
     def _call(self, work: Callable[[], Any], changes: bool = False) -> Deferred[Any]:
         """Make a call at the store; the answer may be an error, or never come."""
         store, result = self._store, Deferred[Any]()
-        store.calls += 1
+        store.calls[self._node.name] += 1
 
         def arrive() -> None:
             if store.refuses(self._node.name):
