--- a/orioleplank/decision/keeper/__init__.py
+++ b/orioleplank/decision/keeper/__init__.py
@@ -10,6 +10,7 @@
     judge_primary,
 )
 from orioleplank.decision.keeper._successor import InstanceReport, choose_successors, has_caught_up
+from orioleplank.decision.keeper._witness import choose_witnesses
 
 __all__ = [
     "Deposed",
@@ -20,6 +21,7 @@
     "StillThere",
     "Verdict",
     "choose_successors",
+    "choose_witnesses",
     "has_caught_up",
     "judge_primary",
 ]
--- a/orioleplank/decision/routing/__init__.py
+++ b/orioleplank/decision/routing/__init__.py
@@ -1,5 +1,15 @@
 """Where a statement goes."""
 
+from orioleplank.decision.routing._owners import (
+    SPARE_CONNECTIONS,
+    Direct,
+    ThroughOwner,
+    Way,
+    choose_owner,
+    find_owners,
+    find_way,
+    share_of_owner,
+)
 from orioleplank.decision.routing._placement import (
     Candidate,
     Nowhere,
@@ -9,4 +19,19 @@
     place_read,
 )
 
-__all__ = ["Candidate", "Nowhere", "Placement", "ReadNeed", "ToInstance", "place_read"]
+__all__ = [
+    "SPARE_CONNECTIONS",
+    "Candidate",
+    "Direct",
+    "Nowhere",
+    "Placement",
+    "ReadNeed",
+    "ThroughOwner",
+    "ToInstance",
+    "Way",
+    "choose_owner",
+    "find_owners",
+    "find_way",
+    "place_read",
+    "share_of_owner",
+]
--- /dev/null
+++ b/orioleplank/decision/routing/_owners.py
@@ -0,0 +1,90 @@
+"""Who holds the connections to an instance when there are too few for every proxy.
+
+The load it answers: more proxies than an instance accepts connections. A few proxies in the
+instance's own availability zone own its connections; the others send them their statements. Each
+proxy ranks the owners by itself (rendezvous hashing), so that one loss moves only its share.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from orioleplank.decision.instances import InstanceEntry
+from orioleplank.decision.membership import ProxyRecord, rank_proxies
+
+# Connections of an instance that no proxy counts on, for proxies that come and go.
+SPARE_CONNECTIONS = 2
+# Connections to an instance that each proxy needs at least to use it directly: with one, every
+# transaction would keep all others from it.
+DIRECT_LEAST = 2
+# Proxies that own an instance's connections, so that one loss leaves another at once.
+OWNERS = 2
+# Shares of an instance's connections: one for each owner, and one for whoever stands in for an
+# owner that some proxies do not reach.
+SHARES = OWNERS + 1
+
+
+@dataclass(frozen=True, slots=True)
+class Direct:
+    """The proxy holds connections to the instance itself."""
+
+    # Connections that it may hold.
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class ThroughOwner:
+    """The proxy sends its statements to an owner of the instance's connections."""
+
+    # The proxies that may be asked, in this order.
+    owners: tuple[ProxyRecord, ...]
+
+
+Way = Direct | ThroughOwner
+
+
+def share_of_owner(limit: int) -> int:
+    """Return the connections that an owner may hold of `limit`."""
+    return max(1, (limit - SPARE_CONNECTIONS) // SHARES)
+
+
+def find_owners(
+    instance: InstanceEntry, limit: int, active: Collection[ProxyRecord]
+) -> tuple[str, ...]:
+    """Return who owns the connections to an instance, and who stands in for an owner.
+
+    Nobody does where `limit` gives every proxy enough of them.
+    """
+    if _equal_share(limit, len(active)) >= DIRECT_LEAST:
+        return ()
+    zones = {record.name: record.zone for record in active}
+    ranked = rank_proxies(f"owner {instance.id}", zones)
+    nearest = sorted(ranked, key=lambda name: zones[name] != instance.zone)
+    return tuple(nearest[:SHARES])
+
+
+def find_way(me: str, instance: InstanceEntry, limit: int, active: Collection[ProxyRecord]) -> Way:
+    """Return how `me` reaches an instance that accepts `limit` connections."""
+    records = {record.name: record for record in active}
+    owners = find_owners(instance, limit, active)
+    if not owners:
+        return Direct(max(1, _equal_share(limit, len(active))))
+    if me in owners[:OWNERS]:
+        return Direct(share_of_owner(limit))
+    order = _spread(me, owners[:OWNERS]) + owners[OWNERS:]
+    return ThroughOwner(tuple(records[name] for name in order if name != me))
+
+
+def _equal_share(limit: int, proxies: int) -> int:
+    return (limit - SPARE_CONNECTIONS) // max(1, proxies)
+
+
+def _spread(me: str, owners: tuple[str, ...]) -> tuple[str, ...]:
+    """Put another owner first for different proxies, so that each has its part of the work."""
+    return rank_proxies(f"prefers {me}", owners)
+
+
+def choose_owner(way: ThroughOwner, is_avoided: Callable[[str], bool]) -> ProxyRecord | None:
+    """Return the first owner that is not avoided; None when all are."""
+    return next((owner for owner in way.owners if not is_avoided(owner.name)), None)
--- a/orioleplank/gateway/__init__.py
+++ b/orioleplank/gateway/__init__.py
@@ -1,5 +1,6 @@
 """A proxy before databases whose primaries are held under leases; the platform is behind ports."""
 
+from orioleplank.gateway._channels import Channel, ChannelLostError, Listener, TcpChannels
 from orioleplank.gateway._clock import boot_seconds
 from orioleplank.gateway._gateway import Gateway, Outside, build_kernel
 from orioleplank.gateway._journal import Journal, Topic
@@ -31,6 +32,8 @@
 __all__ = [
     "CallerLink",
     "CallerSession",
+    "Channel",
+    "ChannelLostError",
     "Changes",
     "Detour",
     "Dialer",
@@ -43,6 +46,7 @@
     "InstanceRefusedError",
     "InstanceUnreachableError",
     "Journal",
+    "Listener",
     "Listing",
     "Metrics",
     "Outside",
@@ -54,6 +58,7 @@
     "StoreUnavailableError",
     "StoreView",
     "StoredRecord",
+    "TcpChannels",
     "Topic",
     "ViewUnavailableError",
     "Watched",
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -10,20 +10,18 @@
 from orioleplank.decision.group import Lease, LeaseBook, Phase, PositionHistory, SeenRecord
 from orioleplank.decision.instances import Directory, InstanceEntry, Route, RouteTable
 from orioleplank.decision.membership import Fleet, ProxyRecord, ViewVersions
+from orioleplank.decision.routing import Direct
 from orioleplank.gateway._journal import Journal, Topic
 from orioleplank.gateway._pool import InstancePool
-from orioleplank.gateway._ports import Detour, Dialer
+from orioleplank.gateway._ports import Detour
 from orioleplank.gateway._signal import Signal
+from orioleplank.gateway._ways import Dial, Share, Ways
 
-# Connections of an instance that no proxy counts on, for proxies that come and go.
-SPARE_CONNECTIONS = 2
 # Time in which the words of proxies that live come in, in seconds: two rounds between regions, and
 # the end of the work at a primary that is left on purpose.
 WORDS_S = 1.0
 # Time in which an ordered promotion takes effect, in seconds.
 PROMOTION_S = 2.0
-# How long new connections to an instance go through a peer before the direct way is tried again.
-DETOUR_S = 6.0
 
 
 class Beliefs:
@@ -32,7 +30,7 @@
     def __init__(
         self,
         reactor: Any,
-        dialer: Dialer,
+        ways: Ways,
         journal: Journal,
         boot_now: Callable[[], float],
     ) -> None:
@@ -54,11 +52,12 @@
         # Called with an instance's id whenever it did not answer.
         self.on_trouble: Callable[[str], None] = lambda instance: None
         self._reactor = reactor
-        self._dialer = dialer
+        self._ways = ways
+        # Connections held for other proxies to instances that this one uses through owners.
+        self._carrier_pools: dict[str, InstancePool] = {}
         self._journal = journal
         self._boot_now = boot_now
         self._moving_since: dict[str, tuple[bool, float]] = {}
-        self._detours: dict[str, tuple[Detour, float]] = {}
         self._positions: dict[str, tuple[int, PositionHistory]] = {}
 
     @property
@@ -93,6 +92,7 @@
         now = self.lease_now()
         self.retired_at = {run: self.retired_at.get(run, now) for run in retired}
         if fleet != before:
+            self._follow_ways()
             self.changed.fire()
 
     def _note_proxy(self, name: str, record: ProxyRecord | None) -> None:
@@ -116,6 +116,7 @@
         self._journal.note(
             Topic.ROUTES, version=newest.version, before=before, routes=len(newest.routes)
         )
+        self._follow_ways()
         self.changed.fire()
 
     # Instances.
@@ -132,14 +133,15 @@
             return
         entry = after or before
         assert entry is not None
-        pool = self.pools.get(entry.id)
-        if pool is not None and (after is None or _is_other_life(pool.entry, after)):
-            del self.pools[entry.id]
-            pool.close()
-        elif pool is not None and after is not None:
-            pool.entry = after
+        for pools in (self.pools, self._carrier_pools):
+            pool = pools.get(entry.id)
+            if pool is not None and (after is None or _is_other_life(pool.entry, after)):
+                del pools[entry.id]
+                pool.close()
+            elif pool is not None and after is not None:
+                pool.entry = after
         if after is not None and after.id not in self.pools:
-            self.pools[after.id] = self._build_pool(after)
+            self.pools[after.id] = self._build_pool(after, self._ways.open, self._ways.share)
         self._journal.note(
             Topic.INSTANCE,
             instance=entry.id,
@@ -151,34 +153,47 @@
             born=entry.born,
         )
 
-    def _build_pool(self, entry: InstanceEntry) -> InstancePool:
-        def share() -> int:
-            return self.connection_share(entry.service)
-
+    def _build_pool(self, entry: InstanceEntry, dial: Dial, share: Share) -> InstancePool:
         def tell_trouble(instance: str) -> None:
             self.on_trouble(instance)
 
-        return InstancePool(entry, self._dialer, self.now, share, tell_trouble, self._find_detour)
+        return InstancePool(entry, dial, self.now, share, tell_trouble)
+
+    # Ways to instances.
+
+    def carrier_pool(self, instance: str) -> InstancePool | None:
+        """Return this proxy's own connections to an instance; None when it is not known."""
+        entry = self.directory.entry(instance)
+        if entry is None:
+            return None
+        if isinstance(self._ways.find(entry), Direct):
+            return self.pools.get(instance)
+        pool = self._carrier_pools.get(instance)
+        if pool is None:
+            pool = self._build_pool(entry, self._ways.open_directly, self._ways.share_as_owner)
+            self._carrier_pools[instance] = pool
+        return pool
+
+    def owners(self, instance: str) -> tuple[str, ...]:
+        """Return who owns an instance's connections; nobody where every proxy has some."""
+        entry = self.directory.entry(instance)
+        return self._ways.owners(entry) if entry else ()
 
     def take_detour(self, instance: str, detour: Detour, peer: str) -> None:
         """Reach an instance through a peer for a while."""
-        self._detours[instance] = (detour, self.now() + DETOUR_S)
-        pool = self.pools.get(instance)
+        self._ways.take_detour(instance, detour)
+        pool = self.carrier_pool(instance)
         if pool is not None:
             pool.try_again()
         self._journal.note(Topic.SUSPICION, instance=instance, outcome="detour", peer=peer)
 
-    def _find_detour(self, instance: str) -> Detour | None:
-        detour, until = self._detours.get(instance, (None, 0.0))
-        return detour if self.now() < until else None
-
-    def connection_share(self, service: str) -> int:
-        """Return the connections that this proxy may hold to each instance of a service."""
-        limits = self.routes.services.get(service)
-        if limits is None:
-            return 1
-        proxies = max(1, len(self.fleet.active()))
-        return max(1, (limits.max_connections - SPARE_CONNECTIONS) // proxies)
+    def _follow_ways(self) -> None:
+        """Let pools whose instance is reached by another way now open new connections."""
+        before = {name: self._ways.find(pool.entry) for name, pool in self.pools.items()}
+        self._ways.take(self.fleet, self.routes.services)
+        for name, pool in self.pools.items():
+            if type(self._ways.find(pool.entry)) is not type(before[name]):
+                pool.change_way()
 
     # Primaries.
 
--- /dev/null
+++ b/orioleplank/gateway/_carrier.py
@@ -0,0 +1,273 @@
+"""The owner's side: runs other proxies' statements on its own connections to an instance.
+
+It decides nothing about them: the proxy that asks holds the session, checks its lease and judges
+the answer. What waits here for a connection has not been sent, and is answered so in time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from orioleplank.decision.session import Reply, Runnable, TransactionState
+from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._channels import Channel
+from orioleplank.gateway._exchange import NOT_ANSWERED, NOT_SENT, Exchange, PreparationError
+from orioleplank.gateway._frames import (
+    Answered,
+    BeginAsked,
+    CommitAsked,
+    LinkClosed,
+    NotSent,
+    ReportAsked,
+    RollBackAsked,
+    RunAsked,
+    StepDownAsked,
+    Told,
+    Unanswered,
+    Work,
+    decode_frame,
+    dump_reply,
+    dump_report,
+    encode_frame,
+    read_position,
+    read_statement,
+)
+from orioleplank.gateway._inspection import Inspection
+from orioleplank.gateway._journal import Journal, Topic
+from orioleplank.gateway._pool import InstancePool, PooledConnection
+from orioleplank.gateway._ports import InstanceUnreachableError
+
+# Part of the time left that is kept for the way back of "not sent", in seconds: one way between
+# regions, twice.
+WAY_BACK_S = 0.05
+# Time for an instance to roll back, in seconds.
+ROLL_BACK_S = 1.0
+
+
+@dataclass(slots=True, eq=False)
+class _Use:
+    """One link's use of an instance."""
+
+    # Number by which the pool knows it.
+    number: int
+    # Where its connection comes from; None while it has none.
+    pool: InstancePool | None = None
+    # Its connection; None while it has none.
+    connection: PooledConnection | None = None
+    # True between the beginning and the end of a transaction.
+    in_transaction: bool = False
+    # Values of its connection when the transaction began; others may be undone by a rollback.
+    values: Mapping[str, str] = field(default_factory=dict)
+    # What it waits for.
+    waiting: Deferred[Any] | None = None
+    # True once the other proxy has given it up.
+    is_closed: bool = False
+
+
+class Carrier:
+    """Builds a listener for each channel of another proxy."""
+
+    def __init__(
+        self, beliefs: Beliefs, exchange: Exchange, inspection: Inspection, journal: Journal
+    ) -> None:
+        self.beliefs = beliefs
+        self.exchange = exchange
+        self.inspection = inspection
+        self.journal = journal
+        self._numbers = count(1)
+
+    def accept(self, channel: Channel) -> CarriedChannel:
+        """Take a channel of another proxy."""
+        return CarriedChannel(self, channel)
+
+    def next_number(self) -> int:
+        """Return a number of a use; sessions of this proxy have the positive ones."""
+        return -next(self._numbers)
+
+
+class CarriedChannel:
+    """Serves one other proxy."""
+
+    def __init__(self, carrier: Carrier, channel: Channel) -> None:
+        self._carrier = carrier
+        self._exchange = carrier.exchange
+        self._channel = channel
+        self._uses: dict[int, _Use] = {}
+
+    # The channel's side.
+
+    def take_frame(self, frame: bytes) -> None:
+        """Take a question; a frame that cannot be read ends the channel."""
+        asked = decode_frame(frame)
+        match asked:
+            case RunAsked() | BeginAsked():
+                self._start(self._work(asked))
+            case CommitAsked() | RollBackAsked():
+                self._start(self._finish(asked))
+            case LinkClosed(link):
+                self._close(link)
+            case ReportAsked():
+                self._start(self._report(asked))
+            case StepDownAsked():
+                self._start(self._step_down(asked))
+            case _:
+                self._channel.close()
+
+    def take_end(self) -> None:
+        """Roll back whatever the other proxy has not finished."""
+        for link in list(self._uses):
+            self._close(link)
+
+    def _close(self, link: int) -> None:
+        use = self._uses.pop(link, None)
+        if use is None:
+            return
+        use.is_closed = True
+        if use.waiting is not None:
+            use.waiting.cancel()
+        if use.pool is not None and use.connection is not None:
+            use.pool.discard(use.connection)
+
+    def _start(self, work: Any) -> None:
+        Deferred.fromCoroutine(work).addErrback(self._fail)
+
+    def _fail(self, failure: Any) -> None:
+        self._carrier.journal.note(Topic.ERROR, step="carry", detail=failure.getTraceback())
+        self._channel.close()
+
+    def _send(self, told: Told) -> None:
+        self._channel.send(encode_frame(told))
+
+    # Statements.
+
+    async def _work(self, asked: RunAsked | BeginAsked) -> None:
+        use = self._uses.get(asked.link)
+        if isinstance(asked, RunAsked) and asked.in_transaction and use is None:
+            self._send(NotSent(asked.number, "its transaction is gone", False))
+            return
+        if use is None:
+            use = _Use(self._carrier.next_number())
+            self._uses[asked.link] = use
+        told = await self._serve(use, asked)
+        if not use.in_transaction:
+            self._uses.pop(asked.link, None)
+        if not use.is_closed:
+            self._send(told)
+
+    async def _serve(self, use: _Use, asked: RunAsked | BeginAsked) -> Told:
+        statement = read_statement(asked) if isinstance(asked, RunAsked) else None
+        until = self._exchange.beliefs.now() + asked.seconds
+        refusal = await self._get_ready(use, asked, statement)
+        if refusal is not None:
+            return refusal
+        pool, connection = use.pool, use.connection
+        assert pool is not None and connection is not None
+        after = read_position(asked.after)
+        if isinstance(asked, BeginAsked):
+            use.values = connection.state.values
+            answer = connection.link.begin(asked.read_only, after)
+        else:
+            assert statement is not None
+            name = self._exchange.prepared_name(connection, statement)
+            answer = connection.link.run(asked.request, statement, name, after)
+        seconds = until - self._exchange.beliefs.now()
+        return await self._take_answer(use, asked.number, answer, seconds, statement is not None)
+
+    async def _get_ready(
+        self, use: _Use, asked: Work, statement: Runnable | None
+    ) -> NotSent | None:
+        """Give a use a connection that fits the statement; return why it has none."""
+        seconds = asked.seconds - WAY_BACK_S
+        if use.connection is None:
+            pool = self._carrier.beliefs.carrier_pool(asked.instance)
+            if pool is None:
+                return NotSent(asked.number, "the instance is not known here", True)
+            waiting = pool.acquire(asked.values, use.number, asked.priority)
+            use.waiting = waiting
+            try:
+                use.connection = await self._exchange.limit(waiting, seconds)
+                use.pool = pool
+            except NOT_SENT as error:
+                is_unreachable = isinstance(error, InstanceUnreachableError)
+                return NotSent(asked.number, str(error) or "all are in use", is_unreachable)
+            finally:
+                use.waiting = None
+        assert use.pool is not None and use.connection is not None
+        try:
+            await self._exchange.prepare(
+                use.pool, use.connection, asked.values, statement, asked.priority, seconds
+            )
+        except (*NOT_SENT, PreparationError) as error:
+            self._drop(use)
+            return NotSent(asked.number, str(error), False)
+        return None
+
+    async def _take_answer(
+        self, use: _Use, number: int, answer: Deferred[Reply], seconds: float, tells_load: bool
+    ) -> Told:
+        assert use.pool is not None
+        try:
+            reply = await self._exchange.run(use.pool, answer, seconds, tells_load)
+        except NOT_ANSWERED as error:
+            self._drop(use)
+            return Unanswered(number, str(error) or type(error).__name__)
+        self._settle(use, reply)
+        return dump_reply(number, reply)
+
+    def _settle(self, use: _Use, reply: Reply) -> None:
+        use.in_transaction = reply.state is not TransactionState.IDLE
+        if use.in_transaction or use.pool is None or use.connection is None:
+            return
+        self._exchange.settle(use.pool, use.connection, reply)
+        use.pool = use.connection = None
+
+    def _drop(self, use: _Use) -> None:
+        """Close a use's connection, which rolls back whatever is not committed."""
+        use.in_transaction = False
+        if use.pool is not None and use.connection is not None:
+            use.pool.discard(use.connection)
+        use.pool = use.connection = None
+
+    async def _finish(self, asked: CommitAsked | RollBackAsked) -> None:
+        """Commit or roll back."""
+        use = self._uses.get(asked.link)
+        if use is None or use.connection is None:
+            self._send(NotSent(asked.number, "its transaction is gone", False))
+            return
+        connection = use.connection
+        match asked:
+            case CommitAsked(_, _, request, seconds):
+                answer = connection.link.commit(request)
+            case _:
+                answer, seconds = connection.link.roll_back(), ROLL_BACK_S
+                if connection.state.values != use.values:
+                    connection.state = connection.state.doubt()
+        told = await self._take_answer(use, asked.number, answer, seconds, True)
+        if not use.in_transaction:
+            self._uses.pop(asked.link, None)
+        if not use.is_closed:
+            self._send(told)
+
+    # The instance's state.
+
+    async def _report(self, asked: ReportAsked) -> None:
+        pool = self._carrier.beliefs.carrier_pool(asked.instance)
+        report = await self._carrier.inspection.probe(pool) if pool is not None else None
+        if report is not None:
+            self._send(dump_report(asked.number, report))
+            return
+        failing = pool is None or pool.failures > 0
+        self._send(NotSent(asked.number, "it gives no report", failing))
+
+    async def _step_down(self, asked: StepDownAsked) -> None:
+        pool = self._carrier.beliefs.carrier_pool(asked.instance)
+        reached = pool is not None and await self._carrier.inspection.step_down(pool, asked.term)
+        if reached:
+            self._send(Answered(asked.number, (), "-", None, TransactionState.IDLE, None))
+        else:
+            self._send(NotSent(asked.number, "it is not reached", True))
--- a/orioleplank/gateway/_exchange.py
+++ b/orioleplank/gateway/_exchange.py
@@ -11,7 +11,15 @@
 
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.instances import Route
-from orioleplank.decision.session import ExecuteShape, Reply, Runnable, Session, find_preparation
+from orioleplank.decision.session import (
+    Code,
+    ExecuteShape,
+    Reply,
+    Runnable,
+    Session,
+    TransactionState,
+    find_preparation,
+)
 from orioleplank.gateway._beliefs import Beliefs
 from orioleplank.gateway._pool import InstancePool, PooledConnection
 from orioleplank.gateway._ports import InstanceRefusedError, InstanceUnreachableError
@@ -76,12 +84,14 @@
         connection: PooledConnection,
         values: Mapping[str, str],
         statement: Runnable | None,
+        priority: int,
         seconds: float,
     ) -> None:
         """Give a connection the session's values and the statement's shape.
 
         Raise one of `NOT_SENT`, or `PreparationError`; the connection is unusable then.
         """
+        connection.link.expect(priority, seconds)
         shape = statement.shape if isinstance(statement, ExecuteShape) else None
         steps = find_preparation(connection.state, values, shape)
         if not steps:
@@ -114,3 +124,16 @@
             raise
         pool.note_answer(self.beliefs.now() - sent_at if tells_load else None)
         return reply
+
+    def prepared_name(self, connection: PooledConnection, statement: Runnable) -> str:
+        """Return the connection's own name for the statement's shape; empty without one."""
+        shape = getattr(statement, "shape", None)
+        return connection.state.prepared.get(shape, "") if shape is not None else ""
+
+    def settle(self, pool: InstancePool, connection: PooledConnection, reply: Reply) -> None:
+        """Give a connection back after a statement outside a transaction."""
+        unknown_name = reply.failure is not None and reply.failure.code is Code.UNKNOWN_NAME
+        if reply.state is not TransactionState.IDLE or unknown_name:
+            pool.discard(connection)
+        else:
+            pool.release(connection)
--- /dev/null
+++ b/orioleplank/gateway/_forwarding.py
@@ -0,0 +1,366 @@
+"""Sends statements to owners of an instance's connections, and takes their answers.
+
+What an owner says was not sent comes back as "busy", which is true: nothing ran. What it sent and
+got no answer to, and what was under way when a channel broke, may have run.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+from twisted.internet.defer import Deferred, fail, succeed
+
+from orioleplank.decision import Position
+from orioleplank.decision.instances import InstanceEntry
+from orioleplank.decision.keeper import InstanceReport
+from orioleplank.decision.membership import ProxyRecord
+from orioleplank.decision.session import (
+    FRESH_CONNECTION,
+    Code,
+    Failure,
+    Preparation,
+    Reply,
+    Runnable,
+    TransactionState,
+)
+from orioleplank.gateway._channels import Channel, ChannelLostError, Channels
+from orioleplank.gateway._frames import (
+    Answered,
+    Asked,
+    BeginAsked,
+    CommitAsked,
+    LinkClosed,
+    NotSent,
+    ReportAsked,
+    Reported,
+    RollBackAsked,
+    RunAsked,
+    StepDownAsked,
+    Told,
+    Unanswered,
+    decode_frame,
+    describe_statement,
+    dump_position,
+    encode_frame,
+    read_reply,
+    read_report,
+)
+from orioleplank.gateway._ports import InstanceRefusedError, InstanceUnreachableError
+
+# How long an owner that is not reached, or does not reach the instance, is avoided, in seconds.
+AVOID_S = 1.0
+# An owner that has said nothing for this long while an answer was wanted is not trusted to live,
+# in seconds: several round trips between regions.
+SILENT_S = 0.4
+# Priority of the proxy's own questions.
+OWN_PRIORITY = 0
+
+
+class OwnerChannel:
+    """The channel to one owner; it is opened when it is first needed, and again when it broke."""
+
+    def __init__(self, address: str, channels: Channels, now: Callable[[], float]) -> None:
+        self._address = address
+        self._channels = channels
+        self._now = now
+        self._channel: Channel | None = None
+        self._is_opening = False
+        self._waiting: list[Asked] = []
+        self._questions: dict[int, Deferred[Told]] = {}
+        # When the owner was heard last, and when it was first asked after that, in seconds.
+        self._heard_at = now()
+
+    def ask(self, frame: Any) -> Deferred[Told]:
+        """Ask; the answer is `NotSent` or `Unanswered` when the channel breaks."""
+        result: Deferred[Told] = Deferred()
+        self._questions[frame.number] = result
+        self.tell(frame)
+        return result
+
+    def tell(self, frame: Asked) -> None:
+        """Send a frame."""
+        if self._channel is not None:
+            self._channel.send(encode_frame(frame))
+            return
+        self._waiting.append(frame)
+        if not self._is_opening:
+            self._is_opening = True
+            self._channels.open(self._address, self).addCallbacks(
+                self._take_open, self._take_failure
+            )
+
+    def forget(self, number: int, asked_at: float) -> None:
+        """Wait for an answer no more; one who was silent all the while is dropped."""
+        self._questions.pop(number, None)
+        now = self._now()
+        if self._channel is not None and self._heard_at < asked_at and now - asked_at >= SILENT_S:
+            self._channel.close()
+
+    # The channel's side.
+
+    def take_frame(self, frame: bytes) -> None:
+        """Take an answer; one that nobody waits for is dropped."""
+        self._heard_at = self._now()
+        told = decode_frame(frame)
+        match told:
+            case Answered() | Reported() | NotSent() | Unanswered():
+                self._settle(told.number, told)
+            case _:
+                if self._channel is not None:
+                    self._channel.close()
+
+    def take_end(self) -> None:
+        """What was asked may have run."""
+        self._channel = None
+        for number in list(self._questions):
+            self._settle(number, Unanswered(number, "the channel to its owner broke"))
+
+    def _take_open(self, channel: Channel) -> None:
+        self._is_opening = False
+        self._channel = channel
+        waiting, self._waiting = self._waiting, []
+        for frame in waiting:
+            channel.send(encode_frame(frame))
+
+    def _take_failure(self, failure: Any) -> None:
+        failure.trap(ChannelLostError)
+        self._is_opening = False
+        self._waiting.clear()
+        for number in list(self._questions):
+            self._settle(number, NotSent(number, "its owner is not reached", True))
+
+    def _settle(self, number: int, told: Told) -> None:
+        result = self._questions.pop(number, None)
+        if result is not None and not result.called:
+            result.callback(told)
+
+
+class Forwarding:
+    """All channels to owners."""
+
+    def __init__(self, channels: Channels, now: Callable[[], float]) -> None:
+        self._channels = channels
+        self._now = now
+        self._by_address: dict[str, OwnerChannel] = {}
+        self._numbers = count(1)
+        # Until when an owner is not asked for an instance, in seconds.
+        self._avoided: dict[tuple[str, str], float] = {}
+
+    @property
+    def now(self) -> Callable[[], float]:
+        """Return the steady clock, in seconds."""
+        return self._now
+
+    def next_number(self) -> int:
+        """Return a number that was not used before."""
+        return next(self._numbers)
+
+    def channel(self, owner: ProxyRecord) -> OwnerChannel:
+        """Return the channel to an owner."""
+        channel = self._by_address.get(owner.address)
+        if channel is None:
+            channel = OwnerChannel(owner.address, self._channels, self._now)
+            self._by_address[owner.address] = channel
+        return channel
+
+    def avoid(self, instance: str, owner: str) -> None:
+        """Ask an owner no more for an instance, for a while."""
+        self._avoided[instance, owner] = self._now() + AVOID_S
+
+    def is_avoided(self, instance: str, owner: str) -> bool:
+        """Tell whether an owner is not asked for an instance now."""
+        return self._now() < self._avoided.get((instance, owner), 0.0)
+
+
+class OwnedLink:
+    """A use of an instance through its owners; implements the gateway's `InstanceLink`.
+
+    Outside a transaction each statement goes to whichever owner is best then.
+    """
+
+    def __init__(
+        self,
+        entry: InstanceEntry,
+        forwarding: Forwarding,
+        choose_owner: Callable[[], ProxyRecord | None],
+        on_unreachable: Callable[[], None],
+    ) -> None:
+        self._entry = entry
+        self._forwarding = forwarding
+        self._choose_owner = choose_owner
+        self._on_unreachable = on_unreachable
+        self._link = forwarding.next_number()
+        self._state = FRESH_CONNECTION
+        self._priority = OWN_PRIORITY
+        self._seconds = 0.0
+        # The owner that holds its transaction's connection.
+        self._bound_to: ProxyRecord | None = None
+        # The question that is not answered: whom, its number, when it was asked.
+        self._open_question: tuple[ProxyRecord, int, float] | None = None
+
+    # The gateway's side.
+
+    @property
+    def is_direct(self) -> bool:
+        """False: only an answer shows that the instance lives."""
+        return False
+
+    def expect(self, priority: int, seconds: float) -> None:
+        """Tell how important the next question is, and how long its answer is waited for."""
+        self._priority, self._seconds = priority, seconds
+
+    def prepare(self, step: Preparation) -> Deferred[Reply]:
+        """Change values or prepared names; they go along with the statements."""
+        self._state = self._state.apply(step)
+        return succeed(Reply(state=self._phase))
+
+    def begin(self, read_only: bool, after: Position | None) -> Deferred[Reply]:
+        """Begin a transaction, on a log that has reached `after`."""
+        owner = self._choose_owner()
+        if owner is None:
+            return succeed(self._refuse("no owner of its connections is reached"))
+        self._bound_to = owner
+        number = self._forwarding.next_number()
+        return self._ask(
+            owner,
+            BeginAsked(
+                self._link,
+                number,
+                self._entry.id,
+                self._priority,
+                self._seconds,
+                dict(self._state.values),
+                dump_position(after),
+                read_only,
+            ),
+        )
+
+    def run(
+        self, request: str, statement: Runnable, prepared_name: str, after: Position | None
+    ) -> Deferred[Reply]:
+        """Run a statement under the caller's id, on a log that has reached `after`."""
+        owner = self._bound_to or self._choose_owner()
+        if owner is None:
+            return succeed(self._refuse("no owner of its connections is reached"))
+        mode, shape, arguments = describe_statement(statement)
+        number = self._forwarding.next_number()
+        return self._ask(
+            owner,
+            RunAsked(
+                self._link,
+                number,
+                self._entry.id,
+                self._priority,
+                self._seconds,
+                dict(self._state.values),
+                dump_position(after),
+                request,
+                mode,
+                shape,
+                arguments,
+                self._bound_to is not None,
+            ),
+        )
+
+    def commit(self, request: str) -> Deferred[Reply]:
+        """Commit under the caller's id."""
+        number = self._forwarding.next_number()
+        frame = CommitAsked(self._link, number, request, self._seconds)
+        return self._ask_bound(frame)
+
+    def roll_back(self) -> Deferred[Reply]:
+        """Roll back."""
+        return self._ask_bound(RollBackAsked(self._link, self._forwarding.next_number()))
+
+    def report(self) -> Deferred[InstanceReport]:
+        """Ask the instance for its state; fails with `InstanceRefusedError` when it is busy."""
+        owner = self._choose_owner()
+        if owner is None:
+            return fail(self._unreachable("no owner of its connections is reached"))
+        frame = ReportAsked(self._forwarding.next_number(), self._entry.id)
+        return self._exchange(owner, frame).addCallback(self._read_report, owner)
+
+    def step_down(self, term: int) -> Deferred[Reply]:
+        """Make a primary of a lower term a replica."""
+        owner = self._choose_owner()
+        if owner is None:
+            return fail(self._unreachable("no owner of its connections is reached"))
+        number = self._forwarding.next_number()
+        return self._ask(owner, StepDownAsked(number, self._entry.id, term))
+
+    def close(self) -> None:
+        """Give up what is asked, and the transaction."""
+        if self._open_question is not None:
+            owner, number, asked_at = self._open_question
+            channel = self._forwarding.channel(owner)
+            channel.tell(LinkClosed(self._link))
+            channel.forget(number, asked_at)
+        elif self._bound_to is not None:
+            self._forwarding.channel(self._bound_to).tell(LinkClosed(self._link))
+        self._open_question = self._bound_to = None
+
+    # Questions.
+
+    @property
+    def _phase(self) -> TransactionState:
+        return TransactionState.OPEN if self._bound_to else TransactionState.IDLE
+
+    def _ask_bound(self, frame: CommitAsked | RollBackAsked) -> Deferred[Reply]:
+        if self._bound_to is None:
+            return succeed(Reply())
+        return self._ask(self._bound_to, frame)
+
+    def _ask(self, owner: ProxyRecord, frame: Any) -> Deferred[Reply]:
+        return self._exchange(owner, frame).addCallback(self._read_reply, owner)
+
+    def _exchange(self, owner: ProxyRecord, frame: Any) -> Deferred[Told]:
+        self._open_question = (owner, frame.number, self._forwarding.now())
+        asked = self._forwarding.channel(owner).ask(frame)
+
+        def settle(told: Any) -> Any:
+            if self._open_question is not None and self._open_question[1] == frame.number:
+                self._open_question = None
+            return told
+
+        return asked.addCallback(settle)
+
+    def _read_reply(self, told: Told, owner: ProxyRecord) -> Reply:
+        match told:
+            case Answered():
+                reply = read_reply(told)
+                if reply.state is TransactionState.IDLE:
+                    self._bound_to = None
+                return reply
+            case NotSent(_, why, is_unreachable):
+                if is_unreachable:
+                    self._take_unreachable(owner)
+                self._bound_to = None
+                return self._refuse(why)
+            case _:
+                self._bound_to = None
+                self._forwarding.avoid(self._entry.id, owner.name)
+                raise self._unreachable(getattr(told, "why", "an unexpected answer"))
+
+    def _read_report(self, told: Told, owner: ProxyRecord) -> InstanceReport:
+        match told:
+            case Reported():
+                return read_report(told)
+            case NotSent(_, why, is_unreachable=False):
+                raise InstanceRefusedError("ask for report", self._entry.id, why)
+            case _:
+                self._forwarding.avoid(self._entry.id, owner.name)
+                raise self._unreachable(getattr(told, "why", "an unexpected answer"))
+
+    def _take_unreachable(self, owner: ProxyRecord) -> None:
+        """Avoid the owner; when no other one is left the instance itself is in doubt."""
+        self._forwarding.avoid(self._entry.id, owner.name)
+        if self._choose_owner() is None:
+            self._on_unreachable()
+
+    def _refuse(self, why: str) -> Reply:
+        return Reply(failure=Failure(Code.BUSY, f"not sent: {why}"))
+
+    def _unreachable(self, why: str) -> InstanceUnreachableError:
+        return InstanceUnreachableError("ask instance", self._entry.id, why)
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -13,8 +13,12 @@
 
 from orioleplank.decision.membership import PeerMessage, ProxyRecord, ViewVersions
 from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._carrier import Carrier
+from orioleplank.gateway._channels import PORT_OFFSET as CHANNEL_OFFSET
+from orioleplank.gateway._channels import ChannelFactory, Channels
 from orioleplank.gateway._clock import boot_seconds
 from orioleplank.gateway._feed import ASK_S, Feed
+from orioleplank.gateway._forwarding import Forwarding
 from orioleplank.gateway._gate import Gate
 from orioleplank.gateway._inspection import Inspection
 from orioleplank.gateway._journal import Journal, Topic
@@ -31,9 +35,11 @@
 from orioleplank.gateway._settings import GatewaySettings
 from orioleplank.gateway._signal import sleep
 from orioleplank.gateway._statements import Statements
-from orioleplank.gateway._tunnel import PORT_OFFSET, TunnelFactory
+from orioleplank.gateway._tunnel import PORT_OFFSET as TUNNEL_OFFSET
+from orioleplank.gateway._tunnel import TunnelFactory
 from orioleplank.gateway._views import StoreView, Views
 from orioleplank.gateway._watch import LOOK_S, Watch
+from orioleplank.gateway._ways import Ways
 from orioleplank.kernel import Kernel, Service, Timer, TimerTick
 
 # Time for the balancer to notice that no new sessions are wanted, in seconds: two of its questions
@@ -62,6 +68,8 @@
     promotions: Promotions
     # Fetches other proxies' views of the store.
     views: Views
+    # Opens channels to other proxies.
+    channels: Channels
 
 
 class Gateway(Service):
@@ -88,7 +96,9 @@
         me = ProxyRecord(
             settings.name, f"{settings.name}-{uuid.uuid4().hex[:12]}", settings.peers, settings.zone
         )
-        self.beliefs = Beliefs(reactor, outside.dialer, journal, boot_now)
+        forwarding = Forwarding(outside.channels, reactor.seconds)
+        ways = Ways(settings.name, outside.dialer, forwarding, reactor.seconds)
+        self.beliefs = Beliefs(reactor, ways, journal, boot_now)
         self.beliefs.on_trouble = self._take_trouble
         gate = Gate(reactor)
         self._view = PlatformView(reactor, outside.store, self.beliefs, journal, self._random, gate)
@@ -135,6 +145,7 @@
         )
         self._watch = Watch(reactor, self.beliefs, journal, self._inspection, self._moves, me)
         statements = Statements(self.beliefs, reactor, settings.zone)
+        self.carrier = Carrier(self.beliefs, statements, self._inspection, journal)
         self.sessions = SessionTable(self.beliefs, statements, journal, self.metrics)
         self._me = me
 
@@ -168,7 +179,9 @@
         self._reactor.listenUDP(int(port), socket, interface=host)
         self._reactor.listenTCP(int(port), self._relay.build_site(), interface=host)
         tunnels = TunnelFactory(self._reactor, self._find_address)
-        self._reactor.listenTCP(int(port) + PORT_OFFSET, tunnels, interface=host)
+        self._reactor.listenTCP(int(port) + TUNNEL_OFFSET, tunnels, interface=host)
+        channels = ChannelFactory(self.carrier.accept)
+        self._reactor.listenTCP(int(port) + CHANNEL_OFFSET, channels, interface=host)
         host, _, port = self._settings.metrics.rpartition(":")
         self._reactor.listenTCP(int(port), self.metrics.build_site(), interface=host)
         for part in (
--- a/orioleplank/gateway/_inspection.py
+++ b/orioleplank/gateway/_inspection.py
@@ -143,7 +143,7 @@
 
     def _tell_reach(self, sender: str, number: int, instance: str) -> None:
         peer = self._beliefs.fleet.proxies.get(sender)
-        pool = self._beliefs.pools.get(instance)
+        pool = self._beliefs.carrier_pool(instance)
         if peer is None or self.socket is None or pool is None:
             return
         age = self._beliefs.now() - pool.answered_at
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -14,8 +14,6 @@
 from orioleplank.decision.instances import InstanceEntry
 from orioleplank.decision.session import FRESH_CONNECTION, ConnectionState, find_preparation
 from orioleplank.gateway._ports import (
-    Detour,
-    Dialer,
     InstanceLink,
     InstanceRefusedError,
     InstanceUnreachableError,
@@ -51,6 +49,8 @@
     session: int = 0
     # False once it must not be used again.
     usable: bool = True
+    # Counts how often the way to the instance had changed when it was opened.
+    generation: int = 0
 
 
 @dataclass(slots=True, order=True)
@@ -74,18 +74,17 @@
     def __init__(
         self,
         entry: InstanceEntry,
-        dialer: Dialer,
+        dial: Callable[[InstanceEntry, Callable[[], None]], Deferred[InstanceLink]],
         now: Callable[[], float],
-        share: Callable[[], int],
+        share: Callable[[InstanceEntry], int],
         on_trouble: Callable[[str], None],
-        find_detour: Callable[[str], Detour | None] = lambda instance: None,
     ) -> None:
         self.entry = entry
-        self._dialer = dialer
+        self._dial = dial
         self._now = now
         self._share = share
         self._on_trouble = on_trouble
-        self._find_detour = find_detour
+        self._generation = 0
         self._idle: list[PooledConnection] = []
         self._taken: set[PooledConnection] = set()
         self._opening = 0
@@ -202,8 +201,9 @@
         if connection not in self._taken:
             return
         self._taken.discard(connection)
-        over = self.size >= max(1, self._share()) and not self._waiters
-        if not connection.usable or self._closed or over:
+        over = self.size >= max(1, self._share(self.entry)) and not self._waiters
+        is_old = connection.generation != self._generation
+        if not connection.usable or self._closed or over or is_old:
             connection.link.close()
         else:
             self._idle.append(connection)
@@ -220,6 +220,11 @@
         for connection in idle:
             connection.link.close()
 
+    def change_way(self) -> None:
+        """Close what was opened by another way; taken connections end with their work."""
+        self._generation += 1
+        self.try_again()
+
     def try_again(self) -> None:
         """Forget failures to open connections, because there is another way now."""
         self._retry_at = 0.0
@@ -253,23 +258,25 @@
         return bool(self._taken or self._opening) or self._now() >= self._retry_at
 
     def _open_wanted(self) -> None:
-        while self._opening < len(self._waiters) and self.size < max(1, self._share()):
+        while self._opening < len(self._waiters) and self.size < max(1, self._share(self.entry)):
             if self._now() < self._retry_at:
                 return
             self._opening += 1
-            opened_at = self._now()
-            dialing = self._dialer.dial(self.entry, self._find_detour(self.entry.id))
-            dialing.addCallbacks(self._take_opened, self._take_failure, callbackArgs=(opened_at,))
+            dialing = self._dial(self.entry, self.note_failure)
+            dialing.addCallbacks(
+                self._take_opened, self._take_failure, callbackArgs=(self._generation,)
+            )
 
-    def _take_opened(self, link: InstanceLink, opened_at: float) -> None:
+    def _take_opened(self, link: InstanceLink, generation: int) -> None:
         self._opening -= 1
         self._dial_failures = 0
         self._retry_at = 0.0
-        self.note_answer()
+        if link.is_direct:
+            self.note_answer()
         if self._closed:
             link.close()
             return
-        self._idle.append(PooledConnection(link))
+        self._idle.append(PooledConnection(link, generation=generation))
         self._serve_waiters()
 
     def _take_failure(self, failure: Failure) -> None:
--- a/orioleplank/gateway/_ports.py
+++ b/orioleplank/gateway/_ports.py
@@ -123,6 +123,13 @@
     A question's result fails with `InstanceUnreachableError` when the connection breaks.
     """
 
+    @property
+    def is_direct(self) -> bool:
+        """True when its opening has shown that the instance lives."""
+
+    def expect(self, priority: int, seconds: float) -> None:
+        """Tell how important the next question is, and how long its answer is waited for."""
+
     def prepare(self, step: Preparation) -> Deferred[Reply]:
         """Change values or prepared names."""
 
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -292,25 +292,13 @@
             return refuse(Code.BUSY, "open connection", str(error), pool.entry.id)
         try:
             values = request.session.values
-            await self.prepare(pool, connection, values, statement, seconds)
+            priority = request.route.priority
+            await self.prepare(pool, connection, values, statement, priority, seconds)
         except (*NOT_SENT, PreparationError) as error:
             pool.discard(connection)
             return refuse(Code.BUSY, "prepare connection", str(error), pool.entry.id)
         return connection
 
-    def prepared_name(self, connection: PooledConnection, statement: Runnable) -> str:
-        """Return the connection's own name for the statement's shape; empty without one."""
-        shape = getattr(statement, "shape", None)
-        return connection.state.prepared.get(shape, "") if shape is not None else ""
-
-    def settle(self, pool: InstancePool, connection: PooledConnection, reply: Reply) -> None:
-        """Give a connection back after a statement outside a transaction."""
-        unknown_name = reply.failure is not None and reply.failure.code is Code.UNKNOWN_NAME
-        if reply.state.value != "idle" or unknown_name:
-            pool.discard(connection)
-        else:
-            pool.release(connection)
-
     def learn(self, request: Request, instance: str, asked_at: float, reply: Reply) -> None:
         """Learn the position of the log if the primary answered."""
         lease = self.beliefs.lease(request.route.service)
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -109,7 +109,8 @@
         try:
             values = request.session.values
             left = statements.left(request)
-            await statements.prepare(pool, connection, values, statement, left)
+            priority = request.route.priority
+            await statements.prepare(pool, connection, values, statement, priority, left)
         except Exception as error:
             self._lose(transaction)
             return refuse(Code.ABORTED, "prepare connection", str(error), pool.entry.id), False
@@ -246,6 +247,7 @@
         assert pool is not None and connection is not None
         while True:
             asked_at = self._beliefs.lease_now()
+            connection.link.expect(request.route.priority, self._statements.left(request))
             asked = connection.link.commit(request.id)
             reply = await self._statements.run(pool, asked, self._statements.left(request))
             self._statements.learn(request, pool.entry.id, asked_at, reply)
--- a/orioleplank/gateway/_watch.py
+++ b/orioleplank/gateway/_watch.py
@@ -16,6 +16,7 @@
     FoundDead,
     Leaving,
     StillThere,
+    choose_witnesses,
     judge_primary,
 )
 from orioleplank.decision.membership import ProxyRecord, rank_proxies
@@ -35,6 +36,8 @@
 # An instance that owes answers and has given none for this long is asked too, in seconds: longer
 # than most statements take.
 OVERDUE_S = 0.4
+# Pause before an instance is asked again, in seconds: a failure may be found without any delay.
+PROBE_AGAIN_S = 0.1
 # Proxies that look after a primary while it is idle.
 GUARDS = 2
 # An answer that a peer has had within this time shows that the primary lives, in seconds.
@@ -79,6 +82,8 @@
         self._seen_moving: dict[str, tuple[int, float]] = {}
         self._busy: set[str] = set()
         self._probing: set[str] = set()
+        # When each instance was asked last, in seconds.
+        self._probed_at: dict[str, float] = {}
 
     # Watching.
 
@@ -105,6 +110,8 @@
         match judge_primary(self._find_evidence(seen.record)):
             case StillThere():
                 self._standing.pop(service, None)
+            case FoundDead() if self._hears_from_owners(seen.record.primary):
+                pass
             case FoundDead(why) as verdict:
                 acts = self._may_act(service, verdict)
                 self._begin(service, self._inquire(service, seen, why, acts))
@@ -141,7 +148,15 @@
 
     def _rank(self, service: str) -> int:
         names = {record.name for record in self._beliefs.fleet.active()} | {self._me.name}
-        return rank_proxies(service, names).index(self._me.name)
+        seen = self._beliefs.leases.seen.get(service)
+        owners = self._beliefs.owners(seen.record.primary) if seen else ()
+        ranked = owners + tuple(n for n in rank_proxies(service, names) if n not in owners)
+        return ranked.index(self._me.name)
+
+    def _hears_from_owners(self, primary: str) -> bool:
+        """Tell whether others hold the connections to a primary, and look after it."""
+        owners = self._beliefs.owners(primary)
+        return bool(owners) and self._me.name not in owners
 
     def _find_evidence(self, record: GroupRecord) -> Evidence:
         known = self._beliefs.directory.instances.get(record.primary)
@@ -156,13 +171,15 @@
 
     def _probe_if_quiet(self, instance: str) -> None:
         """Ask an instance that fails, or whose answers are overdue; a primary also when idle."""
-        pool = self._beliefs.pools[instance]
-        if instance in self._probing:
+        pool, now = self._beliefs.pools[instance], self._beliefs.now()
+        since = now - self._probed_at.get(instance, float("-inf"))
+        if instance in self._probing or since < PROBE_AGAIN_S:
             return
-        quiet = self._beliefs.now() - pool.answered_at
+        quiet = now - pool.answered_at
         is_overdue = pool.in_flight > 0 and quiet >= OVERDUE_S
         if pool.failures or is_overdue or (quiet >= QUIET_S and self._guards(pool.entry)):
             self._probing.add(instance)
+            self._probed_at[instance] = now
             probe = Deferred.fromCoroutine(self._inspection.probe(pool))
 
             def forget(result: object) -> object:
@@ -213,7 +230,7 @@
 
     async def _is_dead_for_all(self, record: GroupRecord, why: str) -> bool:
         """Ask the other proxies; one that reaches the primary shows that it lives."""
-        peers = [peer for peer in self._beliefs.fleet.active() if peer.name != self._me.name]
+        peers = choose_witnesses(record.primary, self._me, self._beliefs.fleet.active())
         ages = await self._inspection.ask_reach(record.primary, peers)
         pool = self._beliefs.pools.get(record.primary)
         alone = bool(peers) and not ages and (pool is None or pool.failing_for < ALONE_S)
--- /dev/null
+++ b/orioleplank/gateway/_ways.py
@@ -0,0 +1,119 @@
+"""How this proxy reaches each instance: itself, by way of a peer, or through an owner."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from twisted.internet.defer import Deferred, succeed
+
+from orioleplank.decision.instances import InstanceEntry, ServiceLimits
+from orioleplank.decision.membership import Fleet, ProxyRecord
+from orioleplank.decision.routing import (
+    Direct,
+    ThroughOwner,
+    Way,
+    choose_owner,
+    find_owners,
+    find_way,
+    share_of_owner,
+)
+from orioleplank.gateway._forwarding import Forwarding, OwnedLink
+from orioleplank.gateway._ports import Detour, Dialer, InstanceLink
+
+Dial = Callable[[InstanceEntry, Callable[[], None]], Deferred[InstanceLink]]
+Share = Callable[[InstanceEntry], int]
+
+# How long new connections to an instance go through a peer before the direct way is tried again.
+DETOUR_S = 6.0
+# Uses of an instance through its owners at once; the owners hold the connections.
+OWNED_LINKS = 64
+
+
+class Ways:
+    """Opens connections to instances by the way that fits the fleet's size."""
+
+    def __init__(
+        self, me: str, dialer: Dialer, forwarding: Forwarding, now: Callable[[], float]
+    ) -> None:
+        self._me = me
+        self._dialer = dialer
+        self._forwarding = forwarding
+        self._now = now
+        self._fleet = Fleet()
+        self._services: Mapping[str, ServiceLimits] = {}
+        self._found: dict[str, Way] = {}
+        self._detours: dict[str, tuple[Detour, float]] = {}
+
+    def take(self, fleet: Fleet, services: Mapping[str, ServiceLimits]) -> None:
+        """Take the proxies and the services' limits, by which ways are chosen."""
+        self._fleet, self._services = fleet, services
+        self._found.clear()
+
+    def find(self, entry: InstanceEntry) -> Way:
+        """Return the way to an instance."""
+        way = self._found.get(entry.id)
+        if way is None:
+            limits = self._services.get(entry.service)
+            active = self._fleet.active()
+            way = find_way(self._me, entry, limits.max_connections, active) if limits else Direct(1)
+            self._found[entry.id] = way
+        return way
+
+    def owners(self, entry: InstanceEntry) -> tuple[str, ...]:
+        """Return who owns an instance's connections; nobody where every proxy has some."""
+        limits = self._services.get(entry.service)
+        return find_owners(entry, limits.max_connections, self._fleet.active()) if limits else ()
+
+    def share(self, entry: InstanceEntry) -> int:
+        """Return the connections that this proxy may hold to an instance."""
+        match self.find(entry):
+            case Direct(connections):
+                return connections
+            case ThroughOwner():
+                return OWNED_LINKS
+
+    def share_as_owner(self, entry: InstanceEntry) -> int:
+        """Return the connections that this proxy may hold for others."""
+        match self.find(entry):
+            case Direct(connections):
+                return connections
+            case ThroughOwner():
+                limits = self._services.get(entry.service)
+                return share_of_owner(limits.max_connections) if limits else 1
+
+    def open(
+        self, entry: InstanceEntry, on_unreachable: Callable[[], None]
+    ) -> Deferred[InstanceLink]:
+        """Open a connection to an instance, or begin to use it through its owners."""
+        match self.find(entry):
+            case Direct():
+                return self.open_directly(entry, on_unreachable)
+            case ThroughOwner():
+                return succeed(self._build_owned(entry, on_unreachable))
+
+    def open_directly(
+        self, entry: InstanceEntry, on_unreachable: Callable[[], None]
+    ) -> Deferred[InstanceLink]:
+        """Open a connection to an instance, perhaps by way of a peer; failures tell enough."""
+        return self._dialer.dial(entry, self._find_detour(entry.id))
+
+    def _build_owned(
+        self, entry: InstanceEntry, on_unreachable: Callable[[], None]
+    ) -> InstanceLink:
+        def choose() -> ProxyRecord | None:
+            way = self.find(entry)
+            if not isinstance(way, ThroughOwner):
+                return None
+            return choose_owner(way, lambda name: self._forwarding.is_avoided(entry.id, name))
+
+        return OwnedLink(entry, self._forwarding, choose, on_unreachable)
+
+    # Detours.
+
+    def take_detour(self, instance: str, detour: Detour) -> None:
+        """Reach an instance by way of a peer for a while."""
+        self._detours[instance] = (detour, self._now() + DETOUR_S)
+
+    def _find_detour(self, instance: str) -> Detour | None:
+        detour, until = self._detours.get(instance, (None, 0.0))
+        return detour if self._now() < until else None
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,6 +13,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from orioleplank._exceptions import OrioleplankError
+from orioleplank._sockets import set_time_limits
 from orioleplank.decision import Position
 from orioleplank.decision.instances import DbRole, InstanceEntry
 from orioleplank.decision.keeper import InstanceReport
@@ -23,11 +23,6 @@
 
 # Time for a connection and its greeting, in seconds: several round trips between regions.
 DIAL_LIMIT_S = 1.0
-# Bytes that the other side has not acknowledged for this long end a connection, in milliseconds.
-USER_TIMEOUT_MS = 3000
-# Seconds of silence before a keep-alive probe, and between probes.
-KEEPALIVE_IDLE_S = 2
-KEEPALIVE_PROBES = 2
 # Word by which the proxy names itself to instances.
 WHO = "orioleplank"
 
@@ -61,6 +56,14 @@
 
     # The gateway's side.
 
+    @property
+    def is_direct(self) -> bool:
+        """True: its opening has shown that the instance lives."""
+        return True
+
+    def expect(self, priority: int, seconds: float) -> None:
+        """Nothing to do: the instance takes what comes in its order."""
+
     def prepare(self, step: Preparation) -> Deferred[Reply]:
         """Change values or prepared names."""
         return self._ask(codec.OWN_REQUEST, codec.format_preparation(step))
@@ -104,7 +107,7 @@
         """Greet the instance by the id that is expected of it."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
-        _set_time_limits(transport.getHandle())
+        set_time_limits(transport.getHandle())
         if self._prologue:
             transport.write(self._prologue)
         self._send(f"STARTUP {self._entry.service} {WHO} {self._entry.id}")
@@ -228,12 +231,3 @@
         connecting: Any = connectProtocol(endpoint, protocol)
         opened: Deferred[InstanceLink] = connecting.addCallback(await_greeting).addErrback(refuse)
         return opened
-
-
-def _set_time_limits(handle: socket.socket) -> None:
-    """End a connection that goes silent although new ones would work."""
-    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -16,6 +16,7 @@
     Journal,
     Metrics,
     Outside,
+    TcpChannels,
     Topic,
     boot_seconds,
     build_kernel,
@@ -59,6 +60,7 @@
         InstanceDialer(reactor),
         PromotionClient(reactor, settings.promotions, settings.name),
         HttpViews(reactor),
+        TcpChannels(reactor),
     )
     return Gateway(reactor, settings, outside, journal, metrics)
 
--- a/orioleplank/tests/_site.py
+++ b/orioleplank/tests/_site.py
@@ -33,6 +33,7 @@
 )
 from orioleplank.tests._fabric import Fabric, Node
 from orioleplank.tests._node_reactor import Network, NodeReactor
+from orioleplank.tests._site_channels import SiteChannels
 from orioleplank.tests._site_instances import (
     SERVICE,
     SiteDialer,
@@ -124,6 +125,7 @@
     gateway: Gateway = field(init=False)
     journal: MemoryJournal = field(default_factory=MemoryJournal)
     dialer: SiteDialer = field(init=False)
+    channels: SiteChannels = field(init=False)
     # Sessions of this run.
     callers: list[SiteCaller] = field(default_factory=list)
     # Seconds by which its machine was suspended.
@@ -164,14 +166,17 @@
 class Site:
     """A small deployment: proxies, one service of three instances, the store."""
 
-    def __init__(self, seed: int = 1, proxies: int = 3) -> None:
+    def __init__(self, seed: int = 1, proxies: int = 3, connections: int = 30) -> None:
         self.fabric = Fabric(seed)
         self.network = Network(self.fabric)
         self.fabric.nodes[STORE] = Node(STORE)
         self.store = SiteStore(self.fabric)
         self.group = SiteGroup(self.fabric, self._publish)
         self.routes = RouteTable(
-            1, {route.database: route for route in ROUTES}, {SERVICE: ServiceLimits(30)}, 3.0
+            1,
+            {route.database: route for route in ROUTES},
+            {SERVICE: ServiceLimits(connections)},
+            3.0,
         )
         self.store.put("routes", "main", self.routes)
         for name in self.group.members:
@@ -212,7 +217,9 @@
         node.dialer = SiteDialer(self.group, node, self._find_proxy)
         store: Any = StorePort(self.store, node)
         promotions = SitePromotions(self.group, node)
-        outside = Outside(store, node.dialer, promotions, SiteViews(self, node))
+        node.channels = SiteChannels(self.fabric, node, self._find_proxy)
+        views = SiteViews(self, node)
+        outside = Outside(store, node.dialer, promotions, views, node.channels)
         journal: Any = node.journal
         node.gateway = Gateway(
             reactor,
@@ -237,6 +244,7 @@
         node.run += 1
         for _, link in node.dialer.links:
             link.close()
+        node.channels.lose_all()
         callers, node.callers = node.callers, []
         for caller in callers:
             caller.lose()
--- a/orioleplank/tests/_site_instances.py
+++ b/orioleplank/tests/_site_instances.py
@@ -215,6 +215,19 @@
 
     # The gateway's side.
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the connection counts at the instance."""
+        return self._is_open
+
+    @property
+    def is_direct(self) -> bool:
+        """True: its opening has shown that the instance lives."""
+        return True
+
+    def expect(self, priority: int, seconds: float) -> None:
+        """Nothing to do: questions are taken in their order."""
+
     def prepare(self, step: Preparation) -> Deferred[Reply]:
         """Change values or prepared names."""
         return self._ask(lambda: self._prepare(step), 0.0)
--- a/orioleplank/tests/_site_storm.py
+++ b/orioleplank/tests/_site_storm.py
@@ -204,9 +204,11 @@
 class Storm:
     """A site under random faults."""
 
-    def __init__(self, seed: int, proxies: int = 4, callers: int = 10) -> None:
+    def __init__(
+        self, seed: int, proxies: int = 4, callers: int = 10, connections: int = 30
+    ) -> None:
         self.random = Random(seed)
-        self.site = Site(seed, proxies)
+        self.site = Site(seed, proxies, connections)
         self.audit = Audit()
         # Who sent each request: the caller, its values, when it began, its own commits.
         self.senders: dict[str, tuple[StormCaller, dict[str, str], float, list[str]]] = {}
