Proxies of a zone tell each other the positions of primaries' logs

Changed: each proxy asks its source, and a source its followers, for positions that reads want; dated by when they were asked for, and taken only under the same record of the group. The test fails with the asking switched off.

--- a/orioleplank/decision/group/__init__.py
+++ b/orioleplank/decision/group/__init__.py
@@ -9,12 +9,13 @@
     Phase,
     SeenRecord,
 )
-from orioleplank.decision.group._positions import PositionHistory
+from orioleplank.decision.group._positions import KnownPosition, PositionHistory
 
 __all__ = [
     "LEASE_S",
     "RELEASE_MARGIN_S",
     "GroupRecord",
+    "KnownPosition",
     "Lease",
     "LeaseBook",
     "Phase",
--- a/orioleplank/decision/group/_positions.py
+++ b/orioleplank/decision/group/_positions.py
@@ -42,6 +42,11 @@
         while self._known[0].known_at < known_at - KEPT_S:
             self._known.popleft()
 
+    @property
+    def newest(self) -> KnownPosition | None:
+        """Return the newest position, or None."""
+        return self._known[-1] if self._known else None
+
     def find(self, known_since: float) -> Position | None:
         """Return the lowest position that is complete for `known_since`, or None."""
         for known in self._known:
--- a/orioleplank/decision/membership/_peer.py
+++ b/orioleplank/decision/membership/_peer.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from orioleplank.decision._position import Position
 from orioleplank.decision.membership._source import ViewVersions
 
 
@@ -115,6 +116,44 @@
     versions: ViewVersions
 
 
+@dataclass(frozen=True, slots=True)
+class PositionsAsked:
+    """Asks a proxy for the newest positions that it knows of primaries' logs."""
+
+    # Name of the asking proxy.
+    sender: str
+    # Number of the question.
+    number: int
+    # Names of the services.
+    services: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PositionNote:
+    """The newest position that a proxy knows of one primary's log."""
+
+    # Name of the service.
+    service: str
+    # Revision of the record that names the primary.
+    revision: int
+    # Seconds since the primary was asked.
+    age: float
+    # The position.
+    position: Position
+
+
+@dataclass(frozen=True, slots=True)
+class PositionsTold:
+    """The newest positions that a proxy knows."""
+
+    # Name of the proxy.
+    sender: str
+    # Number of the question.
+    number: int
+    # The positions.
+    notes: tuple[PositionNote, ...]
+
+
 PeerMessage = (
     ReleaseAsked
     | Released
@@ -125,4 +164,6 @@
     | Pong
     | ViewAsked
     | ViewTold
+    | PositionsAsked
+    | PositionsTold
 )
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -7,9 +7,16 @@
 from typing import Any
 
 from orioleplank.decision import Position
-from orioleplank.decision.group import Lease, LeaseBook, Phase, PositionHistory, SeenRecord
+from orioleplank.decision.group import (
+    KnownPosition,
+    Lease,
+    LeaseBook,
+    Phase,
+    PositionHistory,
+    SeenRecord,
+)
 from orioleplank.decision.instances import Directory, InstanceEntry, Route, RouteTable
-from orioleplank.decision.membership import Fleet, ProxyRecord, ViewVersions
+from orioleplank.decision.membership import Fleet, PositionNote, ProxyRecord, ViewVersions
 from orioleplank.decision.routing import Direct
 from orioleplank.gateway._journal import Journal, Topic
 from orioleplank.gateway._pool import InstancePool
@@ -47,6 +54,8 @@
         self.primary_work: Counter[str] = Counter()
         # When runs of proxies were first seen as retired, in seconds of the clock of leases.
         self.retired_at: dict[str, float] = {}
+        # When a read wanted a position of a service last, in seconds, by its name.
+        self.positions_wanted: dict[str, float] = {}
         # Fires whenever a belief changes.
         self.changed = Signal(reactor)
         # Called with an instance's id whenever it did not answer.
@@ -258,8 +267,20 @@
         if lease.covers(asked_at):
             self._history(lease, service).add(asked_at, at)
 
+    def take_position(self, note: PositionNote, asked_at: float) -> None:
+        """Take a position that another proxy has learned; the primary was asked at `asked_at`."""
+        lease = self.lease(note.service)
+        if lease is not None and lease.revision == note.revision:
+            self.note_position(lease, note.service, asked_at, note.position)
+
+    def newest_position(self, service: str) -> KnownPosition | None:
+        """Return the newest position of the primary that is in force, or None."""
+        lease = self.lease(service)
+        return self._history(lease, service).newest if lease else None
+
     def find_position(self, service: str, known_since: float) -> Position | None:
         """Return a position that holds every commit acknowledged before `known_since`."""
+        self.positions_wanted[service] = self.now()
         lease = self.lease(service)
         return self._history(lease, service).find(known_since) if lease else None
 
--- a/orioleplank/gateway/_feed.py
+++ b/orioleplank/gateway/_feed.py
@@ -71,6 +71,11 @@
         self._is_behind = False
         self.socket: PeerSocket | None = None
 
+    @property
+    def source(self) -> ProxyRecord | None:
+        """Return whom this proxy follows; None while it reads the store itself."""
+        return self._source
+
     # Following.
 
     def look(self) -> None:
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -28,6 +28,7 @@
 from orioleplank.gateway._peers import PeerSocket
 from orioleplank.gateway._platform_view import PlatformView
 from orioleplank.gateway._ports import Dialer, Promotions, Store
+from orioleplank.gateway._positions import PositionExchange
 from orioleplank.gateway._registry import Registry
 from orioleplank.gateway._relay import Relay
 from orioleplank.gateway._release import Releases
@@ -123,6 +124,7 @@
             gate,
             self._view.note_contact,
         )
+        self._positions = PositionExchange(self.beliefs, settings.name)
         self._inspection = Inspection(reactor, self.beliefs, settings.name)
         self._liveness = Liveness(
             self.beliefs,
@@ -190,6 +192,7 @@
             self._liveness,
             self._relay,
             self._feed,
+            self._positions,
         ):
             part.socket = socket
         timer = self.kernel.find("timer")
@@ -218,6 +221,8 @@
                 self._run(self._liveness.watch())
             case TimerTick("feed"):
                 self._feed.look()
+                source = self._feed.source
+                self._positions.ask((source,) if source else self._relay.listeners())
             case TimerTick("housekeeping"):
                 self._view.expire_instances()
                 if self._view.is_away:
@@ -243,6 +248,7 @@
         self._liveness.take(message)
         self._relay.take(message)
         self._feed.take(message)
+        self._positions.take(message)
 
     async def _keep_running(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Run a loop to its end; after a fault of this program run it again."""
--- a/orioleplank/gateway/_relay.py
+++ b/orioleplank/gateway/_relay.py
@@ -9,7 +9,13 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
 
-from orioleplank.decision.membership import PeerMessage, ViewAsked, ViewTold, ViewVersions
+from orioleplank.decision.membership import (
+    PeerMessage,
+    ProxyRecord,
+    ViewAsked,
+    ViewTold,
+    ViewVersions,
+)
 from orioleplank.gateway._beliefs import Beliefs
 from orioleplank.gateway._peers import PeerSocket
 from orioleplank.gateway._registry import Registry
@@ -84,6 +90,13 @@
                 self._listeners[sender] = self._beliefs.now()
                 self._tell(sender, number)
 
+    def listeners(self) -> tuple[ProxyRecord, ...]:
+        """Return the proxies that follow this one."""
+        since = self._beliefs.now() - LISTENS_S
+        names = [name for name, at in self._listeners.items() if at >= since]
+        known = (self._beliefs.fleet.proxies.get(name) for name in names)
+        return tuple(record for record in known if record is not None)
+
     async def tell_changes(self) -> None:
         """Tell the listeners whenever the view has changed."""
         while True:
@@ -91,8 +104,8 @@
             if self._beliefs.versions == self._told:
                 continue
             self._told = self._beliefs.versions
-            since = self._beliefs.now() - LISTENS_S
-            self._listeners = {n: at for n, at in self._listeners.items() if at >= since}
+            listeners = self.listeners()
+            self._listeners = {r.name: self._listeners[r.name] for r in listeners}
             for name in self._listeners:
                 self._tell(name, 0)
 
--- a/orioleplank/tests/test_site_feed.py
+++ b/orioleplank/tests/test_site_feed.py
@@ -4,9 +4,10 @@
 
 import testtools
 
-from orioleplank.decision.membership import ProxyRecord, choose_source
-from orioleplank.decision.session import Write
-from orioleplank.tests._site import QUOTES, ROUTES, Site, SiteProxy
+from orioleplank.decision import Position
+from orioleplank.decision.membership import PositionNote, ProxyRecord, choose_source
+from orioleplank.decision.session import Read, Write
+from orioleplank.tests._site import CATALOGUE, QUOTES, ROUTES, Site, SiteProxy
 from orioleplank.tests._site_store import STORE
 
 START_S = 4.0
@@ -126,3 +127,30 @@
         lease = follower.gateway.beliefs.lease("books")
         assert lease is not None
         self.assertTrue(lease.covers(site.fabric.now))
+
+
+class TestPositions(testtools.TestCase):
+    def test_reads_go_to_replicas_although_this_proxy_asks_the_primary_seldom(self) -> None:
+        site = _started()
+        busy, other = site.proxies[0], site.proxies[ZONES]
+        self.assertEqual(busy.gateway.zone, other.gateway.zone)
+        writer, reader = site.open(busy, QUOTES), site.open(other, CATALOGUE)
+        at_replicas = 0
+        for number in range(40):
+            site.ask(writer, Write(f"q1 v{number}"))
+            site.run(0.1)
+            if number % 10 == 9:
+                request = site.send(reader, Read("q1"))
+                site.run(0.1)
+                ran = next(entry for entry in site.group.ran if entry.request == request)
+                at_replicas += ran.instance != "db-a"
+        self.assertGreaterEqual(at_replicas, 3)
+
+    def test_position_under_another_record_is_not_taken(self) -> None:
+        site = _started()
+        beliefs = site.proxies[0].gateway.beliefs
+        lease = beliefs.lease("books")
+        assert lease is not None
+        note = PositionNote("books", lease.revision + 1, 0.1, Position(1, 99))
+        beliefs.take_position(note, site.fabric.now)
+        self.assertNotEqual(Position(1, 99), beliefs.find_position("books", site.fabric.now - 1.0))
