A new process lets callers wait for its first listings

Now a session is greeted with the first configuration, and a statement waits for the first listing, both for 1.5 s at most. Ruled out: failing readiness for longer (callers that are connected already gain nothing).

--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -27,6 +27,9 @@
 # Time in which the words of proxies that live come in, in seconds: two rounds between regions, and
 # the end of the work at a primary that is left on purpose.
 WORDS_S = 1.0
+# Time for a new process to have its first listing from the store, in seconds: a few tries of a slow
+# store. Requests wait that long before they are refused.
+START_LIMIT_S = 1.5
 # Time in which an ordered promotion takes effect, in seconds.
 PROMOTION_S = 2.0
 
@@ -66,6 +69,7 @@
         self._carrier_pools: dict[str, InstancePool] = {}
         self._journal = journal
         self._boot_now = boot_now
+        self._started_at = float(reactor.seconds())
         self._moving_since: dict[str, tuple[bool, float]] = {}
         self._positions: dict[str, tuple[int, PositionHistory]] = {}
 
@@ -84,6 +88,12 @@
         """Return the clock of leases, which also counts suspended time, in seconds."""
         return self._boot_now()
 
+    @property
+    def is_starting(self) -> bool:
+        """True while the first listings from the store are likely to come soon."""
+        is_complete = self.routes.version > 0 and self.leases.asked_at > float("-inf")
+        return not is_complete and self.now() - self._started_at < START_LIMIT_S
+
     # Routes.
 
     def route(self, database: str) -> Route | None:
@@ -250,10 +260,13 @@
     def expects_primary(self, service: str) -> bool:
         """Tell whether a new primary is likely to lead within a statement's time.
 
-        It is at the beginning of a move, when words come in quickly, and once a promotion is
-        ordered; not while leases of proxies that are silent have to be waited out.
+        It does when this process has just started, at the beginning of a move, when words come in
+        quickly, and once a promotion is ordered; not while leases of proxies that are silent have
+        to be waited out.
         """
         seen = self.leases.seen.get(service)
+        if self.is_starting:
+            return True
         if seen is None or seen.record.phase is not Phase.MOVING:
             return False
         since = self._moving_since.get(service, (False, 0.0))[1]
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -44,8 +44,8 @@
 
 # Requests of one session that wait before no more are read.
 BEHIND_LIMIT = 4
-# Time for statements that no route limits, in seconds.
-DEFAULT_TIMEOUT_S = 1.0
+# How often a caller that came early is looked after although nothing changed, in seconds.
+START_LOOK_S = 0.2
 
 _STATES = {
     SessionPhase.IDLE: TransactionState.IDLE,
@@ -275,6 +275,8 @@
         )
 
     def _no_route(self) -> Outcome:
+        if self._parts.beliefs.routes.version == 0:
+            return refuse(Code.BUSY, "find route", "no configuration is known yet")
         detail = f"no route is called {self._session.database[:60]}"
         return refuse(Code.UNKNOWN_DATABASE, "find route", detail)
 
@@ -355,19 +357,45 @@
 
     def open(self, link: CallerLink, database: str) -> SessionTask | None:
         """Open a session; None when it was refused."""
-        beliefs = self._parts.beliefs
-        if beliefs.routes.version == 0:
-            link.refuse(Failure(Code.BUSY, "program start: no configuration is known yet"))
-            return None
-        if beliefs.route(database) is None:
-            detail = f"program find route: no route is called {database[:60]}"
-            link.refuse(Failure(Code.UNKNOWN_DATABASE, detail))
+        refusal = self._find_refusal(database)
+        is_early = self._parts.beliefs.routes.version == 0 and self._parts.beliefs.is_starting
+        if refusal is not None and not is_early:
+            link.refuse(refusal)
             return None
         task = SessionTask(next(self._numbers), link, database, self._parts)
         self._tasks.add(task)
-        link.greet()
+        if is_early:
+            Deferred.fromCoroutine(self._greet_later(task, link, database)).addErrback(self._fail)
+        else:
+            link.greet()
         return task
 
+    def _find_refusal(self, database: str) -> Failure | None:
+        """Return why a session cannot be opened; None when it can."""
+        beliefs = self._parts.beliefs
+        if beliefs.routes.version == 0:
+            return Failure(Code.BUSY, "program start: no configuration is known yet")
+        if beliefs.route(database) is None:
+            detail = f"program find route: no route is called {database[:60]}"
+            return Failure(Code.UNKNOWN_DATABASE, detail)
+        return None
+
+    async def _greet_later(self, task: SessionTask, link: CallerLink, database: str) -> None:
+        """Greet a caller that came before the first configuration, once it is known."""
+        beliefs = self._parts.beliefs
+        while beliefs.routes.version == 0 and beliefs.is_starting:
+            await beliefs.changed.wait(START_LOOK_S)
+        if task not in self._tasks:
+            return
+        refusal = self._find_refusal(database)
+        if refusal is None:
+            link.greet()
+        else:
+            link.refuse(refusal)
+
+    def _fail(self, failure: TwistedFailure) -> None:
+        self._parts.journal.note(Topic.ERROR, step="open session", detail=str(failure))
+
     def end_resting_transactions(self, now: float, limit: float) -> None:
         """Roll back transactions that their callers have left alone for longer than `limit`."""
         for task in list(self._tasks):
--- a/orioleplank/tests/test_site.py
+++ b/orioleplank/tests/test_site.py
@@ -481,3 +481,46 @@
 
     caller.on_reply = take
     again()
+
+
+class TestStarting(testtools.TestCase):
+    def _restart(self, site: Site) -> None:
+        for node in site.proxies:
+            site.kill(node)
+            site.start(node)
+
+    def test_session_that_comes_before_the_configuration_is_greeted_with_it(self) -> None:
+        site = _started()
+        self._restart(site)
+        caller = site.open(site.proxies[0], QUOTES)
+        self.assertIsNone(caller.refusal)
+        self.assertFalse(caller.is_greeted)
+        site.run(0.5)
+        self.assertTrue(caller.is_greeted)
+
+    def test_unknown_database_of_an_early_session_is_refused_as_such(self) -> None:
+        site = _started()
+        self._restart(site)
+        caller = site.open(site.proxies[0], "nowhere")
+        site.run(0.5)
+        assert caller.refusal is not None
+        self.assertEqual(Code.UNKNOWN_DATABASE, caller.refusal.code)
+
+    def test_statement_waits_for_the_first_listing_of_leases(self) -> None:
+        site = _started()
+        self._restart(site)
+        node = site.proxies[0]
+        while node.gateway.beliefs.routes.version == 0:
+            site.run(0.0005)
+        self.assertIsNone(node.gateway.beliefs.lease("books"))
+        caller = site.open(node, QUOTES)
+        self.assertIsNone(site.ask(caller, Write("q1 oak")).failure)
+
+    def test_early_session_is_refused_in_time_when_the_store_is_away(self) -> None:
+        site = _started()
+        site.store.refused.add("*")
+        self._restart(site)
+        caller = site.open(site.proxies[0], QUOTES)
+        site.run(2.0)
+        assert caller.refusal is not None
+        self.assertEqual(Code.BUSY, caller.refusal.code)
