Fault soak over real processes

Proxies run as processes on loopback; stand-ins of instances, store and promotions speak the platform's protocols; loopback proxies delay, hold (one way or both) or reset links; processes are killed, paused, rolled, reloaded.

--- a/orioleplank/cli/_main.py
+++ b/orioleplank/cli/_main.py
@@ -9,6 +9,7 @@
 from orioleplank._exceptions import OrioleplankError, SettingsError
 from orioleplank.cli import _call, _load, _objects, _report, _run
 from orioleplank.cli._output import ExitCode, OutputFormat
+from orioleplank.soak import add_arguments
 
 DEFAULT_ADMIN = "127.0.0.1:7403"
 DEFAULT_CALLERS = "127.0.0.1:7401"
@@ -46,6 +47,9 @@
     _add_call(commands)
     _add_load(commands)
     _add_standin(commands)
+    add_arguments(
+        commands.add_parser("soak", help="Play random faults on real proxies, and audit them.")
+    )
     return parser
 
 
--- /dev/null
+++ b/orioleplank/soak/_store.py
@@ -0,0 +1,191 @@
+"""A stand-in of the platform's object store and promotion call over HTTP."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from orioleplank.decision.instances import InstanceEntry, RouteTable
+from orioleplank.tests._site_instances import PROMOTE_S, SiteGroup
+from orioleplank.tests._site_store import SiteStore
+
+# Kinds of the platform's own objects.
+ROUTES_KIND = "config"
+INSTANCES_KIND = "servers"
+# Chance that an answer is lost while answers are lost.
+LOST_SHARE = 0.4
+
+
+def describe_instance(entry: InstanceEntry, address: str) -> dict[str, object]:
+    """Return an instance's entry as the platform shows it; callers reach it at `address`."""
+    return {
+        "service": entry.service,
+        "address": address,
+        "zone": entry.zone,
+        "version": "1",
+        "capacity": entry.slots,
+        "state": entry.state.value,
+        "warmupLeftMs": 0,
+        "sequence": 1,
+        "dbRole": entry.role.value,
+        "born": entry.born or 1,
+    }
+
+
+def describe_routes(table: RouteTable) -> dict[str, object]:
+    """Return a configuration as the platform shows it."""
+    kinds = {"primary": "primary", "bounded": "bounded_staleness", "own-writes": "read_your_writes"}
+    routes = [
+        {
+            "host": route.database,
+            "type": kinds[route.consistency.value],
+            "service": route.service,
+            "timeoutMs": route.timeout * 1000,
+            "maxStalenessMs": route.max_age * 1000,
+            "priority": route.priority,
+        }
+        for route in table.routes.values()
+    ]
+    services = [
+        {"name": name, "maxConns": limits.max_connections, "syncReplicas": limits.sync_replicas}
+        for name, limits in table.services.items()
+    ]
+    limits = {"txIdleMs": table.transaction_idle * 1000}
+    return {"version": table.version, "routes": routes, "services": services, "limits": limits}
+
+
+class StoreResource(Resource):
+    """The objects' path: `/orioleplank/objects/KIND[/NAME]`."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, store: SiteStore) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._store = store
+
+    def render(self, request: Request) -> Any:
+        """Serve one call, or be in trouble."""
+        store = self._store
+        store.calls[request.method.decode()] += 1
+        if store.refuses(""):
+            return self._finish(request, 503, {})
+        fields = request.path.decode().strip("/").split("/")
+        kind, name = fields[2], fields[3] if len(fields) > 3 else ""
+        query = {key.decode(): values[0].decode() for key, values in (request.args or {}).items()}
+        if request.method == b"GET" and "watch" in query:
+            self._watch(request, kind, int(query["watch"]), int(query["waitMs"]) / 1000)
+            return NOT_DONE_YET
+        code, body = self._serve(request, kind, name, query)
+        is_lost = store.loses_answers and store.fabric.random.random() < LOST_SHARE
+        if is_lost:
+            store.fabric.after(0, request.loseConnection)
+        else:
+            store.fabric.after(store.slowness, lambda: self._send(request, code, body))
+        return NOT_DONE_YET
+
+    def _serve(
+        self, request: Request, kind: str, name: str, query: dict[str, str]
+    ) -> tuple[int, object]:
+        store = self._store
+        objects = store.objects.get(kind, {})
+        if request.method == b"GET":
+            items = [_show(name, *held) for name, held in sorted(objects.items())]
+            return 200, {"items": items, "hasMore": False, "at": store.revision}
+        body = (
+            json.loads((request.content.read() if request.content else b"") or b"{}")
+            if request.method != b"DELETE"
+            else {}
+        )
+        name = name or body["meta"]["name"]
+        expected = int(query.get("revision") or body.get("meta", {}).get("revision") or 0)
+        held = objects.get(name)
+        if request.method == b"POST":
+            if held is not None:
+                return 409, _show(name, *held)
+            return 200, _show(name, store.put(kind, name, body["spec"]), body["spec"])
+        if held is None:
+            return 404, {}
+        if expected and held[0] != expected:
+            return 409, _show(name, *held)
+        if request.method == b"DELETE":
+            store.delete(kind, name)
+            return 200, {}
+        revision = held[0] if held[1] == body["spec"] else store.put(kind, name, body["spec"])
+        return 200, _show(name, revision, body["spec"])
+
+    def _watch(self, request: Request, kind: str, revision: int, wait: float) -> None:
+        store, state = self._store, {"open": True}
+        request.notifyFinish().addBoth(lambda _: state.update(open=False))
+        end = store.fabric.now + wait
+
+        def look() -> None:
+            if not state["open"]:
+                return
+            if store.refuses("") or revision < store.oldest:
+                state["open"] = False
+                self._send(request, 503 if store.refuses("") else 410, {})
+                return
+            found = [c for c in store.history if c.revision > revision and c.kind == kind]
+            if not found and store.fabric.now < end:
+                store.watchers.append(look)
+                return
+            state["open"] = False
+            events = [
+                {"object": _show(c.name, c.revision, c.item), "deleted": c.item is None}
+                for c in found
+            ]
+            self._send(request, 200, {"events": events, "at": store.revision})
+
+        store.fabric.after(wait, look)
+        look()
+
+    def _finish(self, request: Request, code: int, body: object) -> Any:
+        self._send(request, code, body)
+        return NOT_DONE_YET
+
+    def _send(self, request: Request, code: int, body: object) -> None:
+        if not request.channel:
+            return
+        request.setResponseCode(code)
+        request.write(json.dumps(body).encode())
+        request.finish()
+
+
+class PromotionResource(Resource):
+    """The call that names a group's next primary."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, group: SiteGroup) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self._group = group
+
+    def render_POST(self, request: Request) -> bytes:  # noqa: N802
+        """Order a promotion; for the present primary nothing changes."""
+        group = self._group
+        body = json.loads(request.content.read() if request.content else b"{}")
+        holder = (request.getHeader("X-Orioleplank-Lease-Holder") or "").strip()
+        token = int(request.getHeader("X-Orioleplank-Fencing-Token") or 0)
+        group.orders.append((holder, token, body["id"]))
+        member = group.members.get(body["id"])
+        if member is None or not member.alive:
+            request.setResponseCode(409)
+            return b"{}"
+        if member is not group.primary():
+            term = max(m.term for m in group.members.values()) + 1
+            group.fabric.after(PROMOTE_S, lambda: group.promote(body["id"], term))
+        return b"{}"
+
+
+def _show(name: str, revision: int, spec: object) -> dict[str, object]:
+    return {"meta": {"name": name, "revision": revision}, "spec": spec}
+
+
+def build_site(resource: Resource) -> Site:
+    """Return a quiet site."""
+    site = Site(resource)
+    site.noisy = False
+    return site
