explain and timeline: from a request's id to its cause over the logs of several proxies

Lines carry the time of day besides the VM's clock, so that those of several VMs can be joined. The soak takes a network of its own for each seed (seeds after the first could not listen). Owners hold 38% of an instance's connections each and a stand-in 10% instead of a third each.

--- a/orioleplank/cli/_main.py
+++ b/orioleplank/cli/_main.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from orioleplank._exceptions import OrioleplankError, SettingsError
-from orioleplank.cli import _call, _load, _objects, _report, _run
+from orioleplank.cli import _call, _load, _logs, _objects, _report, _run
 from orioleplank.cli._output import ExitCode, OutputFormat
 from orioleplank.soak import add_arguments
 
@@ -46,6 +46,7 @@
     _add_report(commands)
     _add_call(commands)
     _add_load(commands)
+    _add_logs(commands)
     _add_standin(commands)
     add_arguments(
         commands.add_parser("soak", help="Play random faults on real proxies, and audit them.")
@@ -157,6 +158,17 @@
     parser.set_defaults(run=_load.load_command)
 
 
+def _add_logs(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    parser = _add_command(commands, "explain", "Tell from logs what became of a request, and why.")
+    parser.add_argument("id", help="the request's id")
+    parser.add_argument("logs", nargs="+", type=Path, metavar="LOG")
+    parser.set_defaults(run=_logs.explain_command)
+
+    parser = _add_command(commands, "timeline", "Show from logs how the proxies' beliefs changed.")
+    parser.add_argument("logs", nargs="+", type=Path, metavar="LOG")
+    parser.set_defaults(run=_logs.timeline_command)
+
+
 def _add_standin(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
     parser = commands.add_parser("standin", help="Run a stand-in of the outside.")
     kinds = parser.add_subparsers(required=True, metavar="KIND")
--- a/orioleplank/decision/routing/__init__.py
+++ b/orioleplank/decision/routing/__init__.py
@@ -9,6 +9,7 @@
     find_owners,
     find_way,
     share_of_owner,
+    share_of_stand_in,
 )
 from orioleplank.decision.routing._placement import (
     Candidate,
@@ -34,4 +35,5 @@
     "find_way",
     "place_read",
     "share_of_owner",
+    "share_of_stand_in",
 ]
--- a/orioleplank/decision/routing/_owners.py
+++ b/orioleplank/decision/routing/_owners.py
@@ -20,9 +20,12 @@
 DIRECT_LEAST = 2
 # Proxies that own an instance's connections, so that one loss leaves another at once.
 OWNERS = 2
-# Shares of an instance's connections: one for each owner, and one for whoever stands in for an
-# owner that some proxies do not reach.
-SHARES = OWNERS + 1
+# Proxies that stand in for an owner that some do not reach.
+STAND_INS = 1
+# Parts of an instance's connections for each owner, and for each that stands in; the rest is for
+# proxies that still take themselves for owners after a change of the fleet.
+OWNER_PART = 0.38
+STAND_IN_PART = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +49,12 @@
 
 def share_of_owner(limit: int) -> int:
     """Return the connections that an owner may hold of `limit`."""
-    return max(1, (limit - SPARE_CONNECTIONS) // SHARES)
+    return max(1, int(limit * OWNER_PART))
+
+
+def share_of_stand_in(limit: int) -> int:
+    """Return the connections that any other proxy may hold of `limit` for those that ask it."""
+    return max(1, int(limit * STAND_IN_PART))
 
 
 def find_owners(
@@ -61,7 +69,7 @@
     zones = {record.name: record.zone for record in active}
     ranked = rank_proxies(f"owner {instance.id}", zones)
     nearest = sorted(ranked, key=lambda name: zones[name] != instance.zone)
-    return tuple(nearest[:SHARES])
+    return tuple(nearest[: OWNERS + STAND_INS])
 
 
 def find_way(me: str, instance: InstanceEntry, limit: int, active: Collection[ProxyRecord]) -> Way:
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -24,6 +24,8 @@
 from orioleplank.gateway._signal import Signal
 from orioleplank.gateway._ways import Dial, Share, Ways
 
+# Lines about single proxies for one change of the fleet; more are summed up.
+FLEET_LINES = 4
 # Time in which the words of proxies that live come in, in seconds: two rounds between regions, and
 # the end of the work at a primary that is left on purpose.
 WORDS_S = 1.0
@@ -103,10 +105,15 @@
     def take_fleet(self, fleet: Fleet) -> None:
         """Take the registered proxies."""
         before, self.fleet = self.fleet, fleet
-        for name in sorted(before.proxies.keys() | fleet.proxies.keys()):
-            old, new = before.proxies.get(name), fleet.proxies.get(name)
-            if old != new:
-                self._note_proxy(name, new)
+        names = sorted(before.proxies.keys() | fleet.proxies.keys())
+        changed = [n for n in names if before.proxies.get(n) != fleet.proxies.get(n)]
+        for name in changed[:FLEET_LINES]:
+            self._note_proxy(name, fleet.proxies.get(name))
+        if len(changed) > FLEET_LINES:
+            more = len(changed) - FLEET_LINES
+            self._journal.note(
+                Topic.FLEET, outcome="changed", more=more, proxies=len(fleet.proxies)
+            )
         retired = {r.incarnation for r in fleet.proxies.values() if r.retired}
         now = self.lease_now()
         self.retired_at = {run: self.retired_at.get(run, now) for run in retired}
@@ -189,7 +196,7 @@
             return self.pools.get(instance)
         pool = self._carrier_pools.get(instance)
         if pool is None:
-            pool = self._build_pool(entry, self._ways.open_directly, self._ways.share_as_owner)
+            pool = self._build_pool(entry, self._ways.open_directly, self._ways.share_as_stand_in)
             self._carrier_pools[instance] = pool
         return pool
 
--- a/orioleplank/gateway/_carrier.py
+++ b/orioleplank/gateway/_carrier.py
@@ -11,7 +11,8 @@
 from itertools import count
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
 from orioleplank.decision.session import Reply, Runnable, TransactionState
 from orioleplank.gateway._beliefs import Beliefs
@@ -45,6 +46,8 @@
 # Part of the time left that is kept for the way back of "not sent", in seconds: one way between
 # regions, twice.
 WAY_BACK_S = 0.05
+# What ends a wait for a connection.
+NO_TIME = (TwistedTimeoutError, CancelledError)
 # Time for an instance to roll back, in seconds.
 ROLL_BACK_S = 1.0
 
@@ -194,7 +197,8 @@
                 use.pool = pool
             except NOT_SENT as error:
                 is_unreachable = isinstance(error, InstanceUnreachableError)
-                return NotSent(asked.number, str(error) or "all are in use", is_unreachable)
+                why = "all are in use" if isinstance(error, NO_TIME) else str(error)
+                return NotSent(asked.number, why, is_unreachable)
             finally:
                 use.waiting = None
         assert use.pool is not None and use.connection is not None
--- a/orioleplank/gateway/_journal.py
+++ b/orioleplank/gateway/_journal.py
@@ -5,6 +5,7 @@
 import json
 import os
 import sys
+import time
 from collections import deque
 from collections.abc import Callable
 from enum import Enum, unique
@@ -103,6 +104,7 @@
         self._on_event(topic.name.lower())
         line = {
             "at": round(self._now(), 3),
+            "time": round(time.time(), 3),
             "event": topic.value,
             "name": topic.name.lower(),
             "proxy": self._proxy,
--- a/orioleplank/gateway/_watch.py
+++ b/orioleplank/gateway/_watch.py
@@ -91,6 +91,7 @@
         """Look at every service once."""
         if self._moves.is_stopped or not self._beliefs.leases.asked_at > float("-inf"):
             return
+        self._probed_at = {n: at for n, at in self._probed_at.items() if n in self._beliefs.pools}
         for instance in self._beliefs.pools:
             self._probe_if_quiet(instance)
         for service in self._beliefs.routes.services:
--- a/orioleplank/gateway/_ways.py
+++ b/orioleplank/gateway/_ways.py
@@ -15,7 +15,7 @@
     choose_owner,
     find_owners,
     find_way,
-    share_of_owner,
+    share_of_stand_in,
 )
 from orioleplank.gateway._forwarding import Forwarding, OwnedLink
 from orioleplank.gateway._ports import Detour, Dialer, InstanceLink
@@ -72,14 +72,14 @@
             case ThroughOwner():
                 return OWNED_LINKS
 
-    def share_as_owner(self, entry: InstanceEntry) -> int:
+    def share_as_stand_in(self, entry: InstanceEntry) -> int:
         """Return the connections that this proxy may hold for others."""
         match self.find(entry):
             case Direct(connections):
                 return connections
             case ThroughOwner():
                 limits = self._services.get(entry.service)
-                return share_of_owner(limits.max_connections) if limits else 1
+                return share_of_stand_in(limits.max_connections) if limits else 1
 
     def open(
         self, entry: InstanceEntry, on_unreachable: Callable[[], None]
--- a/orioleplank/soak/_run.py
+++ b/orioleplank/soak/_run.py
@@ -6,6 +6,7 @@
 import json
 import os
 import shutil
+import sys
 import tempfile
 from dataclasses import asdict
 from pathlib import Path
@@ -37,7 +38,7 @@
 
     def end(result: Any) -> None:
         if result is not None:
-            result.printTraceback()
+            print(result.getTraceback(), file=sys.stderr)
         reactor.stop()
 
     def begin() -> None:
@@ -51,8 +52,9 @@
 
 
 async def _play_all(reactor: Any, options: argparse.Namespace, reports: list[SoakReport]) -> None:
-    network = f"127.{FIRST_NETWORK + os.getpid() % NETWORKS}.1"
-    for seed in range(options.seed, options.seed + options.seeds):
+    first = FIRST_NETWORK + os.getpid() % NETWORKS
+    for number, seed in enumerate(range(options.seed, options.seed + options.seeds)):
+        network = f"127.{first}.{1 + number % NETWORKS}"
         directory = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         report = await Soak(reactor, seed, directory, network).play(options.minutes * 60)
         reports.append(report)
--- a/orioleplank/tests/test_site_owners.py
+++ b/orioleplank/tests/test_site_owners.py
@@ -27,7 +27,7 @@
 START_S = 4.0
 PROXIES = 9
 # Fewer than two for each proxy.
-CONNECTIONS = 14
+CONNECTIONS = 16
 
 
 def _started(seed: int = 1) -> Site:
