--- a/orioleplank/gateway/_forwarding.py
+++ b/orioleplank/gateway/_forwarding.py
@@ -54,6 +54,8 @@
 # An owner that has said nothing for this long while an answer was wanted is not trusted to live,
 # in seconds: several round trips between regions.
 SILENT_S = 0.4
+# Why a statement is not sent when all owners are avoided.
+NO_OWNER = "no owner of its connections is reached"
 # Priority of the proxy's own questions.
 OWN_PRIORITY = 0
 
@@ -220,22 +222,9 @@
         """Begin a transaction, on a log that has reached `after`."""
         owner = self._choose_owner()
         if owner is None:
-            return succeed(self._refuse("no owner of its connections is reached"))
+            return succeed(self._refuse(NO_OWNER))
         self._bound_to = owner
-        number = self._forwarding.next_number()
-        return self._ask(
-            owner,
-            BeginAsked(
-                self._link,
-                number,
-                self._entry.id,
-                self._priority,
-                self._seconds,
-                dict(self._state.values),
-                dump_position(after),
-                read_only,
-            ),
-        )
+        return self._ask(owner, BeginAsked(**self._describe_work(after), read_only=read_only))
 
     def run(
         self, request: str, statement: Runnable, prepared_name: str, after: Position | None
@@ -243,26 +232,29 @@
         """Run a statement under the caller's id, on a log that has reached `after`."""
         owner = self._bound_to or self._choose_owner()
         if owner is None:
-            return succeed(self._refuse("no owner of its connections is reached"))
+            return succeed(self._refuse(NO_OWNER))
         mode, shape, arguments = describe_statement(statement)
-        number = self._forwarding.next_number()
-        return self._ask(
-            owner,
-            RunAsked(
-                self._link,
-                number,
-                self._entry.id,
-                self._priority,
-                self._seconds,
-                dict(self._state.values),
-                dump_position(after),
-                request,
-                mode,
-                shape,
-                arguments,
-                self._bound_to is not None,
-            ),
+        frame = RunAsked(
+            **self._describe_work(after),
+            request=request,
+            mode=mode,
+            shape=shape,
+            arguments=arguments,
+            in_transaction=self._bound_to is not None,
         )
+        return self._ask(owner, frame)
+
+    def _describe_work(self, after: Position | None) -> dict[str, Any]:
+        """Return the fields that all uses of the instance have."""
+        return {
+            "link": self._link,
+            "number": self._forwarding.next_number(),
+            "instance": self._entry.id,
+            "priority": self._priority,
+            "seconds": self._seconds,
+            "values": dict(self._state.values),
+            "after": dump_position(after),
+        }
 
     def commit(self, request: str) -> Deferred[Reply]:
         """Commit under the caller's id."""
@@ -278,7 +270,7 @@
         """Ask the instance for its state; fails with `InstanceRefusedError` when it is busy."""
         owner = self._choose_owner()
         if owner is None:
-            return fail(self._unreachable("no owner of its connections is reached"))
+            return fail(self._unreachable(NO_OWNER))
         frame = ReportAsked(self._forwarding.next_number(), self._entry.id)
         return self._exchange(owner, frame).addCallback(self._read_report, owner)
 
@@ -286,7 +278,7 @@
         """Make a primary of a lower term a replica."""
         owner = self._choose_owner()
         if owner is None:
-            return fail(self._unreachable("no owner of its connections is reached"))
+            return fail(self._unreachable(NO_OWNER))
         number = self._forwarding.next_number()
         return self._ask(owner, StepDownAsked(number, self._entry.id, term))
 
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -32,7 +32,7 @@
 from orioleplank.gateway._registry import Registry
 from orioleplank.gateway._relay import Relay
 from orioleplank.gateway._release import Releases
-from orioleplank.gateway._sessions import SessionTable
+from orioleplank.gateway._session_table import SessionTable
 from orioleplank.gateway._settings import GatewaySettings
 from orioleplank.gateway._signal import sleep
 from orioleplank.gateway._statements import Statements
