--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -24,6 +24,10 @@
 RETRY_LIMIT_S = 1.0
 # How long an instance that has no connection left is not asked for one, in seconds.
 FULL_PAUSE_S = 0.5
+# How long a replica that lags is passed over by all reads, in seconds, doubled while it lags: a
+# whole fleet that asks it again and again keeps it from serving those that it could.
+LAGGING_FIRST_S = 0.1
+LAGGING_LIMIT_S = 0.8
 # Weight of the newest answer in the recent time of an instance.
 LATENCY_WEIGHT = 0.2
 # Time assumed for an instance that was not asked yet, in seconds.
@@ -98,8 +102,9 @@
         self.failing_since = 0.0
         # When it answered last, in seconds; minus infinity before.
         self.answered_at = float("-inf")
-        # When it said last that its log lacks a position.
-        self.lagging_at = float("-inf")
+        # Until when no read is sent there for which its log lacked a position, and the next pause.
+        self._lagging_until = float("-inf")
+        self._lagging_pause = LAGGING_FIRST_S
         # True once it has answered that it does not lead, although the record says so.
         self.denies_lead = False
         self._latency = FIRST_LATENCY_S
@@ -156,9 +161,21 @@
         self.denies_lead = True
         self._on_trouble(self.entry.id)
 
+    @property
+    def is_lagging(self) -> bool:
+        """True for a while after it said that its log lacks a position."""
+        return self._now() < self._lagging_until
+
     def note_lagging(self) -> None:
-        """Take note that its log lacks a position."""
-        self.lagging_at = self._now()
+        """Take note that its log lacks a position; the pause grows while it stays so."""
+        if self.is_lagging:
+            return
+        self._lagging_until = self._now() + self._lagging_pause
+        self._lagging_pause = min(LAGGING_LIMIT_S, 2 * self._lagging_pause)
+
+    def note_caught_up(self) -> None:
+        """Take note that its log held a position that a read asked for."""
+        self._lagging_pause = LAGGING_FIRST_S
 
     def _learn(self, elapsed: float) -> None:
         faded = self.latency
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -26,8 +26,6 @@
 LEAST_TRY_S = 0.03
 # How long an instance that failed or refused a statement is passed over by it, in seconds.
 AVOID_S = 0.1
-# How long an instance whose log lacked a position is passed over by all reads, in seconds.
-LAGGING_PAUSE_S = 0.1
 # How long a primary that does not answer is waited for, in seconds: until others are asked about
 # it, and a way around or a move is found.
 HOPE_S = 1.5
@@ -104,6 +102,7 @@
 
     def _judge_read(self, pool: InstancePool, reply: Reply) -> Outcome:
         if reply.failure is None:
+            pool.note_caught_up()
             return Ran(reply, pool.entry.id)
         if reply.failure.code is Code.LAGGING:
             pool.note_lagging()
@@ -148,7 +147,6 @@
 
     def _describe(self, instance: str, zone: str, slots: int, is_primary: bool) -> Candidate:
         pool = self.beliefs.pools[instance]
-        lagging = self.beliefs.now() - pool.lagging_at < LAGGING_PAUSE_S
         return Candidate(
             instance,
             zone == self.zone,
@@ -156,7 +154,7 @@
             slots,
             pool.in_flight,
             pool.latency,
-            lagging,
+            pool.is_lagging,
         )
 
     def usable_lease(self, request: Request) -> Lease | None:
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -172,6 +172,7 @@
             return refuse(Code.BUSY, "begin transaction", detail, instance)
         if reply.failure is not None or reply.state is not TransactionState.OPEN:
             return self._refuse_begin(pool, taken, reply, avoided)
+        pool.note_caught_up()
         self._own(transaction, pool, taken, lease, request.route.service)
         return None
 
