A proxy that reaches no owner stands in for them; a silent owner is passed over

An owner that owes an answer for 0.4 s is passed over, and for 3 s after it cost a statement its time. The proxy itself is the last to be asked; its connections are closed after 3 s without use.

--- a/orioleplank/decision/routing/_owners.py
+++ b/orioleplank/decision/routing/_owners.py
@@ -38,7 +38,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ThroughOwner:
-    """The proxy sends its statements to an owner of the instance's connections."""
+    """The proxy sends its statements to an owner of the instance's connections.
+
+    When it reaches none of them it stands in for them itself.
+    """
 
     # The proxies that may be asked, in this order.
     owners: tuple[ProxyRecord, ...]
@@ -93,6 +96,8 @@
     return rank_proxies(f"prefers {me}", owners)
 
 
-def choose_owner(way: ThroughOwner, is_avoided: Callable[[str], bool]) -> ProxyRecord | None:
+def choose_owner(
+    way: ThroughOwner, is_avoided: Callable[[ProxyRecord], bool]
+) -> ProxyRecord | None:
     """Return the first owner that is not avoided; None when all are."""
-    return next((owner for owner in way.owners if not is_avoided(owner.name)), None)
+    return next((owner for owner in way.owners if not is_avoided(owner)), None)
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -24,6 +24,8 @@
 from orioleplank.gateway._signal import Signal
 from orioleplank.gateway._ways import Dial, Share, Ways
 
+# How long a connection held for other proxies is kept unused, in seconds.
+UNUSED_S = 3.0
 # Lines about single proxies for one change of the fleet; more are summed up.
 FLEET_LINES = 4
 # Time in which the words of proxies that live come in, in seconds: two rounds between regions, and
@@ -200,6 +202,12 @@
             self._carrier_pools[instance] = pool
         return pool
 
+    def close_unused_connections(self) -> None:
+        """Close connections held for other proxies that none of them uses any more."""
+        for pool in self._carrier_pools.values():
+            if self.now() - pool.used_at >= UNUSED_S:
+                pool.drop_idle()
+
     def owners(self, instance: str) -> tuple[str, ...]:
         """Return who owns an instance's connections; nobody where every proxy has some."""
         entry = self.directory.entry(instance)
--- a/orioleplank/gateway/_forwarding.py
+++ b/orioleplank/gateway/_forwarding.py
@@ -49,8 +49,9 @@
 )
 from orioleplank.gateway._ports import InstanceRefusedError, InstanceUnreachableError
 
-# How long an owner that is not reached, or does not reach the instance, is avoided, in seconds.
-AVOID_S = 1.0
+# How long an owner that is not reached, or does not reach the instance, is avoided, in seconds: until
+# all others could be tried.
+AVOID_S = 3.0
 # An owner that has said nothing for this long while an answer was wanted is not trusted to live,
 # in seconds: several round trips between regions.
 SILENT_S = 0.4
@@ -71,13 +72,27 @@
         self._is_opening = False
         self._waiting: list[Asked] = []
         self._questions: dict[int, Deferred[Told]] = {}
-        # When the owner was heard last, and when it was first asked after that, in seconds.
+        # When each open question was asked, oldest first, and when the owner was heard last, in
+        # seconds.
+        self._asked_at: dict[int, float] = {}
         self._heard_at = now()
+        # Until when the owner is avoided because it was silent, in seconds.
+        self._avoided_until = float("-inf")
+
+    @property
+    def is_silent(self) -> bool:
+        """True while the owner owes an answer and says nothing, so that others are asked."""
+        now = self._now()
+        if now < self._avoided_until:
+            return True
+        oldest = next(iter(self._asked_at.values()), now)
+        return now - max(oldest, self._heard_at) >= SILENT_S
 
     def ask(self, frame: Any) -> Deferred[Told]:
         """Ask; the answer is `NotSent` or `Unanswered` when the channel breaks."""
         result: Deferred[Told] = Deferred()
         self._questions[frame.number] = result
+        self._asked_at[frame.number] = self._now()
         self.tell(frame)
         return result
 
@@ -94,11 +109,14 @@
             )
 
     def forget(self, number: int, asked_at: float) -> None:
-        """Wait for an answer no more; one who was silent all the while is dropped."""
+        """Wait for an answer no more; an owner that was silent all the while is dropped."""
         self._questions.pop(number, None)
+        self._asked_at.pop(number, None)
         now = self._now()
-        if self._channel is not None and self._heard_at < asked_at and now - asked_at >= SILENT_S:
-            self._channel.close()
+        if self._heard_at < asked_at and now - asked_at >= SILENT_S:
+            self._avoided_until = now + AVOID_S
+            if self._channel is not None:
+                self._channel.close()
 
     # The channel's side.
 
@@ -135,6 +153,7 @@
 
     def _settle(self, number: int, told: Told) -> None:
         result = self._questions.pop(number, None)
+        self._asked_at.pop(number, None)
         if result is not None and not result.called:
             result.callback(told)
 
@@ -142,11 +161,14 @@
 class Forwarding:
     """All channels to owners."""
 
-    def __init__(self, channels: Channels, now: Callable[[], float]) -> None:
+    def __init__(self, me: str, channels: Channels, now: Callable[[], float]) -> None:
+        self._me = me
         self._channels = channels
         self._now = now
         self._by_address: dict[str, OwnerChannel] = {}
         self._numbers = count(1)
+        # The channel to this proxy itself; None until its carrier is built.
+        self.own: OwnerChannel | None = None
         # Until when an owner is not asked for an instance, in seconds.
         self._avoided: dict[tuple[str, str], float] = {}
 
@@ -160,7 +182,9 @@
         return next(self._numbers)
 
     def channel(self, owner: ProxyRecord) -> OwnerChannel:
-        """Return the channel to an owner."""
+        """Return the channel to an owner, which may be this proxy."""
+        if owner.name == self._me and self.own is not None:
+            return self.own
         channel = self._by_address.get(owner.address)
         if channel is None:
             channel = OwnerChannel(owner.address, self._channels, self._now)
@@ -171,9 +195,11 @@
         """Ask an owner no more for an instance, for a while."""
         self._avoided[instance, owner] = self._now() + AVOID_S
 
-    def is_avoided(self, instance: str, owner: str) -> bool:
+    def is_avoided(self, instance: str, owner: ProxyRecord) -> bool:
         """Tell whether an owner is not asked for an instance now."""
-        return self._now() < self._avoided.get((instance, owner), 0.0)
+        if self._now() < self._avoided.get((instance, owner.name), 0.0):
+            return True
+        return self.channel(owner).is_silent
 
 
 class OwnedLink:
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -18,11 +18,12 @@
 from orioleplank.gateway._channels import ChannelFactory, Channels
 from orioleplank.gateway._clock import boot_seconds
 from orioleplank.gateway._feed import ASK_S, Feed
-from orioleplank.gateway._forwarding import Forwarding
+from orioleplank.gateway._forwarding import Forwarding, OwnerChannel
 from orioleplank.gateway._gate import Gate
 from orioleplank.gateway._inspection import Inspection
 from orioleplank.gateway._journal import Journal, Topic
 from orioleplank.gateway._liveness import PING_S, Liveness
+from orioleplank.gateway._local_channel import LocalChannels
 from orioleplank.gateway._metrics import Metrics
 from orioleplank.gateway._moves import Moves
 from orioleplank.gateway._peers import PeerSocket
@@ -97,8 +98,8 @@
         me = ProxyRecord(
             settings.name, f"{settings.name}-{uuid.uuid4().hex[:12]}", settings.peers, settings.zone
         )
-        forwarding = Forwarding(outside.channels, reactor.seconds)
-        ways = Ways(settings.name, outside.dialer, forwarding, reactor.seconds)
+        forwarding = Forwarding(settings.name, outside.channels, reactor.seconds)
+        ways = Ways(me, outside.dialer, forwarding, reactor.seconds)
         self.beliefs = Beliefs(reactor, ways, journal, boot_now)
         self.beliefs.on_trouble = self._take_trouble
         gate = Gate(reactor)
@@ -148,6 +149,8 @@
         self._watch = Watch(reactor, self.beliefs, journal, self._inspection, self._moves, me)
         statements = Statements(self.beliefs, reactor, settings.zone)
         self.carrier = Carrier(self.beliefs, statements, self._inspection, journal)
+        own = LocalChannels(self.carrier.accept)
+        forwarding.own = OwnerChannel(settings.peers, own, reactor.seconds)
         self.sessions = SessionTable(self.beliefs, statements, journal, self.metrics)
         self._me = me
 
@@ -225,6 +228,7 @@
                 self._positions.ask((source,) if source else self._relay.listeners())
             case TimerTick("housekeeping"):
                 self._view.expire_instances()
+                self.beliefs.close_unused_connections()
                 if self._view.is_away:
                     self._feed.ask_anybody()
                 idle = self.beliefs.routes.transaction_idle
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -100,6 +100,8 @@
         # Failures since the last answer, and when the first of them was.
         self.failures = 0
         self.failing_since = 0.0
+        # When a connection was given back last, in seconds.
+        self.used_at = now()
         # When it answered last, in seconds; minus infinity before.
         self.answered_at = float("-inf")
         # Until when no read is sent there for which its log lacked a position, and the next pause.
@@ -218,6 +220,7 @@
         if connection not in self._taken:
             return
         self._taken.discard(connection)
+        self.used_at = self._now()
         over = self.size >= max(1, self._share(self.entry)) and not self._waiters
         is_old = connection.generation != self._generation
         if not connection.usable or self._closed or over or is_old:
--- a/orioleplank/gateway/_ways.py
+++ b/orioleplank/gateway/_ways.py
@@ -33,7 +33,7 @@
     """Opens connections to instances by the way that fits the fleet's size."""
 
     def __init__(
-        self, me: str, dialer: Dialer, forwarding: Forwarding, now: Callable[[], float]
+        self, me: ProxyRecord, dialer: Dialer, forwarding: Forwarding, now: Callable[[], float]
     ) -> None:
         self._me = me
         self._dialer = dialer
@@ -55,7 +55,11 @@
         if way is None:
             limits = self._services.get(entry.service)
             active = self._fleet.active()
-            way = find_way(self._me, entry, limits.max_connections, active) if limits else Direct(1)
+            way = (
+                find_way(self._me.name, entry, limits.max_connections, active)
+                if limits
+                else Direct(1)
+            )
             self._found[entry.id] = way
         return way
 
@@ -102,9 +106,11 @@
     ) -> InstanceLink:
         def choose() -> ProxyRecord | None:
             way = self.find(entry)
-            if not isinstance(way, ThroughOwner):
-                return None
-            return choose_owner(way, lambda name: self._forwarding.is_avoided(entry.id, name))
+            owners = way.owners if isinstance(way, ThroughOwner) else ()
+            candidates = ThroughOwner((*owners, self._me))
+            return choose_owner(
+                candidates, lambda owner: self._forwarding.is_avoided(entry.id, owner)
+            )
 
         return OwnedLink(entry, self._forwarding, choose, on_unreachable)
 
--- a/orioleplank/tests/test_site_owners.py
+++ b/orioleplank/tests/test_site_owners.py
@@ -221,3 +221,21 @@
         site.run(3.0)
         noted = [line for node in site.proxies for line in node.journal.lines]
         self.assertEqual([], [fields for topic, fields in noted if topic is Topic.ERROR])
+
+    def test_proxy_that_reaches_no_owner_stands_in_for_them(self) -> None:
+        site = _started()
+        node = _stranger(site, "db-a")
+        caller = site.open(node, QUOTES)
+        self.assertIsNone(site.ask(caller, Write("q1 oak")).failure)
+        for owner in _owners(site, "db-a"):
+            site.fabric.cut(owner.name, node.name)
+            site.fabric.cut(node.name, owner.name)
+        site.run(3.5)
+        began = site.fabric.now
+        while site.ask(caller, Write("q2 ash")).failure is not None:
+            self.assertLess(site.fabric.now - began, 3.0)
+            site.run(0.1)
+        self.assertLessEqual(_held(node, "db-a"), 1)
+        site.fabric.heal()
+        site.run(10.0)
+        self.assertEqual(0, _held(node, "db-a"))
