--- a/orioleplank/decision/routing/_placement.py
+++ b/orioleplank/decision/routing/_placement.py
@@ -32,7 +32,7 @@
     in_flight: int
     # Recent time for a statement, in seconds.
     latency: float
-    # True when it answered lately that its log lacks a position.
+    # True when its log is likely to lack the position that the read asks for.
     lagging: bool = False
 
 
--- a/orioleplank/gateway/_exchange.py
+++ b/orioleplank/gateway/_exchange.py
@@ -123,6 +123,7 @@
             pool.note_failure()
             raise
         pool.note_answer(self.beliefs.now() - sent_at if tells_load else None)
+        pool.note_position(reply.position)
         return reply
 
     def prepared_name(self, connection: PooledConnection, statement: Runnable) -> str:
--- a/orioleplank/gateway/_forwarding.py
+++ b/orioleplank/gateway/_forwarding.py
@@ -49,8 +49,8 @@
 )
 from orioleplank.gateway._ports import InstanceRefusedError, InstanceUnreachableError
 
-# How long an owner that is not reached, or does not reach the instance, is avoided, in seconds: until
-# all others could be tried.
+# How long an owner that is not reached, or does not reach the instance, is avoided, in seconds:
+# until all others could be tried.
 AVOID_S = 3.0
 # An owner that has said nothing for this long while an answer was wanted is not trusted to live,
 # in seconds: several round trips between regions.
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.python.failure import Failure
 
+from orioleplank.decision import Position
 from orioleplank.decision.instances import InstanceEntry
 from orioleplank.decision.session import FRESH_CONNECTION, ConnectionState, find_preparation
 from orioleplank.gateway._ports import (
@@ -24,8 +25,8 @@
 RETRY_LIMIT_S = 1.0
 # How long an instance that has no connection left is not asked for one, in seconds.
 FULL_PAUSE_S = 0.5
-# How long a replica that lags is passed over by all reads, in seconds, doubled while it lags: a
-# whole fleet that asks it again and again keeps it from serving those that it could.
+# How long a replica that lags is passed over by reads that ask for more than it has, in seconds,
+# doubled while it lags: a whole fleet that asks it again and again would keep it from its work.
 LAGGING_FIRST_S = 0.1
 LAGGING_LIMIT_S = 0.8
 # Weight of the newest answer in the recent time of an instance.
@@ -104,7 +105,9 @@
         self.used_at = now()
         # When it answered last, in seconds; minus infinity before.
         self.answered_at = float("-inf")
-        # Until when no read is sent there for which its log lacked a position, and the next pause.
+        # Position that its log had when it was told last; None before.
+        self._reached: Position | None = None
+        # Until when reads are not sent there that ask for more than that, and the next pause.
         self._lagging_until = float("-inf")
         self._lagging_pause = LAGGING_FIRST_S
         # True once it has answered that it does not lead, although the record says so.
@@ -163,14 +166,23 @@
         self.denies_lead = True
         self._on_trouble(self.entry.id)
 
-    @property
-    def is_lagging(self) -> bool:
-        """True for a while after it said that its log lacks a position."""
-        return self._now() < self._lagging_until
+    def lacks(self, position: Position) -> bool:
+        """Tell whether its log is likely to lack a position, because it did a moment ago.
+
+        Reads that accept older data are still sent there.
+        """
+        if self._now() >= self._lagging_until:
+            return False
+        return self._reached is None or position > self._reached
+
+    def note_position(self, position: Position | None) -> None:
+        """Take the position of its log from an answer."""
+        if position is not None:
+            self._reached = position
 
     def note_lagging(self) -> None:
         """Take note that its log lacks a position; the pause grows while it stays so."""
-        if self.is_lagging:
+        if self._now() < self._lagging_until:
             return
         self._lagging_until = self._now() + self._lagging_pause
         self._lagging_pause = min(LAGGING_LIMIT_S, 2 * self._lagging_pause)
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -7,7 +7,7 @@
 
 from orioleplank.decision import ORIGIN, Position
 from orioleplank.decision.group import Lease
-from orioleplank.decision.instances import Consistency
+from orioleplank.decision.instances import Consistency, InstanceEntry
 from orioleplank.decision.routing import Candidate, Nowhere, ReadNeed, ToInstance, place_read
 from orioleplank.decision.session import PROVES_NOT_RUN, Code, Reply, Runnable
 from orioleplank.gateway._exchange import (
@@ -118,12 +118,13 @@
         beliefs, route = self.beliefs, request.route
         lease = self.usable_lease(request)
         primary = lease.primary if lease else ""
+        need = ReadNeed(self._needed_position(request))
         candidates = [
-            self._describe(entry.id, entry.zone, entry.slots, entry.id == primary)
+            self._describe(entry, entry.id == primary, need)
             for entry in beliefs.directory.of_service(route.service)
             if not avoided.holds(entry.id) and self._takes_work(entry.id, primary)
         ]
-        placement = place_read(candidates, ReadNeed(self._needed_position(request)))
+        placement = place_read(candidates, need)
         if isinstance(placement, Nowhere) and lease is not None:
             return Nowhere(f"primary {primary} takes no work now; {placement.why}")
         return placement
@@ -145,16 +146,16 @@
             return self.beliefs.directory.takes_work_as_primary(instance, self.beliefs.now())
         return self.beliefs.directory.takes_work(instance)
 
-    def _describe(self, instance: str, zone: str, slots: int, is_primary: bool) -> Candidate:
-        pool = self.beliefs.pools[instance]
+    def _describe(self, entry: InstanceEntry, is_primary: bool, need: ReadNeed) -> Candidate:
+        pool = self.beliefs.pools[entry.id]
         return Candidate(
-            instance,
-            zone == self.zone,
+            entry.id,
+            entry.zone == self.zone,
             is_primary,
-            slots,
+            entry.slots,
             pool.in_flight,
             pool.latency,
-            pool.is_lagging,
+            need.position is not None and pool.lacks(need.position),
         )
 
     def usable_lease(self, request: Request) -> Lease | None:
--- a/orioleplank/gateway/tests/test_pool.py
+++ b/orioleplank/gateway/tests/test_pool.py
@@ -5,9 +5,12 @@
 import testtools
 from twisted.internet.defer import Deferred
 
+from orioleplank.decision import Position
 from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
 from orioleplank.gateway._pool import LAGGING_FIRST_S, LAGGING_LIMIT_S, InstancePool
 
+WANTED = Position(3, 100)
+
 
 class TestLagging(testtools.TestCase):
     def setUp(self) -> None:
@@ -24,7 +27,7 @@
         """Return how often a replica that lags all the while is asked."""
         asked, end = 0, self.now + seconds
         while self.now < end:
-            if not self.pool.is_lagging:
+            if not self.pool.lacks(WANTED):
                 asked += 1
                 self.pool.note_lagging()
             self.now += 0.01
@@ -39,4 +42,10 @@
         self.pool.note_caught_up()
         self.pool.note_lagging()
         self.now += LAGGING_FIRST_S
-        self.assertFalse(self.pool.is_lagging)
+        self.assertFalse(self.pool.lacks(WANTED))
+
+    def test_reads_that_accept_older_data_still_go_there(self) -> None:
+        self.pool.note_position(Position(3, 80))
+        self.pool.note_lagging()
+        self.assertTrue(self.pool.lacks(WANTED))
+        self.assertFalse(self.pool.lacks(Position(3, 80)))
