--- a/orioleplank/gateway/_carrier.py
+++ b/orioleplank/gateway/_carrier.py
@@ -197,7 +197,7 @@
                 use.pool = pool
             except NOT_SENT as error:
                 is_unreachable = isinstance(error, InstanceUnreachableError)
-                why = "all are in use" if isinstance(error, NO_TIME) else str(error)
+                why = _explain(error, "all are in use")
                 return NotSent(asked.number, why, is_unreachable)
             finally:
                 use.waiting = None
@@ -208,7 +208,7 @@
             )
         except (*NOT_SENT, PreparationError) as error:
             self._drop(use)
-            return NotSent(asked.number, str(error), False)
+            return NotSent(asked.number, _explain(error, "its preparation took too long"), False)
         return None
 
     async def _take_answer(
@@ -219,7 +219,7 @@
             reply = await self._exchange.run(use.pool, answer, seconds, tells_load)
         except NOT_ANSWERED as error:
             self._drop(use)
-            return Unanswered(number, str(error) or type(error).__name__)
+            return Unanswered(number, _explain(error, "its time is over"))
         self._settle(use, reply)
         return dump_reply(number, reply)
 
@@ -275,3 +275,8 @@
             self._send(Answered(asked.number, (), "-", None, TransactionState.IDLE, None))
         else:
             self._send(NotSent(asked.number, "it is not reached", True))
+
+
+def _explain(error: Exception, out_of_time: str) -> str:
+    """Return why something was not done; time-outs tell nothing by themselves."""
+    return out_of_time if isinstance(error, NO_TIME) else str(error)
