Number questions about views and positions from a random start

Cause: found by reading. A late answer to a question of an earlier run of a proxy could be taken for the answer to a new one with the same number and date a lease or position too late. Test: test_site_feed.py.

--- a/orioleplank/gateway/_feed.py
+++ b/orioleplank/gateway/_feed.py
@@ -31,6 +31,8 @@
 # News older than this are no news, in seconds: a renewal of the source and a slow answer of the
 # store. The rest of the time in which a configuration has to be in force is left for reading it.
 STALE_S = 2.0
+# Numbers of first questions are chosen below this.
+FIRST_NUMBERS = 2**40
 # Questions whose time is kept.
 KEPT_QUESTIONS = 8
 
@@ -60,7 +62,8 @@
         self._source: ProxyRecord | None = None
         # When each question was asked, on the clock of leases, by its number.
         self._asked: dict[int, float] = {}
-        self._number = 0
+        # An answer to a question of an earlier run of this proxy must not be taken for a new one.
+        self._number = random.randrange(FIRST_NUMBERS)
         self._unanswered = 0
         # Until when sources are avoided, in seconds, by their names.
         self._avoided: dict[str, float] = {}
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -125,7 +125,7 @@
             gate,
             self._view.note_contact,
         )
-        self._positions = PositionExchange(self.beliefs, settings.name)
+        self._positions = PositionExchange(self.beliefs, settings.name, self._random)
         self._inspection = Inspection(reactor, self.beliefs, settings.name)
         self._liveness = Liveness(
             self.beliefs,
--- a/orioleplank/gateway/_positions.py
+++ b/orioleplank/gateway/_positions.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from random import Random
 
 from orioleplank.decision.membership import (
     PeerMessage,
@@ -17,6 +18,7 @@
     ProxyRecord,
 )
 from orioleplank.gateway._beliefs import Beliefs
+from orioleplank.gateway._feed import FIRST_NUMBERS
 from orioleplank.gateway._peers import PeerSocket
 
 # A position younger than this is not asked for, in seconds.
@@ -34,10 +36,11 @@
 class PositionExchange:
     """Asks for positions that are wanted here, and tells those that are known."""
 
-    def __init__(self, beliefs: Beliefs, me: str) -> None:
+    def __init__(self, beliefs: Beliefs, me: str, random: Random) -> None:
         self._beliefs = beliefs
         self._me = me
-        self._number = 0
+        # An answer to a question of an earlier run of this proxy must not be taken for a new one.
+        self._number = random.randrange(FIRST_NUMBERS)
         # When each question was asked, on the clock of leases, by its number.
         self._asked: dict[int, float] = {}
         # When others asked for a service last, in seconds, by its name.
--- a/orioleplank/tests/test_site_feed.py
+++ b/orioleplank/tests/test_site_feed.py
@@ -128,6 +128,15 @@
         assert lease is not None
         self.assertTrue(lease.covers(site.fabric.now))
 
+    def test_answer_to_a_question_of_an_earlier_run_renews_nothing(self) -> None:
+        site = _started()
+        node = next(p for p in site.proxies if p not in _find_readers(site))
+        first = node.gateway._feed._number
+        site.kill(node)
+        site.start(node)
+        site.run(3.0)
+        self.assertGreater(abs(node.gateway._feed._number - first), 1000)
+
 
 class TestPositions(testtools.TestCase):
     def test_reads_go_to_replicas_although_this_proxy_asks_the_primary_seldom(self) -> None:
