--- a/orioleplank/gateway/_follower.py
+++ b/orioleplank/gateway/_follower.py
@@ -48,9 +48,12 @@
         wait: float,
         random: Random,
         gate: Gate,
+        probes: bool = False,
     ) -> None:
+        """Build a follower; only one that `probes` calls a store that does not answer."""
         self._reactor = reactor
         self._gate = gate
+        self._probes = probes
         self._kind = kind
         self._listener = listener
         self._lease_now = lease_now
@@ -59,6 +62,11 @@
         self._failures = 0
         self.is_stopped = False
 
+    @property
+    def is_failing(self) -> bool:
+        """True from a call that was not answered to the next that was."""
+        return self._failures > 0
+
     async def run(self) -> None:
         """List and watch whenever the gate is open, until stopped."""
         while not self.is_stopped:
@@ -73,6 +81,8 @@
             except StoreUnavailableError as error:
                 self._listener.on_contact(str(error))
                 await sleep(self._reactor, self._pause())
+                if not self._probes:
+                    await self._gate.wait_for_store()
 
     async def list_now(self) -> int:
         """List once; return the revision. Raise `StoreUnavailableError`."""
--- a/orioleplank/gateway/_gate.py
+++ b/orioleplank/gateway/_gate.py
@@ -8,6 +8,8 @@
 
 # How often a waiting reader looks again although nothing was told, in seconds.
 LOOK_AGAIN_S = 5.0
+# How long a reader leaves it to others in its process to find the store again, in seconds.
+AWAY_S = 3.0
 
 
 class Gate:
@@ -17,6 +19,8 @@
         self.is_open = True
         # Counts how often it was closed: what a reader knew from before may be overtaken.
         self.closings = 0
+        # False from a call that the store did not answer to the next that it did.
+        self.is_store_reached = True
         self._changed = Signal(reactor)
 
     def open(self) -> None:
@@ -31,6 +35,17 @@
             self.is_open = False
             self.closings += 1
 
+    def note_contact(self, is_reached: bool) -> None:
+        """Take note whether the store answered."""
+        if is_reached and not self.is_store_reached:
+            self._changed.fire()
+        self.is_store_reached = is_reached
+
+    async def wait_for_store(self) -> None:
+        """Return once the store answers somebody in this process again, or after a while."""
+        if not self.is_store_reached:
+            await self._changed.wait(AWAY_S)
+
     async def wait(self) -> None:
         """Return once it is open."""
         while not self.is_open:
--- a/orioleplank/gateway/_platform_view.py
+++ b/orioleplank/gateway/_platform_view.py
@@ -32,6 +32,7 @@
     ) -> None:
         self._beliefs = beliefs
         self._journal = journal
+        self._gate = gate
         self._trouble = ""
         # When the store was heard again after it was away, in seconds.
         self._contact_at = float("-inf")
@@ -54,6 +55,7 @@
 
     def note_contact(self, trouble: str) -> None:
         """Take note whether the store answered; `trouble` is why it did not."""
+        self._gate.note_contact(not trouble)
         if bool(trouble) == bool(self._trouble):
             return
         self._trouble = trouble
--- a/orioleplank/gateway/_registry.py
+++ b/orioleplank/gateway/_registry.py
@@ -75,7 +75,7 @@
             self._take_listing, self._take_changes, on_contact
         )
         self._follower = Follower(
-            reactor, records, listener, beliefs.lease_now, WATCH_S, random, gate
+            reactor, records, listener, beliefs.lease_now, WATCH_S, random, gate, probes=True
         )
 
     @property
@@ -97,7 +97,8 @@
         """Renew the leases over and over."""
         while not self._is_stopped:
             await sleep(self._reactor, RENEW_S * (0.9 + 0.2 * self._random.random()))
-            if self._gate.is_open:
+            # While calls fail the follower lists again and again by itself.
+            if self._gate.is_open and not self._follower.is_failing:
                 await self.renew_now()
 
     async def renew_now(self) -> None:
--- a/orioleplank/tests/test_site_feed.py
+++ b/orioleplank/tests/test_site_feed.py
@@ -137,6 +137,19 @@
         site.run(3.0)
         self.assertGreater(abs(node.gateway._feed._number - first), 1000)
 
+    def test_fleet_does_not_besiege_a_store_that_is_away(self) -> None:
+        site = _started()
+        site.store.refused.add("*")
+        site.run(3.0)
+        site.store.calls.clear()
+        site.run(6.0)
+        calls = sum(site.store.calls.values()) / 6.0 / PROXIES
+        self.assertLessEqual(calls, 2.0)
+        site.store.refused.clear()
+        site.change_routes(*ROUTES)
+        site.run(CONFIGURATION_S)
+        self.assertEqual({site.routes.version}, _versions(site))
+
 
 class TestPositions(testtools.TestCase):
     def test_reads_go_to_replicas_although_this_proxy_asks_the_primary_seldom(self) -> None:
