--- a/orioleplank/gateway/_forwarding.py
+++ b/orioleplank/gateway/_forwarding.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from itertools import count
 from typing import Any
 
@@ -108,6 +108,11 @@
                 self._take_open, self._take_failure
             )
 
+    def close(self) -> None:
+        """End the channel; what was asked may have run."""
+        if self._channel is not None:
+            self._channel.close()
+
     def forget(self, number: int, asked_at: float) -> None:
         """Wait for an answer no more; an owner that was silent all the while is dropped."""
         self._questions.pop(number, None)
@@ -115,8 +120,7 @@
         now = self._now()
         if self._heard_at < asked_at and now - asked_at >= SILENT_S:
             self._avoided_until = now + AVOID_S
-            if self._channel is not None:
-                self._channel.close()
+            self.close()
 
     # The channel's side.
 
@@ -128,8 +132,7 @@
             case Answered() | Reported() | NotSent() | Unanswered():
                 self._settle(told.number, told)
             case _:
-                if self._channel is not None:
-                    self._channel.close()
+                self.close()
 
     def take_end(self) -> None:
         """What was asked may have run."""
@@ -177,6 +180,11 @@
         """Return the steady clock, in seconds."""
         return self._now
 
+    @property
+    def addresses(self) -> set[str]:
+        """Return the addresses of the proxies to which there are channels."""
+        return set(self._by_address)
+
     def next_number(self) -> int:
         """Return a number that was not used before."""
         return next(self._numbers)
@@ -191,9 +199,17 @@
             self._by_address[owner.address] = channel
         return channel
 
+    def keep(self, addresses: Collection[str]) -> None:
+        """Close the channels to proxies at other addresses: they are gone."""
+        gone = [address for address in self._by_address if address not in addresses]
+        for address in gone:
+            self._by_address.pop(address).close()
+
     def avoid(self, instance: str, owner: str) -> None:
         """Ask an owner no more for an instance, for a while."""
-        self._avoided[instance, owner] = self._now() + AVOID_S
+        now = self._now()
+        self._avoided = {pair: until for pair, until in self._avoided.items() if until > now}
+        self._avoided[instance, owner] = now + AVOID_S
 
     def is_avoided(self, instance: str, owner: ProxyRecord) -> bool:
         """Tell whether an owner is not asked for an instance now."""
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -98,7 +98,7 @@
         me = ProxyRecord(
             settings.name, f"{settings.name}-{uuid.uuid4().hex[:12]}", settings.peers, settings.zone
         )
-        forwarding = Forwarding(settings.name, outside.channels, reactor.seconds)
+        self.forwarding = forwarding = Forwarding(settings.name, outside.channels, reactor.seconds)
         ways = Ways(me, outside.dialer, forwarding, reactor.seconds)
         self.beliefs = Beliefs(reactor, ways, journal, boot_now)
         self.beliefs.on_trouble = self._take_trouble
--- a/orioleplank/gateway/_ways.py
+++ b/orioleplank/gateway/_ways.py
@@ -48,6 +48,7 @@
         """Take the proxies and the services' limits, by which ways are chosen."""
         self._fleet, self._services = fleet, services
         self._found.clear()
+        self._forwarding.keep({record.address for record in fleet.proxies.values()})
 
     def find(self, entry: InstanceEntry) -> Way:
         """Return the way to an instance."""
--- a/orioleplank/tests/test_site_owners.py
+++ b/orioleplank/tests/test_site_owners.py
@@ -239,3 +239,16 @@
         site.fabric.heal()
         site.run(10.0)
         self.assertEqual(0, _held(node, "db-a"))
+
+    def test_channel_to_a_proxy_that_is_gone_is_forgotten(self) -> None:
+        site = _started()
+        node = _stranger(site, "db-a")
+        caller = site.open(node, QUOTES)
+        site.ask(caller, Write("q1 oak"))
+        forwarding = node.gateway.forwarding
+        before = forwarding.addresses
+        self.assertNotEqual(set(), before)
+        for owner in _owners(site, "db-a"):
+            site.kill(owner)
+        site.run(30.0)
+        self.assertEqual(set(), before & forwarding.addresses)
