--- /dev/null
+++ b/orioleplank/gateway/tests/test_frames.py
@@ -0,0 +1,116 @@
+"""Frames between proxies: what is sent arrives, and anything else is refused without harm."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.testing import StringTransport
+
+from orioleplank.decision import Position
+from orioleplank.decision.session import (
+    Code,
+    ExecuteShape,
+    Failure,
+    Mode,
+    Read,
+    Reply,
+    Shape,
+    TransactionState,
+    Write,
+)
+from orioleplank.gateway._channels import ChannelProtocol
+from orioleplank.gateway._frames import (
+    FRAME_LIMIT,
+    RunAsked,
+    decode_frame,
+    describe_statement,
+    dump_reply,
+    encode_frame,
+    read_reply,
+    read_statement,
+)
+
+_TEXT = st.text(st.characters(max_codepoint=255), max_size=50)
+_STATEMENTS = st.one_of(
+    st.builds(Read, _TEXT),
+    st.builds(Write, _TEXT),
+    st.builds(ExecuteShape, st.builds(Shape, st.sampled_from(Mode), _TEXT), _TEXT),
+)
+_POSITIONS = st.none() | st.builds(Position, st.integers(0, 2**40), st.integers(0, 2**40))
+_REPLIES = st.builds(
+    Reply,
+    st.lists(_TEXT, max_size=3).map(tuple),
+    _TEXT,
+    st.none() | st.builds(Failure, st.sampled_from(Code), _TEXT),
+    st.sampled_from(TransactionState),
+    _POSITIONS,
+)
+
+
+class TestFrames(testtools.TestCase):
+    @given(_STATEMENTS)
+    def test_statement_arrives_unchanged(self, statement: Read | Write | ExecuteShape) -> None:
+        mode, shape, arguments = describe_statement(statement)
+        frame = RunAsked(1, 2, "i-1", 0, 0.5, {"v": "1"}, None, "r1", mode, shape, arguments, True)
+        arrived = decode_frame(encode_frame(frame))
+        self.assertEqual(frame, arrived)
+        assert isinstance(arrived, RunAsked)
+        self.assertEqual(statement, read_statement(arrived))
+
+    @given(_REPLIES)
+    def test_reply_arrives_unchanged(self, reply: Reply) -> None:
+        arrived = decode_frame(encode_frame(dump_reply(7, reply)))
+        self.assertEqual(reply, read_reply(arrived))  # type: ignore[arg-type]
+
+    @given(st.binary(max_size=200))
+    def test_anything_else_is_no_frame(self, data: bytes) -> None:
+        frame = decode_frame(data)
+        if frame is not None:
+            self.assertEqual(frame, decode_frame(encode_frame(frame)))
+
+
+class _Listener:
+    def __init__(self) -> None:
+        self.frames: list[bytes] = []
+        self.ends = 0
+
+    def take_frame(self, frame: bytes) -> None:
+        self.frames.append(frame)
+
+    def take_end(self) -> None:
+        self.ends += 1
+
+
+class _Transport(StringTransport):
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        pass
+
+    def getHandle(self) -> _Transport:  # noqa: N802
+        return self
+
+    def setsockopt(self, *arguments: int) -> None:
+        pass
+
+
+class TestChannel(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        build_transport: Any = _Transport
+        build_protocol: Any = ChannelProtocol
+        self.listener, self.transport = _Listener(), build_transport()
+        self.protocol = build_protocol()
+        self.protocol.listener = self.listener
+        self.protocol.makeConnection(self.transport)
+
+    def test_frames_arrive_whole_however_they_are_cut(self) -> None:
+        for byte in b"\0\0\0\x02ab\0\0\0\x01c":
+            self.protocol.dataReceived(bytes([byte]))
+        self.assertEqual([b"ab", b"c"], self.listener.frames)
+
+    def test_frame_that_is_too_large_ends_the_channel(self) -> None:
+        self.protocol.dataReceived((FRAME_LIMIT + 1).to_bytes(4, "big"))
+        self.assertTrue(self.transport.disconnected)
+        self.assertEqual([], self.listener.frames)
--- a/orioleplank/tests/test_site_storm.py
+++ b/orioleplank/tests/test_site_storm.py
@@ -16,6 +16,8 @@
 from orioleplank.tests._site_storm import Storm
 
 SEEDS = range(20261204, 20261212)
+# With fewer than two connections for each proxy.
+OWNER_SEEDS = range(20261204, 20261208)
 
 
 class TestStorm(testtools.TestCase):
@@ -26,6 +28,13 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_no_rule_is_broken_with_owners_of_connections(self) -> None:
+        for seed in OWNER_SEEDS:
+            with self.subTest(seed=seed):
+                audit = Storm(seed, proxies=7, callers=14, connections=12).play()
+                self.assertEqual([], audit.violations[:5])
+                self.assertGreater(audit.answered, 300)
+
 
 class TestChecksBite(testtools.TestCase):
     """With a mechanism switched off the audit finds what it is there for."""
