A proxy that ends lets the transactions it carries for others finish

Cause: found by reading. An owner that was asked to end waited for its own callers only, and cut the transactions that other proxies run on its connections. Now it waits for them as for its own, within the same share of the grace. Where every proxy holds connections itself nothing changes. Test failed first (test_site_owners.py).

--- a/orioleplank/gateway/_carrier.py
+++ b/orioleplank/gateway/_carrier.py
@@ -83,10 +83,22 @@
         self.inspection = inspection
         self.journal = journal
         self._numbers = count(1)
+        self._channels: set[CarriedChannel] = set()
+
+    @property
+    def in_use(self) -> int:
+        """Statements and transactions of other proxies that are not finished."""
+        return sum(channel.in_use for channel in self._channels)
 
     def accept(self, channel: Channel) -> CarriedChannel:
         """Take a channel of another proxy."""
-        return CarriedChannel(self, channel)
+        carried = CarriedChannel(self, channel)
+        self._channels.add(carried)
+        return carried
+
+    def forget(self, carried: CarriedChannel) -> None:
+        """Forget a channel that has ended."""
+        self._channels.discard(carried)
 
     def next_number(self) -> int:
         """Return a number of a use; sessions of this proxy have the positive ones."""
@@ -121,8 +133,14 @@
             case _:
                 self._channel.close()
 
+    @property
+    def in_use(self) -> int:
+        """Statements and transactions that are not finished."""
+        return len(self._uses)
+
     def take_end(self) -> None:
         """Roll back whatever the other proxy has not finished."""
+        self._carrier.forget(self)
         for link in list(self._uses):
             self._close(link)
 
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -272,6 +272,11 @@
 
     # The end.
 
+    @property
+    def _is_working(self) -> bool:
+        """True while callers, or proxies for which this one holds connections, need it."""
+        return bool(len(self.sessions) or self.carrier.in_use)
+
     async def leave(self) -> None:
         """Stop gracefully: answer what runs, close what rests, and end within the grace."""
         if self._is_stopping:
@@ -285,7 +290,7 @@
         await sleep(self._reactor, min(NOTICE_S, grace * TRANSACTION_SHARE))
         self.sessions.leave()
         transactions_until = began + grace * TRANSACTION_SHARE
-        while len(self.sessions) and self.beliefs.now() < began + grace * END_SHARE:
+        while self._is_working and self.beliefs.now() < began + grace * END_SHARE:
             if self.beliefs.now() >= transactions_until:
                 self.sessions.abort_transactions()
             await sleep(self._reactor, LEAVE_LOOK_S)
--- a/orioleplank/tests/test_site_owners.py
+++ b/orioleplank/tests/test_site_owners.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import testtools
+from twisted.internet.defer import Deferred
 
 from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
 from orioleplank.decision.membership import ProxyRecord
@@ -252,3 +253,18 @@
             site.kill(owner)
         site.run(30.0)
         self.assertEqual(set(), before & forwarding.addresses)
+
+    def test_owner_that_is_asked_to_end_lets_transactions_of_others_finish(self) -> None:
+        site = _started()
+        caller = site.open(_stranger(site, "db-a"), QUOTES)
+        site.ask(caller, Begin(False))
+        site.ask(caller, Write("q1 oak"))
+        owner = next(o for o in _owners(site, "db-a") if o.gateway.carrier.in_use)
+        left: list[float] = []
+        leaving = Deferred.fromCoroutine(owner.gateway.leave())
+        leaving.addCallback(lambda _: left.append(site.fabric.now))
+        site.run(2.6)
+        self.assertEqual([], left)
+        self.assertIsNone(site.ask(caller, Commit()).failure)
+        site.run(0.5)
+        self.assertEqual(1, len(left))
