Put a planned change of primary off while a proxy is silent

Now whoever would move it first asks all registered proxies for a sign of life; while one is silent the primary serves on, until 3 s before the end of the time for which it promised to serve (the settings' bound, so 7 s at 10 s). Only then is the lease waited out. Tests: TestPlannedMoveBesideASilentProxy; with the question switched off the first fails.

--- a/orioleplank/decision/instances/__init__.py
+++ b/orioleplank/decision/instances/__init__.py
@@ -1,6 +1,7 @@
 """What the platform says of routes and instances, in the product's own terms."""
 
 from orioleplank.decision.instances._directory import (
+    DRAINING_MARGIN_S,
     MISSING_GRACE_S,
     DbRole,
     Directory,
@@ -17,6 +18,7 @@
 )
 
 __all__ = [
+    "DRAINING_MARGIN_S",
     "MISSING_GRACE_S",
     "UNLIMITED_S",
     "Consistency",
--- a/orioleplank/decision/instances/_directory.py
+++ b/orioleplank/decision/instances/_directory.py
@@ -16,9 +16,9 @@
 MISSING_PRIMARY_GRACE_S = 5.0
 # After this long without its entry an instance that answers is taken for one that leaves.
 MISSING_LEAVES_S = 2.2
-# How long a draining primary is sent work while its successor is named: well within the time for
-# which it goes on serving.
-DRAINING_PRIMARY_S = 4.0
+# A draining primary is sent no more work this long before the end of the time for which it serves,
+# in seconds: other proxies may have learned of it so much earlier.
+DRAINING_MARGIN_S = 3.0
 
 
 @unique
@@ -141,12 +141,22 @@
             return False
         return known.entry.state is InstanceState.READY
 
-    def takes_work_as_primary(self, name: str, now: float) -> bool:
-        """Tell whether a primary may be sent new work; one that drains may for a moment."""
-        known = self.instances.get(name)
-        if known is None:
+    def takes_work_as_primary(self, name: str, now: float, drain: float) -> bool:
+        """Tell whether a primary may be sent new work.
+
+        One that drains serves for `drain` seconds, and is sent work for the first part of them.
+        """
+        if name not in self.instances:
             return False
-        return known.draining_since is None or now - known.draining_since < DRAINING_PRIMARY_S
+        until = self.drains_until(name, drain)
+        return until is None or now < until
+
+    def drains_until(self, name: str, drain: float) -> float | None:
+        """Return until when a primary that drains may be sent work; None when it does not drain."""
+        known = self.instances.get(name)
+        if known is None or known.draining_since is None:
+            return None
+        return known.draining_since + drain - DRAINING_MARGIN_S
 
     def _know(self, entry: InstanceEntry, now: float) -> KnownInstance:
         if entry.state is not InstanceState.DRAINING:
--- a/orioleplank/decision/instances/tests/test_directory.py
+++ b/orioleplank/decision/instances/tests/test_directory.py
@@ -43,8 +43,8 @@
     def test_draining_primary_takes_work_for_a_moment(self) -> None:
         directory = Directory().put(_entry("db-a", InstanceState.DRAINING), 1.0)
         directory = directory.put(_entry("db-a", InstanceState.DRAINING), 4.0)
-        self.assertTrue(directory.takes_work_as_primary("db-a", 4.5))
-        self.assertFalse(directory.takes_work_as_primary("db-a", 5.0))
+        self.assertTrue(directory.takes_work_as_primary("db-a", 4.5, 7.0))
+        self.assertFalse(directory.takes_work_as_primary("db-a", 5.0, 7.0))
 
 
 class TestRouteTable(testtools.TestCase):
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -47,6 +47,7 @@
         ways: Ways,
         journal: Journal,
         boot_now: Callable[[], float],
+        drain: float,
     ) -> None:
         self.routes = RouteTable()
         self.directory = Directory()
@@ -69,6 +70,8 @@
         self.on_trouble: Callable[[str], None] = lambda instance: None
         self._reactor = reactor
         self._ways = ways
+        # Seconds for which an instance serves after it has said that it will end.
+        self._drain = drain
         # Connections held for other proxies to instances that this one uses through owners.
         self._carrier_pools: dict[str, InstancePool] = {}
         self._journal = journal
@@ -187,6 +190,15 @@
 
         return InstancePool(entry, dial, self.now, share, tell_trouble)
 
+    def primary_takes_work(self, instance: str) -> bool:
+        """Tell whether a primary may be sent new work."""
+        return self.directory.takes_work_as_primary(instance, self.now(), self._drain)
+
+    def drains_on(self, instance: str, seconds: float) -> bool:
+        """Tell whether a primary drains and may still be sent work `seconds` from now."""
+        until = self.directory.drains_until(instance, self._drain)
+        return until is not None and self.now() + seconds < until
+
     # Ways to instances.
 
     def carrier_pool(self, instance: str) -> InstancePool | None:
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -100,7 +100,7 @@
         )
         self.forwarding = forwarding = Forwarding(settings.name, outside.channels, reactor.seconds)
         ways = Ways(me, outside.dialer, forwarding, reactor.seconds)
-        self.beliefs = Beliefs(reactor, ways, journal, boot_now)
+        self.beliefs = Beliefs(reactor, ways, journal, boot_now, settings.drain)
         self.beliefs.on_trouble = self._take_trouble
         gate = Gate(reactor)
         self._view = PlatformView(reactor, outside.store, self.beliefs, journal, self._random, gate)
--- a/orioleplank/gateway/_moves.py
+++ b/orioleplank/gateway/_moves.py
@@ -43,6 +43,12 @@
 GATHER_LOOK_S = 0.05
 
 
+# Pause before a move that was put off is tried again, in seconds.
+PUT_OFF_S = 0.5
+# Names of silent proxies in one line.
+SILENT_NAMES = 5
+
+
 class MoveLostError(OrioleplankError):
     """Another proxy has taken the move over."""
 
@@ -84,6 +90,26 @@
         self._number = 0
         self.is_stopped = False
 
+    async def leave(self, service: str, seen: SeenRecord) -> None:
+        """Move a primary that will end, once nobody's leases would have to be waited out for it.
+
+        While a proxy is silent the primary serves on, as long as it may be sent work.
+        """
+        primary = seen.record.primary
+        if self._beliefs.drains_on(primary, PUT_OFF_S):
+            silent = await self._releases.find_silent()
+            if silent and self._beliefs.drains_on(primary, PUT_OFF_S):
+                self._journal.note(
+                    Topic.MOVE,
+                    service=service,
+                    revision=seen.revision,
+                    outcome="put off",
+                    silent=silent[:SILENT_NAMES],
+                )
+                await sleep(self._reactor, PUT_OFF_S)
+                return
+        await self.move(service, seen, planned=True)
+
     async def move(self, service: str, seen: SeenRecord, planned: bool) -> None:
         """Move the primary of a service away from the one that `seen` names."""
         old = seen.record
--- a/orioleplank/gateway/_release.py
+++ b/orioleplank/gateway/_release.py
@@ -10,6 +10,8 @@
 from orioleplank.decision.group import LEASE_S, RELEASE_MARGIN_S
 from orioleplank.decision.membership import (
     PeerMessage,
+    Ping,
+    Pong,
     ProxyRecord,
     ReleaseAsked,
     Released,
@@ -21,6 +23,10 @@
 
 # Pause before a proxy that has not answered is asked again, in seconds: a lost datagram.
 ASK_AGAIN_S = 0.1
+# Rounds in which silent proxies are looked for, and the time of each in seconds: a few round trips
+# between regions.
+SILENT_ROUNDS = 3
+SILENT_ROUND_S = 0.15
 # How long work at a primary that is left on purpose may go on, in seconds.
 PLANNED_WAIT_S = 0.8
 # Pause before it is looked again whether that work has ended, in seconds.
@@ -46,11 +52,15 @@
         self._journal = journal
         self._me = me
         self._gatherings: dict[str, _Gathering] = {}
+        # Names of the proxies that have answered since silent ones were looked for.
+        self._heard: set[str] = set()
         self.socket: PeerSocket | None = None
 
     def take(self, message: PeerMessage) -> None:
         """Answer a question of a peer, or take its word."""
         match message:
+            case Pong(sender):
+                self._heard.add(sender)
             case ReleaseAsked(sender, service, revision, planned):
                 work = self._answer(sender, service, revision, planned)
                 Deferred.fromCoroutine(work).addErrback(self._fail)
@@ -59,6 +69,22 @@
                 if gathering is not None and revision >= gathering.revision:
                     gathering.words.setdefault(sender, set()).add(incarnation)
 
+    async def find_silent(self) -> tuple[str, ...]:
+        """Return the proxies that do not answer now: their leases would have to be waited out."""
+        self._heard.clear()
+        now = self._beliefs.lease_now()
+        others = [r for r in self._beliefs.fleet.proxies.values() if r.name != self._me.name]
+        silent = [record for record in others if not self._has_lapsed(record, now)]
+        for _ in range(SILENT_ROUNDS):
+            for record in silent:
+                if self.socket is not None:
+                    self.socket.send(record.address, Ping(self._me.name, self._me.name))
+            await sleep(self._reactor, SILENT_ROUND_S)
+            silent = [record for record in silent if record.name not in self._heard]
+            if not silent:
+                break
+        return tuple(record.name for record in silent)
+
     async def give_up(self, service: str, revision: int, planned: bool) -> None:
         """Rely on records below `revision` no more; planned, after the work has ended."""
         limit = self._beliefs.now() + PLANNED_WAIT_S
--- a/orioleplank/gateway/_settings.py
+++ b/orioleplank/gateway/_settings.py
@@ -27,3 +27,5 @@
     promotions: str
     # Seconds between a request to end and the kill.
     grace: float
+    # Seconds for which an instance goes on serving after it has said that it will end.
+    drain: float
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -143,7 +143,7 @@
         if instance not in self.beliefs.pools:
             return False
         if instance == primary:
-            return self.beliefs.directory.takes_work_as_primary(instance, self.beliefs.now())
+            return self.beliefs.primary_takes_work(instance)
         return self.beliefs.directory.takes_work(instance)
 
     def _describe(self, entry: InstanceEntry, is_primary: bool, need: ReadNeed) -> Candidate:
--- a/orioleplank/gateway/_watch.py
+++ b/orioleplank/gateway/_watch.py
@@ -116,8 +116,10 @@
             case FoundDead(why) as verdict:
                 acts = self._may_act(service, verdict)
                 self._begin(service, self._inquire(service, seen, why, acts))
+            case Leaving() as verdict if self._may_act(service, verdict):
+                self._start(service, self._moves.leave(service, seen))
             case verdict if self._may_act(service, verdict):
-                self._start(service, self._moves.move(service, seen, isinstance(verdict, Leaving)))
+                self._start(service, self._moves.move(service, seen, planned=False))
 
     def _look_at_move(self, service: str, seen: SeenRecord) -> None:
         """Take over a move whose holder has gone silent."""
--- a/orioleplank/platform/_settings.py
+++ b/orioleplank/platform/_settings.py
@@ -33,6 +33,8 @@
 class _Bounds:
     # Seconds between the request to end and the kill.
     graceS: Annotated[float, Field(gt=0)] = 6.0  # noqa: N815
+    # Milliseconds for which an instance serves after it has said that it will end.
+    drainMs: Annotated[float, Field(gt=0)] = 7000.0  # noqa: N815
 
 
 @checked_dataclass(frozen=True, config=_LENIENT)
@@ -72,4 +74,5 @@
         store=boot.platform.address,
         promotions=boot.cloud.address,
         grace=boot.bounds.graceS,
+        drain=boot.bounds.drainMs / 1000,
     )
--- a/orioleplank/tests/_site.py
+++ b/orioleplank/tests/_site.py
@@ -43,6 +43,8 @@
 )
 from orioleplank.tests._site_store import STORE, SiteStore, StorePort
 
+# Seconds for which an instance serves after it has said that it will end.
+DRAIN_S = 7.0
 QUOTES = "quotes"
 CATALOGUE = "catalogue"
 JOBS = "jobs"
@@ -213,6 +215,7 @@
             "10.9.0.1:1",
             "10.9.0.2:1",
             6.0,
+            DRAIN_S,
         )
         node.dialer = SiteDialer(self.group, node, self._find_proxy)
         store: Any = StorePort(self.store, node)
--- a/orioleplank/tests/test_site.py
+++ b/orioleplank/tests/test_site.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 
 from orioleplank.decision.group import LEASE_S
-from orioleplank.decision.instances import DbRole
+from orioleplank.decision.instances import DRAINING_MARGIN_S, DbRole
 from orioleplank.decision.session import (
     Begin,
     Code,
@@ -26,7 +26,7 @@
     Write,
 )
 from orioleplank.gateway import Topic, _release
-from orioleplank.tests._site import CATALOGUE, JOBS, QUOTES, Site, SiteCaller
+from orioleplank.tests._site import CATALOGUE, DRAIN_S, JOBS, QUOTES, Site, SiteCaller
 from orioleplank.tests._site_instances import PROMOTE_S
 
 START_S = 3.0
@@ -524,3 +524,38 @@
         site.run(2.0)
         assert caller.refusal is not None
         self.assertEqual(Code.BUSY, caller.refusal.code)
+
+
+class TestPlannedMoveBesideASilentProxy(testtools.TestCase):
+    def _write_for(self, site: Site, seconds: float) -> list[Code | None]:
+        caller = site.open(site.proxies[0], QUOTES)
+        codes: list[Code | None] = []
+        end = site.fabric.now + seconds
+        while site.fabric.now < end:
+            codes.append(_code(site.ask(caller, Write("q1 oak"))))
+            site.run(0.05)
+        return codes
+
+    def test_primary_serves_on_while_leases_would_have_to_be_waited_out(self) -> None:
+        site = _started(proxies=4)
+        site.fabric.freeze(site.proxies[3].name, 60.0)
+        site.run(0.2)
+        site.drain("db-a")
+        self.assertEqual({None}, set(self._write_for(site, DRAIN_S - DRAINING_MARGIN_S - 1.0)))
+
+    def test_primary_is_moved_once_the_proxy_answers(self) -> None:
+        site = _started(proxies=4)
+        site.fabric.freeze(site.proxies[3].name, 1.5)
+        site.run(0.2)
+        site.drain("db-a")
+        codes = self._write_for(site, 3.9)
+        self.assertEqual(2, site.group.primary().term)
+        self.assertEqual({None}, set(codes))
+
+    def test_primary_is_moved_in_the_end_although_the_proxy_stays_silent(self) -> None:
+        site = _started(proxies=4)
+        site.fabric.freeze(site.proxies[3].name, 60.0)
+        site.run(0.2)
+        site.drain("db-a")
+        site.run(DRAIN_S + LEASE_S)
+        self.assertEqual(2, site.group.primary().term)
