--- a/orioleplank/soak/_instances.py
+++ b/orioleplank/soak/_instances.py
@@ -28,13 +28,9 @@
 )
 from orioleplank.platform import _codec as codec
 from orioleplank.tests._fabric import Node
-from orioleplank.tests._site_instances import (
-    HANDSHAKE_S,
-    SERVICE,
-    SiteGroup,
-    SiteInstance,
-    SiteLink,
-)
+from orioleplank.tests._site_dialer import HANDSHAKE_S
+from orioleplank.tests._site_instances import SERVICE, SiteGroup, SiteInstance
+from orioleplank.tests._site_links import SiteLink
 
 
 class InstanceServer(LineOnlyReceiver):
--- a/orioleplank/tests/_site.py
+++ b/orioleplank/tests/_site.py
@@ -34,13 +34,8 @@
 from orioleplank.tests._fabric import Fabric, Node
 from orioleplank.tests._node_reactor import Network, NodeReactor
 from orioleplank.tests._site_channels import SiteChannels
-from orioleplank.tests._site_instances import (
-    SERVICE,
-    SiteDialer,
-    SiteGroup,
-    SiteInstance,
-    SitePromotions,
-)
+from orioleplank.tests._site_dialer import SiteDialer, SitePromotions
+from orioleplank.tests._site_instances import SERVICE, SiteGroup, SiteInstance
 from orioleplank.tests._site_store import STORE, SiteStore, StorePort
 
 # Seconds for which an instance serves after it has said that it will end.
