Close the port for callers before a process lets go, and serve who came just before

Now the port is closed first, and callers that were accepted before that are waited for. Test: TestLastCaller, failed first.

--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -94,6 +94,8 @@
         self._random = random or Random()
         self._is_stopping = False
         self._was_ready = False
+        # Closes the port for callers; called once when nobody is left.
+        self.stop_accepting: Callable[[], object] = lambda: None
         self.metrics = metrics
         me = ProxyRecord(
             settings.name, f"{settings.name}-{uuid.uuid4().hex[:12]}", settings.peers, settings.zone
@@ -277,6 +279,14 @@
         """True while callers, or proxies for which this one holds connections, need it."""
         return bool(len(self.sessions) or self.carrier.in_use)
 
+    async def _let_work_end(self, began: float) -> None:
+        """Return once nothing is in progress, or at the end of the grace that began at `began`."""
+        grace = self._settings.grace
+        while self._is_working and self.beliefs.now() < began + grace * END_SHARE:
+            if self.beliefs.now() >= began + grace * TRANSACTION_SHARE:
+                self.sessions.abort_transactions()
+            await sleep(self._reactor, LEAVE_LOOK_S)
+
     async def leave(self) -> None:
         """Stop gracefully: answer what runs, close what rests, and end within the grace."""
         if self._is_stopping:
@@ -289,11 +299,10 @@
         self._run(self._registry.leave())
         await sleep(self._reactor, min(NOTICE_S, grace * TRANSACTION_SHARE))
         self.sessions.leave()
-        transactions_until = began + grace * TRANSACTION_SHARE
-        while self._is_working and self.beliefs.now() < began + grace * END_SHARE:
-            if self.beliefs.now() >= transactions_until:
-                self.sessions.abort_transactions()
-            await sleep(self._reactor, LEAVE_LOOK_S)
+        await self._let_work_end(began)
+        self.stop_accepting()
+        # Whoever came just before is served too.
+        await self._let_work_end(began)
         self._journal.note(Topic.STOPPED, sessions=len(self.sessions))
         remove = Deferred.fromCoroutine(self._registry.remove())
         await remove.addTimeout(0.3, self._reactor, onTimeoutCancel=lambda *_: None)
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -67,13 +67,14 @@
 
 def _listen(reactor: Any, settings: GatewaySettings, gateway: Gateway) -> None:
     callers = CallerFactory(gateway.sessions, reactor)
-    _listen_on(reactor, settings.callers, callers)
+    port = _listen_on(reactor, settings.callers, callers)
+    gateway.stop_accepting = port.stopListening
     _listen_on(reactor, settings.readiness, build_readiness_site(lambda: gateway.is_ready))
 
 
-def _listen_on(reactor: Any, address: str, factory: Any) -> None:
+def _listen_on(reactor: Any, address: str, factory: Any) -> Any:
     host, _, port = address.rpartition(":")
-    reactor.listenTCP(int(port), factory, backlog=BACKLOG, interface=host)
+    return reactor.listenTCP(int(port), factory, backlog=BACKLOG, interface=host)
 
 
 def _handle_signals(reactor: Any, gateway: Gateway, journal: Journal) -> None:
--- a/orioleplank/tests/test_site.py
+++ b/orioleplank/tests/test_site.py
@@ -22,7 +22,7 @@
     Write,
 )
 from orioleplank.gateway import Topic, _release
-from orioleplank.tests._site import CATALOGUE, JOBS, QUOTES, Site
+from orioleplank.tests._site import CATALOGUE, JOBS, QUOTES, Site, SiteCaller
 from orioleplank.tests._site_steps import find_code, keep_writing, start_site
 
 
@@ -269,6 +269,25 @@
         self.assertIn(Topic.STOPPED, [topic for topic, _ in proxy.journal.lines])
 
 
+class TestLastCaller(testtools.TestCase):
+    def test_caller_that_comes_as_the_port_is_closed_is_answered(self) -> None:
+        site = start_site()
+        gateway = site.proxies[0].gateway
+        callers: list[SiteCaller] = []
+
+        def come_last() -> None:
+            callers.append(site.open(site.proxies[0], QUOTES))
+            site.send(callers[0], Write("q1 oak"))
+
+        gateway.stop_accepting = come_last
+        left: list[bool] = []
+        leaving = Deferred.fromCoroutine(gateway.leave())
+        leaving.addCallback(lambda _: left.append(bool(callers[0].replies)))
+        site.run(6.0)
+        self.assertEqual([True], left)
+        self.assertIsNone(callers[0].replies[0].failure)
+
+
 class TestIdleTransactions(testtools.TestCase):
     def test_transaction_that_rests_too_long_is_rolled_back(self) -> None:
         site = start_site()
