--- a/examples/drive_decisions.py
+++ b/examples/drive_decisions.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AllotmentSpec,
     AskRound,
     CallerArrived,
--- a/orioleplank/bench/slopes.py
+++ b/orioleplank/bench/slopes.py
@@ -14,7 +14,7 @@
 from statistics import correlation, linear_regression
 
 from orioleplank.daemon._peers import _write_heartbeat
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AllotmentSpec,
     AskRound,
     Change,
--- a/orioleplank/cli/_objects.py
+++ b/orioleplank/cli/_objects.py
@@ -13,7 +13,13 @@
 
 from orioleplank.cli._admin import AdminAnswer, call_admin
 from orioleplank.cli._output import ExitCode, show
-from orioleplank.decision import IN_FORCE_NAME, InForceSpec, PresetSpec, ServiceSpec, dump_spec
+from orioleplank.decision.quorum import (
+    IN_FORCE_NAME,
+    InForceSpec,
+    PresetSpec,
+    ServiceSpec,
+    dump_spec,
+)
 from orioleplank.settings import Document, read_documents, validate_documents
 
 OK, CONFLICT = 200, 409
--- a/orioleplank/daemon/_admin.py
+++ b/orioleplank/daemon/_admin.py
@@ -25,7 +25,7 @@
     StatusWanted,
 )
 from orioleplank.daemon._status import describe_object, describe_status
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     Change,
     Kind,
     ObjectKey,
--- a/orioleplank/daemon/_callers.py
+++ b/orioleplank/daemon/_callers.py
@@ -14,7 +14,7 @@
 from orioleplank._protos import orioleplank_caller_pb2 as pb
 from orioleplank._protos import orioleplank_caller_pb2_grpc as rpc
 from orioleplank.daemon import _names as names
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AskToMove,
     CallerArrived,
     CallerGone,
--- a/orioleplank/daemon/_connection.py
+++ b/orioleplank/daemon/_connection.py
@@ -9,7 +9,7 @@
 
 from orioleplank._protos import orioleplank_upstream_pb2 as pb
 from orioleplank._protos import orioleplank_upstream_pb2_grpc as rpc
-from orioleplank.decision import ConnectionClosed, ConnectionId, ConnectionOpened, Message
+from orioleplank.decision.quorum import ConnectionClosed, ConnectionId, ConnectionOpened, Message
 from orioleplank.wire import read_statement_reply
 
 OPEN_LIMIT_S = 2.0
--- a/orioleplank/daemon/_control.py
+++ b/orioleplank/daemon/_control.py
@@ -9,7 +9,7 @@
 
 from orioleplank._protos import orioleplank_upstream_pb2 as pb
 from orioleplank._protos import orioleplank_upstream_pb2_grpc as rpc
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AskLedger,
     AskRound,
     InstanceReported,
--- a/orioleplank/daemon/_decisions.py
+++ b/orioleplank/daemon/_decisions.py
@@ -6,7 +6,7 @@
 
 from orioleplank.daemon import _names as names
 from orioleplank.daemon._message import DrainWanted, StatusTold, StatusWanted
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AskLedger,
     AskRound,
     AskSlots,
--- a/orioleplank/daemon/_events.py
+++ b/orioleplank/daemon/_events.py
@@ -11,7 +11,7 @@
 
 from orioleplank.daemon import _names as names
 from orioleplank.daemon._burn import BurnCounts, KindKey
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     Answer,
     Event,
     Note,
--- a/orioleplank/daemon/_message.py
+++ b/orioleplank/daemon/_message.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from orioleplank.decision import ProxyStatus, StoredObject, UpdateObject, UpdateVerdict
+from orioleplank.decision.quorum import ProxyStatus, StoredObject, UpdateObject, UpdateVerdict
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/daemon/_peers.py
+++ b/orioleplank/daemon/_peers.py
@@ -11,7 +11,7 @@
 from orioleplank._protos import orioleplank_peer_pb2 as pb
 from orioleplank._protos import orioleplank_peer_pb2_grpc as rpc
 from orioleplank.daemon import _names as names
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AskSlots,
     Echo,
     GiveSlots,
--- a/orioleplank/daemon/_platform.py
+++ b/orioleplank/daemon/_platform.py
@@ -18,7 +18,7 @@
 from orioleplank._exceptions import ConflictError, PlatformError
 from orioleplank.daemon import _names as names
 from orioleplank.daemon._message import OperatorChange, OperatorChangeEnded
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     Event,
     Kind,
     Note,
--- a/orioleplank/daemon/_proxy.py
+++ b/orioleplank/daemon/_proxy.py
@@ -17,7 +17,7 @@
 from orioleplank.daemon._platform import Platform
 from orioleplank.daemon._reactor import run_with_reactor
 from orioleplank.daemon._upstreams import Upstreams
-from orioleplank.decision import Event, Identity, Note, Proxy
+from orioleplank.decision.quorum import Event, Identity, Note, Proxy
 from orioleplank.kernel import Kernel, Timer
 from orioleplank.settings import Settings
 
--- a/orioleplank/daemon/_status.py
+++ b/orioleplank/daemon/_status.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from orioleplank.daemon._message import StatusTold
-from orioleplank.decision import Accepted, ServiceStatus, dump_spec
+from orioleplank.decision.quorum import Accepted, ServiceStatus, dump_spec
 
 OK = 200
 
--- a/orioleplank/daemon/_upstreams.py
+++ b/orioleplank/daemon/_upstreams.py
@@ -10,7 +10,7 @@
 from orioleplank.daemon import _names as names
 from orioleplank.daemon._connection import Connection
 from orioleplank.daemon._control import Control
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AskLedger,
     AskRound,
     CloseConnection,
--- a/orioleplank/decision/_admission.py
+++ b/orioleplank/decision/quorum/_admission.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from orioleplank.decision._node import Node
-from orioleplank.decision._refusal import (
+from orioleplank.decision.quorum._node import Node
+from orioleplank.decision.quorum._refusal import (
     DidRun,
     Mechanism,
     Party,
@@ -14,8 +14,8 @@
     Reason,
     Refusal,
 )
-from orioleplank.decision._request import TRANSACTIONAL, Operation, Request
-from orioleplank.decision._specs import Change, PresetSpec
+from orioleplank.decision.quorum._request import TRANSACTIONAL, Operation, Request
+from orioleplank.decision.quorum._specs import Change, PresetSpec
 
 # Share of the time left that a request may spend waiting.
 WAIT_SHARE = 0.5
--- a/orioleplank/decision/_allotments.py
+++ b/orioleplank/decision/quorum/_allotments.py
@@ -5,12 +5,12 @@
 from collections import defaultdict, deque
 from dataclasses import replace
 
-from orioleplank.decision._effect import AskSlots, CloseConnection, GiveSlots
-from orioleplank.decision._mechanism import Switch
-from orioleplank.decision._membership import ALIVE_S
-from orioleplank.decision._message import ConnectionId, Holding, SlotsGiven, SlotsWanted
-from orioleplank.decision._node import InstanceKey, Node
-from orioleplank.decision._slots import (
+from orioleplank.decision.quorum._effect import AskSlots, CloseConnection, GiveSlots
+from orioleplank.decision.quorum._mechanism import Switch
+from orioleplank.decision.quorum._membership import ALIVE_S
+from orioleplank.decision.quorum._message import ConnectionId, Holding, SlotsGiven, SlotsWanted
+from orioleplank.decision.quorum._node import InstanceKey, Node
+from orioleplank.decision.quorum._slots import (
     Contact,
     SlotState,
     await_others,
@@ -21,7 +21,7 @@
     may_use,
     take_slots,
 )
-from orioleplank.decision._specs import AllotmentSpec, Participant
+from orioleplank.decision.quorum._specs import AllotmentSpec, Participant
 
 ASK_SPACING_S = 0.01
 OWED_LIMIT = 16
--- a/orioleplank/decision/_configuration.py
+++ b/orioleplank/decision/quorum/_configuration.py
@@ -7,7 +7,7 @@
 from enum import Enum, unique
 
 from orioleplank._exceptions import MalformedObjectError
-from orioleplank.decision._specs import (
+from orioleplank.decision.quorum._specs import (
     IN_FORCE_NAME,
     AllotmentSpec,
     Change,
--- a/orioleplank/decision/_connections.py
+++ b/orioleplank/decision/quorum/_connections.py
@@ -4,12 +4,12 @@
 
 from dataclasses import replace
 
-from orioleplank.decision._effect import CloseConnection, Event, OpenConnection
-from orioleplank.decision._mechanism import Switch
-from orioleplank.decision._message import ConnectionId, ConnectionOpened
-from orioleplank.decision._node import Node
-from orioleplank.decision._pool import Pool
-from orioleplank.decision._transaction import (
+from orioleplank.decision.quorum._effect import CloseConnection, Event, OpenConnection
+from orioleplank.decision.quorum._mechanism import Switch
+from orioleplank.decision.quorum._message import ConnectionId, ConnectionOpened
+from orioleplank.decision.quorum._node import Node
+from orioleplank.decision.quorum._pool import Pool
+from orioleplank.decision.quorum._transaction import (
     Fate,
     Transaction,
     TransactionKey,
--- a/orioleplank/decision/_dispatch.py
+++ b/orioleplank/decision/quorum/_dispatch.py
@@ -6,18 +6,18 @@
 from dataclasses import replace
 from types import MappingProxyType
 
-from orioleplank.decision._allotments import Allotments
-from orioleplank.decision._connections import Connections
-from orioleplank.decision._effect import Boundary, SendStatement
-from orioleplank.decision._exchange import Exchange, Queued, Running
-from orioleplank.decision._lanes import LaneName
-from orioleplank.decision._mechanism import Switch
-from orioleplank.decision._message import ConnectionId
-from orioleplank.decision._node import InstanceKey, Node
-from orioleplank.decision._refusal import Mechanism, Reason
-from orioleplank.decision._replies import Replies
-from orioleplank.decision._request import TRANSACTIONAL, Operation
-from orioleplank.decision._routing import (
+from orioleplank.decision.quorum._allotments import Allotments
+from orioleplank.decision.quorum._connections import Connections
+from orioleplank.decision.quorum._effect import Boundary, SendStatement
+from orioleplank.decision.quorum._exchange import Exchange, Queued, Running
+from orioleplank.decision.quorum._lanes import LaneName
+from orioleplank.decision.quorum._mechanism import Switch
+from orioleplank.decision.quorum._message import ConnectionId
+from orioleplank.decision.quorum._node import InstanceKey, Node
+from orioleplank.decision.quorum._refusal import Mechanism, Reason
+from orioleplank.decision.quorum._replies import Replies
+from orioleplank.decision.quorum._request import TRANSACTIONAL, Operation
+from orioleplank.decision.quorum._routing import (
     NotYet,
     PositionLost,
     Surroundings,
@@ -25,8 +25,8 @@
     ToReplica,
     choose_target,
 )
-from orioleplank.decision._table import Table
-from orioleplank.decision._transaction import Transaction, TransactionKey
+from orioleplank.decision.quorum._table import Table
+from orioleplank.decision.quorum._transaction import Transaction, TransactionKey
 
 SCAN_LIMIT = 64
 MISSES_LIMIT = 8
--- a/orioleplank/decision/_effect.py
+++ b/orioleplank/decision/quorum/_effect.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
-from orioleplank.decision._configuration import StoredObject
-from orioleplank.decision._message import ConnectionId, Echo, Holding
-from orioleplank.decision._request import Outcome, Request
-from orioleplank.decision._specs import Change, ObjectKey, Spec
+from orioleplank.decision.quorum._configuration import StoredObject
+from orioleplank.decision.quorum._message import ConnectionId, Echo, Holding
+from orioleplank.decision.quorum._request import Outcome, Request
+from orioleplank.decision.quorum._specs import Change, ObjectKey, Spec
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/decision/_ending.py
+++ b/orioleplank/decision/quorum/_ending.py
@@ -5,14 +5,14 @@
 from collections import defaultdict
 from collections.abc import Callable
 
-from orioleplank.decision._effect import Event, Reply
-from orioleplank.decision._exchange import Exchange
-from orioleplank.decision._mechanism import Switch
-from orioleplank.decision._node import Node
-from orioleplank.decision._refusal import DidRun, Mechanism, Program, Reason, Refusal
-from orioleplank.decision._request import Outcome
-from orioleplank.decision._retry import RetryBudget
-from orioleplank.decision._table import Table
+from orioleplank.decision.quorum._effect import Event, Reply
+from orioleplank.decision.quorum._exchange import Exchange
+from orioleplank.decision.quorum._mechanism import Switch
+from orioleplank.decision.quorum._node import Node
+from orioleplank.decision.quorum._refusal import DidRun, Mechanism, Program, Reason, Refusal
+from orioleplank.decision.quorum._request import Outcome
+from orioleplank.decision.quorum._retry import RetryBudget
+from orioleplank.decision.quorum._table import Table
 
 RETRY_AFTER_S = 0.1
 BACKOFF_S = 0.002
--- a/orioleplank/decision/_exchange.py
+++ b/orioleplank/decision/quorum/_exchange.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
-from orioleplank.decision._message import ConnectionId
 from orioleplank.decision._position import Position
-from orioleplank.decision._request import Request
+from orioleplank.decision.quorum._message import ConnectionId
+from orioleplank.decision.quorum._request import Request
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/decision/_group.py
+++ b/orioleplank/decision/quorum/_group.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum, unique
 
-from orioleplank.decision._mechanism import ALL_MECHANISMS, Mechanisms, Switch
 from orioleplank.decision._position import EMPTY_LINEAGE, Lineage, Position
+from orioleplank.decision.quorum._mechanism import ALL_MECHANISMS, Mechanisms, Switch
 
 REACHABLE_S = 1.0
 EVIDENCE_SPACING_S = 0.05
--- a/orioleplank/decision/_groups.py
+++ b/orioleplank/decision/quorum/_groups.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-from orioleplank.decision._effect import AskRound, Event, ForgetInstance, WatchInstance
-from orioleplank.decision._group import (
+from orioleplank.decision.quorum._effect import AskRound, Event, ForgetInstance, WatchInstance
+from orioleplank.decision.quorum._group import (
     GroupView,
     change_members,
     lose_contact,
     observe_report,
     start_round,
 )
-from orioleplank.decision._message import InstanceReported, InstanceUnreachable
-from orioleplank.decision._node import Node
-from orioleplank.decision._pool import Pool
-from orioleplank.decision._specs import ServiceSpec
+from orioleplank.decision.quorum._message import InstanceReported, InstanceUnreachable
+from orioleplank.decision.quorum._node import Node
+from orioleplank.decision.quorum._pool import Pool
+from orioleplank.decision.quorum._specs import ServiceSpec
 
 ROUND_PERIOD_S = 0.1
 ROUND_SPACING_S = 0.003
--- a/orioleplank/decision/_keeper.py
+++ b/orioleplank/decision/quorum/_keeper.py
@@ -10,11 +10,18 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from orioleplank.decision._effect import Effect, Event, Note, SendFollow, SendPromote, SendSeal
-from orioleplank.decision._group import Report, Role
-from orioleplank.decision._mechanism import Switch
-from orioleplank.decision._message import PromoteAnswered, SealAnswered, Tick
-from orioleplank.decision._suspicion import (
+from orioleplank.decision.quorum._effect import (
+    Effect,
+    Event,
+    Note,
+    SendFollow,
+    SendPromote,
+    SendSeal,
+)
+from orioleplank.decision.quorum._group import Report, Role
+from orioleplank.decision.quorum._mechanism import Switch
+from orioleplank.decision.quorum._message import PromoteAnswered, SealAnswered, Tick
+from orioleplank.decision.quorum._suspicion import (
     KeeperSurroundings,
     Suspicion,
     find_newcomer,
--- a/orioleplank/decision/_keepers.py
+++ b/orioleplank/decision/quorum/_keepers.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from orioleplank.decision._allotments import Allotments
-from orioleplank.decision._effect import Event, UpdateObject
-from orioleplank.decision._keeper import Keeper, decide_keeper
-from orioleplank.decision._membership import find_own_range, is_acting, propose_keepership
-from orioleplank.decision._message import PromoteAnswered, SealAnswered, Tick, UpdateEnded
-from orioleplank.decision._node import Node
-from orioleplank.decision._specs import Change, Kind, ObjectKey, PrimarySpec, Spec
-from orioleplank.decision._suspicion import KeeperSurroundings
+from orioleplank.decision.quorum._allotments import Allotments
+from orioleplank.decision.quorum._effect import Event, UpdateObject
+from orioleplank.decision.quorum._keeper import Keeper, decide_keeper
+from orioleplank.decision.quorum._membership import find_own_range, is_acting, propose_keepership
+from orioleplank.decision.quorum._message import PromoteAnswered, SealAnswered, Tick, UpdateEnded
+from orioleplank.decision.quorum._node import Node
+from orioleplank.decision.quorum._specs import Change, Kind, ObjectKey, PrimarySpec, Spec
+from orioleplank.decision.quorum._suspicion import KeeperSurroundings
 
 UPDATE_RETRY_S = 1.0
 UPDATE_LIMIT_S = 10.0
--- a/orioleplank/decision/_lanes.py
+++ b/orioleplank/decision/quorum/_lanes.py
@@ -10,10 +10,10 @@
 from collections.abc import Iterator
 from enum import Enum, unique
 
-from orioleplank.decision._exchange import Exchange
-from orioleplank.decision._request import Request
-from orioleplank.decision._routing import may_use_replica
-from orioleplank.decision._throughput import Throughput
+from orioleplank.decision.quorum._exchange import Exchange
+from orioleplank.decision.quorum._request import Request
+from orioleplank.decision.quorum._routing import may_use_replica
+from orioleplank.decision.quorum._throughput import Throughput
 
 
 @unique
--- a/orioleplank/decision/_membership.py
+++ b/orioleplank/decision/quorum/_membership.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 
-from orioleplank.decision._message import PeerHeard, Vm
-from orioleplank.decision._specs import KeeperRange, KeepershipSpec
+from orioleplank.decision.quorum._message import PeerHeard, Vm
+from orioleplank.decision.quorum._specs import KeeperRange, KeepershipSpec
 
 ALIVE_S = 1.0
 KEEPERS_PER_SERVICE = 3
--- a/orioleplank/decision/_message.py
+++ b/orioleplank/decision/quorum/_message.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
-from orioleplank.decision._configuration import StoredObject, UpdateVerdict
-from orioleplank.decision._group import Report
 from orioleplank.decision._position import ORIGIN, Position
-from orioleplank.decision._request import Request
+from orioleplank.decision.quorum._configuration import StoredObject, UpdateVerdict
+from orioleplank.decision.quorum._group import Report
+from orioleplank.decision.quorum._request import Request
 
 
 @dataclass(frozen=True, slots=True, order=True)
--- a/orioleplank/decision/_node.py
+++ b/orioleplank/decision/quorum/_node.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from orioleplank.decision._configuration import Configuration
-from orioleplank.decision._effect import Effect, Event, Note
-from orioleplank.decision._group import GroupView
-from orioleplank.decision._mechanism import ALL_MECHANISMS, Mechanisms, Switch
-from orioleplank.decision._membership import Membership
-from orioleplank.decision._pool import Pool
-from orioleplank.decision._routing import Surroundings
-from orioleplank.decision._specs import ServiceSpec
+from orioleplank.decision.quorum._configuration import Configuration
+from orioleplank.decision.quorum._effect import Effect, Event, Note
+from orioleplank.decision.quorum._group import GroupView
+from orioleplank.decision.quorum._mechanism import ALL_MECHANISMS, Mechanisms, Switch
+from orioleplank.decision.quorum._membership import Membership
+from orioleplank.decision.quorum._pool import Pool
+from orioleplank.decision.quorum._routing import Surroundings
+from orioleplank.decision.quorum._specs import ServiceSpec
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/decision/_outcomes.py
+++ b/orioleplank/decision/quorum/_outcomes.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from orioleplank.decision._effect import AskLedger, Event
-from orioleplank.decision._exchange import Exchange, Holding, Resolving
-from orioleplank.decision._mechanism import Switch
-from orioleplank.decision._message import LedgerAnswered, LedgerState
-from orioleplank.decision._node import Node
-from orioleplank.decision._table import Table
+from orioleplank.decision.quorum._effect import AskLedger, Event
+from orioleplank.decision.quorum._exchange import Exchange, Holding, Resolving
+from orioleplank.decision.quorum._mechanism import Switch
+from orioleplank.decision.quorum._message import LedgerAnswered, LedgerState
+from orioleplank.decision.quorum._node import Node
+from orioleplank.decision.quorum._table import Table
 
 RESOLVE_RETRY_S = 0.05
 LEDGER_WAIT_S = 0.5
--- a/orioleplank/decision/_peers.py
+++ b/orioleplank/decision/quorum/_peers.py
@@ -4,12 +4,18 @@
 
 from dataclasses import replace
 
-from orioleplank.decision._configuration import merge_objects
-from orioleplank.decision._effect import Event, Heartbeat, SendObjects
-from orioleplank.decision._mechanism import Switch
-from orioleplank.decision._membership import hear_peer
-from orioleplank.decision._message import Echo, Holding, ObjectsReceived, PeerHeard, VmsListed
-from orioleplank.decision._node import Node
+from orioleplank.decision.quorum._configuration import merge_objects
+from orioleplank.decision.quorum._effect import Event, Heartbeat, SendObjects
+from orioleplank.decision.quorum._mechanism import Switch
+from orioleplank.decision.quorum._membership import hear_peer
+from orioleplank.decision.quorum._message import (
+    Echo,
+    Holding,
+    ObjectsReceived,
+    PeerHeard,
+    VmsListed,
+)
+from orioleplank.decision.quorum._node import Node
 
 HEARTBEAT_PERIOD_S = 0.2
 HEARTBEATS_KEPT = 64
--- a/orioleplank/decision/_proxy.py
+++ b/orioleplank/decision/quorum/_proxy.py
@@ -5,15 +5,15 @@
 from dataclasses import dataclass
 from random import Random
 
-from orioleplank.decision._allotments import Allotments
-from orioleplank.decision._configuration import Configuration
-from orioleplank.decision._effect import AskToMove, Effect, Event, Stopped
-from orioleplank.decision._group import GroupView
-from orioleplank.decision._groups import Groups
-from orioleplank.decision._keepers import Keepers
-from orioleplank.decision._mechanism import ALL_MECHANISMS, Mechanisms, Switch
-from orioleplank.decision._membership import Membership
-from orioleplank.decision._message import (
+from orioleplank.decision.quorum._allotments import Allotments
+from orioleplank.decision.quorum._configuration import Configuration
+from orioleplank.decision.quorum._effect import AskToMove, Effect, Event, Stopped
+from orioleplank.decision.quorum._group import GroupView
+from orioleplank.decision.quorum._groups import Groups
+from orioleplank.decision.quorum._keepers import Keepers
+from orioleplank.decision.quorum._mechanism import ALL_MECHANISMS, Mechanisms, Switch
+from orioleplank.decision.quorum._membership import Membership
+from orioleplank.decision.quorum._message import (
     CallerArrived,
     CallerGone,
     ConnectionClosed,
@@ -35,11 +35,11 @@
     UpdateEnded,
     VmsListed,
 )
-from orioleplank.decision._node import Identity, Node
-from orioleplank.decision._peers import Peers
-from orioleplank.decision._pool import Pool
-from orioleplank.decision._requests import Requests
-from orioleplank.decision._stop import Stop
+from orioleplank.decision.quorum._node import Identity, Node
+from orioleplank.decision.quorum._peers import Peers
+from orioleplank.decision.quorum._pool import Pool
+from orioleplank.decision.quorum._requests import Requests
+from orioleplank.decision.quorum._stop import Stop
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/decision/_replies.py
+++ b/orioleplank/decision/quorum/_replies.py
@@ -4,18 +4,18 @@
 
 from dataclasses import replace
 
-from orioleplank.decision._connections import Connections
-from orioleplank.decision._effect import Event
-from orioleplank.decision._ending import Ending
-from orioleplank.decision._exchange import Exchange, Holding, Running
-from orioleplank.decision._mechanism import Switch
-from orioleplank.decision._message import ConnectionId, StatementEnded, StatementStatus
-from orioleplank.decision._node import Node
-from orioleplank.decision._outcomes import Outcomes
-from orioleplank.decision._request import TRANSACTIONAL, Operation
-from orioleplank.decision._table import Table
-from orioleplank.decision._transaction import Fate, Transaction, TransactionKey
-from orioleplank.decision._verdict import (
+from orioleplank.decision.quorum._connections import Connections
+from orioleplank.decision.quorum._effect import Event
+from orioleplank.decision.quorum._ending import Ending
+from orioleplank.decision.quorum._exchange import Exchange, Holding, Running
+from orioleplank.decision.quorum._mechanism import Switch
+from orioleplank.decision.quorum._message import ConnectionId, StatementEnded, StatementStatus
+from orioleplank.decision.quorum._node import Node
+from orioleplank.decision.quorum._outcomes import Outcomes
+from orioleplank.decision.quorum._request import TRANSACTIONAL, Operation
+from orioleplank.decision.quorum._table import Table
+from orioleplank.decision.quorum._transaction import Fate, Transaction, TransactionKey
+from orioleplank.decision.quorum._verdict import (
     Hold,
     Refuse,
     Release,
--- a/orioleplank/decision/_request.py
+++ b/orioleplank/decision/quorum/_request.py
@@ -6,8 +6,8 @@
 from enum import Enum, unique
 
 from orioleplank.decision._position import Position
-from orioleplank.decision._refusal import Refusal
-from orioleplank.decision._token import SessionToken
+from orioleplank.decision.quorum._refusal import Refusal
+from orioleplank.decision.quorum._token import SessionToken
 
 MAX_ID_CHARACTERS = 128
 
--- a/orioleplank/decision/_requests.py
+++ b/orioleplank/decision/quorum/_requests.py
@@ -4,26 +4,26 @@
 
 from dataclasses import replace
 
-from orioleplank.decision._admission import admit
-from orioleplank.decision._allotments import Allotments
-from orioleplank.decision._connections import Connections
-from orioleplank.decision._dispatch import Dispatcher
-from orioleplank.decision._effect import Reply
-from orioleplank.decision._exchange import Exchange, Holding, Queued, Resolving, Running
-from orioleplank.decision._lanes import LaneName, find_lane
-from orioleplank.decision._message import (
+from orioleplank.decision.quorum._admission import admit
+from orioleplank.decision.quorum._allotments import Allotments
+from orioleplank.decision.quorum._connections import Connections
+from orioleplank.decision.quorum._dispatch import Dispatcher
+from orioleplank.decision.quorum._effect import Reply
+from orioleplank.decision.quorum._exchange import Exchange, Holding, Queued, Resolving, Running
+from orioleplank.decision.quorum._lanes import LaneName, find_lane
+from orioleplank.decision.quorum._message import (
     ConnectionClosed,
     ConnectionOpened,
     LedgerAnswered,
     RequestArrived,
     StatementEnded,
 )
-from orioleplank.decision._node import Node
-from orioleplank.decision._refusal import DidRun, Mechanism, Program, Reason, Refusal
-from orioleplank.decision._replies import Replies
-from orioleplank.decision._request import Operation, Request
-from orioleplank.decision._table import Table
-from orioleplank.decision._transaction import TransactionKey
+from orioleplank.decision.quorum._node import Node
+from orioleplank.decision.quorum._refusal import DidRun, Mechanism, Program, Reason, Refusal
+from orioleplank.decision.quorum._replies import Replies
+from orioleplank.decision.quorum._request import Operation, Request
+from orioleplank.decision.quorum._table import Table
+from orioleplank.decision.quorum._transaction import TransactionKey
 
 HAND_ON_AFTER_S = 0.6
 RESOLVE_MARGIN_S = 0.5
--- a/orioleplank/decision/_routing.py
+++ b/orioleplank/decision/quorum/_routing.py
@@ -6,12 +6,18 @@
 from dataclasses import dataclass
 from random import Random
 
-from orioleplank.decision._group import GroupView, Report, Role
-from orioleplank.decision._mechanism import Switch
-from orioleplank.decision._pool import Pool
 from orioleplank.decision._position import Position
-from orioleplank.decision._request import Current, MaxAge, Operation, Request, SessionFreshness
-from orioleplank.decision._specs import ServiceSpec
+from orioleplank.decision.quorum._group import GroupView, Report, Role
+from orioleplank.decision.quorum._mechanism import Switch
+from orioleplank.decision.quorum._pool import Pool
+from orioleplank.decision.quorum._request import (
+    Current,
+    MaxAge,
+    Operation,
+    Request,
+    SessionFreshness,
+)
+from orioleplank.decision.quorum._specs import ServiceSpec
 
 ZONE_PENALTY = 0.5
 AGE_MARGIN_S = 0.05
--- a/orioleplank/decision/_slots.py
+++ b/orioleplank/decision/quorum/_slots.py
@@ -14,7 +14,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from orioleplank.decision._specs import AllotmentSpec, InstanceSpec, Participant, SlotShare
+from orioleplank.decision.quorum._specs import AllotmentSpec, InstanceSpec, Participant, SlotShare
 
 CONTACT_S = 2.0
 TAKE_AFTER_S = 3.0
--- a/orioleplank/decision/_suspicion.py
+++ b/orioleplank/decision/quorum/_suspicion.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from random import Random
 
-from orioleplank.decision._group import GroupView, Report
-from orioleplank.decision._specs import KeeperRange, ServiceSpec
+from orioleplank.decision.quorum._group import GroupView, Report
+from orioleplank.decision.quorum._specs import KeeperRange, ServiceSpec
 
 SUSPECT_AFTER_S = 0.6
 CUT_OFF_AFTER_S = 0.8
--- a/orioleplank/decision/_table.py
+++ b/orioleplank/decision/quorum/_table.py
@@ -6,9 +6,9 @@
 from dataclasses import replace
 from heapq import heappop, heappush
 
-from orioleplank.decision._exchange import Exchange, Queued
-from orioleplank.decision._lanes import Lanes
-from orioleplank.decision._message import ConnectionId
+from orioleplank.decision.quorum._exchange import Exchange, Queued
+from orioleplank.decision.quorum._lanes import Lanes
+from orioleplank.decision.quorum._message import ConnectionId
 
 
 class Table:
--- a/orioleplank/decision/_transaction.py
+++ b/orioleplank/decision/quorum/_transaction.py
@@ -8,7 +8,7 @@
 
 from automat import TypeMachineBuilder
 
-from orioleplank.decision._message import ConnectionId
+from orioleplank.decision.quorum._message import ConnectionId
 
 
 @unique
--- a/orioleplank/decision/_verdict.py
+++ b/orioleplank/decision/quorum/_verdict.py
@@ -4,12 +4,12 @@
 
 from dataclasses import dataclass
 
-from orioleplank.decision._exchange import Exchange, Holding
-from orioleplank.decision._group import GroupView
-from orioleplank.decision._mechanism import Switch
-from orioleplank.decision._message import StatementEnded, StatementStatus
-from orioleplank.decision._refusal import DidRun, Mechanism, Program, Reason, Refusal
-from orioleplank.decision._request import Answer, Current, MaxAge, Operation
+from orioleplank.decision.quorum._exchange import Exchange, Holding
+from orioleplank.decision.quorum._group import GroupView
+from orioleplank.decision.quorum._mechanism import Switch
+from orioleplank.decision.quorum._message import StatementEnded, StatementStatus
+from orioleplank.decision.quorum._refusal import DidRun, Mechanism, Program, Reason, Refusal
+from orioleplank.decision.quorum._request import Answer, Current, MaxAge, Operation
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/decision/tests/test_configuration.py
+++ b/orioleplank/decision/quorum/tests/test_configuration.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 
 from orioleplank import MalformedObjectError
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     Change,
     Configuration,
     InForceSpec,
--- a/orioleplank/decision/tests/test_keeper.py
+++ b/orioleplank/decision/quorum/tests/test_keeper.py
@@ -5,7 +5,7 @@
 
 from testtools import TestCase
 
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     GroupView,
     InstanceSpec,
     Keeper,
--- a/orioleplank/decision/tests/test_load.py
+++ b/orioleplank/decision/quorum/tests/test_load.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     Answer,
     DidRun,
     MaxAge,
@@ -13,10 +13,10 @@
     Request,
     SessionToken,
 )
-from orioleplank.decision._exchange import Exchange
-from orioleplank.decision._lanes import LaneName, Lanes, find_lane
-from orioleplank.decision._throughput import Throughput
-from orioleplank.decision.tests.test_proxy import Bench
+from orioleplank.decision.quorum._exchange import Exchange
+from orioleplank.decision.quorum._lanes import LaneName, Lanes, find_lane
+from orioleplank.decision.quorum._throughput import Throughput
+from orioleplank.decision.quorum.tests.test_proxy import Bench
 
 
 def make_exchange(number: int, weight: int = 1, write: bool = False) -> Exchange:
--- a/orioleplank/decision/tests/test_membership.py
+++ b/orioleplank/decision/quorum/tests/test_membership.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     KeepershipSpec,
     Membership,
     PeerHeard,
--- a/orioleplank/decision/tests/test_parts.py
+++ b/orioleplank/decision/quorum/tests/test_parts.py
@@ -2,11 +2,11 @@
 
 from testtools import TestCase
 
-from orioleplank.decision import ConnectionId, Position, SessionToken
-from orioleplank.decision._pool import Pool
-from orioleplank.decision._retry import RetryBudget
-from orioleplank.decision._stop import Stop
-from orioleplank.decision._transaction import Fate, TransactionKey, begin_transaction
+from orioleplank.decision.quorum import ConnectionId, Position, SessionToken
+from orioleplank.decision.quorum._pool import Pool
+from orioleplank.decision.quorum._retry import RetryBudget
+from orioleplank.decision.quorum._stop import Stop
+from orioleplank.decision.quorum._transaction import Fate, TransactionKey, begin_transaction
 
 
 class PoolTest(TestCase):
--- a/orioleplank/decision/tests/test_position.py
+++ b/orioleplank/decision/quorum/tests/test_position.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from orioleplank.decision import Lineage, Position, TermStart
+from orioleplank.decision.quorum import Lineage, Position, TermStart
 
 
 def make_lineage(*first_indexes: int, last: int) -> Lineage:
--- a/orioleplank/decision/tests/test_proxy.py
+++ b/orioleplank/decision/quorum/tests/test_proxy.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AllotmentSpec,
     Answer,
     AskRound,
--- a/orioleplank/decision/tests/test_slots.py
+++ b/orioleplank/decision/quorum/tests/test_slots.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from orioleplank.decision import AllotmentSpec, InstanceSpec, Participant
-from orioleplank.decision._slots import (
+from orioleplank.decision.quorum import AllotmentSpec, InstanceSpec, Participant
+from orioleplank.decision.quorum._slots import (
     Contact,
     SlotState,
     await_others,
--- a/orioleplank/decision/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of `orioleplank.decision`."""
--- a/orioleplank/gateway/_frames.py
+++ b/orioleplank/gateway/_frames.py
@@ -166,7 +166,7 @@
     """Read a frame; None for bytes that are none."""
     try:
         frame: Asked | Told = _DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except (ValueError, RecursionError):
         return None
     return frame
 
--- a/orioleplank/gateway/_peers.py
+++ b/orioleplank/gateway/_peers.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
-from dataclasses import asdict
 from types import MappingProxyType
 from typing import Any, get_args
 
-from pydantic import TypeAdapter, ValidationError
+import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
 from orioleplank.decision.membership import PeerMessage
 
-_TYPES = MappingProxyType({kind.__name__: TypeAdapter(kind) for kind in get_args(PeerMessage)})
+# A message's type, and its fields.
+_ENVELOPE = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+_DECODERS = MappingProxyType(
+    {kind.__name__: msgspec.msgpack.Decoder(kind) for kind in get_args(PeerMessage)}
+)
 
 
 class PeerSocket(DatagramProtocol):
@@ -38,15 +40,14 @@
 
 def encode_message(message: PeerMessage) -> bytes:
     """Return a message's form in a datagram."""
-    return json.dumps([type(message).__name__, asdict(message)]).encode()
+    return msgspec.msgpack.encode((type(message).__name__, message))
 
 
 def decode_message(datagram: bytes) -> PeerMessage | None:
     """Read a datagram; None for one that is not valid."""
     try:
-        name, fields = json.loads(datagram)
-        message: Any = _TYPES[name].validate_python(fields)
-    except (ValueError, KeyError, TypeError, ValidationError):
+        name, fields = _ENVELOPE.decode(datagram)
+        message: PeerMessage = _DECODERS[name].decode(fields)
+    except (ValueError, KeyError, RecursionError):
         return None
-    decoded: PeerMessage = message
-    return decoded
+    return message
--- a/orioleplank/gateway/_records.py
+++ b/orioleplank/gateway/_records.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import asdict
+from typing import Any
 
-from pydantic import TypeAdapter, ValidationError
+import msgspec
 
 from orioleplank.decision.group import GroupRecord, SeenRecord
 from orioleplank.decision.membership import ProxyRecord
@@ -14,9 +14,6 @@
 GROUP_PREFIX = "group."
 PROXY_PREFIX = "proxy."
 
-_GROUP = TypeAdapter(GroupRecord)
-_PROXY = TypeAdapter(ProxyRecord)
-
 
 def name_group(service: str) -> str:
     """Return the name of a group's record."""
@@ -30,12 +27,17 @@
 
 def dump_group(record: GroupRecord) -> Mapping[str, object]:
     """Return the stored form of a group's record."""
-    return {**asdict(record), "phase": record.phase.value}
+    return _dump(record)
 
 
 def dump_proxy(record: ProxyRecord) -> Mapping[str, object]:
     """Return the stored form of a proxy's record."""
-    return asdict(record)
+    return _dump(record)
+
+
+def _dump(record: GroupRecord | ProxyRecord) -> Mapping[str, object]:
+    fields: dict[str, Any] = msgspec.to_builtins(record)
+    return fields
 
 
 def read_group(stored: StoredRecord) -> SeenRecord | None:
@@ -43,8 +45,8 @@
     if not stored.name.startswith(GROUP_PREFIX):
         return None
     try:
-        record = _GROUP.validate_python(stored.content)
-    except ValidationError:
+        record = msgspec.convert(stored.content, GroupRecord)
+    except msgspec.ValidationError:
         return None
     return SeenRecord(record, stored.revision)
 
@@ -54,6 +56,6 @@
     if not stored.name.startswith(PROXY_PREFIX):
         return None
     try:
-        return _PROXY.validate_python(stored.content)
-    except ValidationError:
+        return msgspec.convert(stored.content, ProxyRecord)
+    except msgspec.ValidationError:
         return None
--- a/orioleplank/gateway/_views.py
+++ b/orioleplank/gateway/_views.py
@@ -5,12 +5,12 @@
 from collections.abc import Awaitable, Mapping
 from dataclasses import asdict, dataclass
 from typing import Any, Protocol
+from urllib.parse import urlencode
 
-import treq
-from pydantic import TypeAdapter, ValidationError
+import msgspec
 from twisted.web.client import Agent
 
-from orioleplank._calls import UNANSWERED
+from orioleplank._calls import UNANSWERED, read_body, send_request
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.group import SeenRecord
 from orioleplank.decision.instances import InstanceEntry, RouteTable
@@ -55,20 +55,26 @@
     instances: tuple[InstanceEntry, ...] | None
 
 
-_VIEW = TypeAdapter(StoreView)
-
-
-_KNOWN = TypeAdapter(ViewVersions)
+_VIEW = msgspec.msgpack.Decoder(StoreView)
 
 
 def read_known(query: Mapping[bytes, list[bytes]]) -> ViewVersions:
     """Read what an asker knows from its query; raise `ValueError` when it is not valid."""
-    return _KNOWN.validate_python({key.decode(): values[0] for key, values in query.items()})
+    fields = {key.decode(): values[0].decode() for key, values in query.items()}
+    return msgspec.convert(fields, ViewVersions, strict=False)
 
 
 def dump_view(view: StoreView) -> bytes:
     """Return the form of a view between proxies."""
-    return _VIEW.dump_json(view)
+    return msgspec.msgpack.encode(view)
+
+
+def read_view(data: bytes) -> StoreView:
+    """Read a view; raise `ValueError` when it is not valid."""
+    try:
+        return _VIEW.decode(data)
+    except RecursionError as error:
+        raise ValueError("the view is nested too deeply") from error
 
 
 class Views(Protocol):
@@ -88,16 +94,11 @@
     async def fetch(self, address: str, known: ViewVersions) -> StoreView:
         """Return what the proxy at HOST:PORT knows beyond `known`; raise `ViewUnavailableError`."""
         try:
-            response = await treq.get(
-                f"http://{address}/{PATH.decode()}",
-                params=asdict(known),
-                agent=self._agent,
-                timeout=ASK_LIMIT_S,
-                reactor=self._reactor,
-            )
-            body = await treq.content(response).addTimeout(ASK_LIMIT_S, self._reactor)
+            url = f"http://{address}/{PATH.decode()}?{urlencode(asdict(known))}"
+            response = await send_request(self._reactor, self._agent, "GET", url, ASK_LIMIT_S)
+            body = await read_body(self._reactor, response, ASK_LIMIT_S)
             if response.code == 200:
-                return _VIEW.validate_json(body)
-        except (*UNANSWERED, ValidationError) as error:
+                return read_view(body)
+        except (*UNANSWERED, ValueError) as error:
             raise ViewUnavailableError("fetch view", address, type(error).__name__) from error
         raise ViewUnavailableError("fetch view", address, f"code {response.code}")
--- /dev/null
+++ b/orioleplank/gateway/tests/test_messages.py
@@ -0,0 +1,111 @@
+"""Datagrams and views between proxies: what is sent arrives, and anything else does no harm."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import asdict
+
+import msgspec
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orioleplank.decision.group import GroupRecord, Phase, SeenRecord
+from orioleplank.decision.instances import (
+    UNLIMITED_S,
+    Consistency,
+    DbRole,
+    InstanceEntry,
+    InstanceState,
+    Route,
+    RouteTable,
+    ServiceLimits,
+)
+from orioleplank.decision.membership import (
+    PeerMessage,
+    ProxyRecord,
+    ReachTold,
+    Released,
+    ViewTold,
+    ViewVersions,
+)
+from orioleplank.gateway._frames import decode_frame
+from orioleplank.gateway._peers import decode_message, encode_message
+from orioleplank.gateway._ports import StoredRecord
+from orioleplank.gateway._records import dump_group, dump_proxy, read_group, read_proxy
+from orioleplank.gateway._views import SeenProxy, StoreView, dump_view, read_known, read_view
+
+# Deeper than any decoder follows.
+_DEEP = 60_000
+_NESTED = (b"\x91" * _DEEP, b"\x92\xa4Ping" + b"\x91" * _DEEP, b"\x81\xa1a" * _DEEP)
+_PROXY = ProxyRecord("p-1", "p-1-7f", "10.0.0.1:7440", "akl-a")
+_GROUP = GroupRecord("books", Phase.MOVING, "i-1", 3, "p-1", "p-1-7f", 4, planned=True)
+
+
+class TestDatagrams(testtools.TestCase):
+    def test_messages_arrive_unchanged(self) -> None:
+        messages: tuple[PeerMessage, ...] = (
+            Released("p-1", "p-1-7f", "books", 17),
+            ReachTold("p-1", 4, math.inf, 2),
+            ViewTold("p-1", 3, math.inf, ViewVersions(5, 6, 7)),
+        )
+        for message in messages:
+            self.assertEqual(message, decode_message(encode_message(message)))
+
+    @given(st.binary(max_size=200))
+    def test_other_bytes_are_no_message(self, datagram: bytes) -> None:
+        self.assertIsNone(decode_message(datagram))
+
+    def test_deeply_nested_bytes_are_no_message(self) -> None:
+        for nested in _NESTED:
+            self.assertIsNone(decode_message(nested))
+            self.assertIsNone(decode_frame(nested))
+
+    def test_field_of_another_type_is_no_message(self) -> None:
+        fields = {**asdict(Released("p-1", "p-1-7f", "books", 17)), "revision": "17"}
+        self.assertIsNone(decode_message(msgspec.msgpack.encode(("Released", fields))))
+
+
+class TestViews(testtools.TestCase):
+    def test_view_arrives_unchanged(self) -> None:
+        entry = InstanceEntry(
+            "i-1", "books", "10.0.0.9:80", "akl-a", InstanceState.READY, DbRole.PRIMARY, 5, 17
+        )
+        routes = RouteTable(
+            4,
+            {"quotes": Route("quotes", Consistency.BOUNDED, "books", 1.0, 1.5, 2)},
+            {"books": ServiceLimits(60, 0)},
+            UNLIMITED_S,
+        )
+        view = StoreView(
+            math.inf,
+            ViewVersions(5, 6, 7),
+            ("p-1",),
+            (SeenProxy(_PROXY, 3),),
+            (SeenRecord(_GROUP, 4),),
+            routes,
+            (entry,),
+        )
+        self.assertEqual(view, read_view(dump_view(view)))
+
+    def test_other_bytes_are_no_view(self) -> None:
+        for data in (b"", b"{}", b"\xff", *_NESTED):
+            self.assertRaises(ValueError, read_view, data)
+
+    def test_reads_what_an_asker_knows(self) -> None:
+        known = {b"records": [b"5"], b"instances": [b"6"], b"routes": [b"7"]}
+        self.assertEqual(ViewVersions(5, 6, 7), read_known(known))
+        for bad in ({}, {**known, b"routes": [b"x"]}, {**known, b"routes": [b"\xff"]}):
+            self.assertRaises(ValueError, read_known, bad)
+
+
+class TestRecords(testtools.TestCase):
+    def test_records_are_read_as_they_were_stored(self) -> None:
+        group = read_group(StoredRecord("group.books", 4, dump_group(_GROUP)))
+        self.assertEqual(SeenRecord(_GROUP, 4), group)
+        self.assertEqual(_PROXY, read_proxy(StoredRecord("proxy.p-1", 4, dump_proxy(_PROXY))))
+
+    def test_record_of_another_writer_is_none(self) -> None:
+        for content in ({}, {**dump_group(_GROUP), "phase": "?"}, {"service": 3}):
+            self.assertIsNone(read_group(StoredRecord("group.books", 4, content)))
+        self.assertIsNone(read_proxy(StoredRecord("proxy.p-1", 4, {"name": 3})))
--- a/orioleplank/platform/_objects.py
+++ b/orioleplank/platform/_objects.py
@@ -10,8 +10,7 @@
 from types import MappingProxyType
 from typing import Annotated, Literal
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
-from pydantic.dataclasses import dataclass as checked_dataclass
+import msgspec
 
 from orioleplank.decision.instances import (
     UNLIMITED_S,
@@ -27,12 +26,11 @@
 
 # Name of the one object that holds the configuration.
 ROUTES_NAME = "main"
-_LENIENT = ConfigDict(extra="ignore")
-_Text = Annotated[str, Field(strict=True, min_length=1)]
-_Whole = Annotated[int, Field(strict=True)]
-_Count = Annotated[int, Field(strict=True, ge=0)]
-_Positive = Annotated[int, Field(strict=True, ge=1)]
-_Milliseconds = Annotated[float, Field(ge=0)]
+_Text = Annotated[str, msgspec.Meta(min_length=1)]
+_Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Positive = Annotated[int, msgspec.Meta(ge=1)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,10 +56,9 @@
         return cls(name, revision, value.get("spec"))
 
 
-@checked_dataclass(frozen=True, config=_LENIENT)
-class _WireInstance:
+class _WireInstance(msgspec.Struct, frozen=True):
     service: _Text
-    address: Annotated[str, Field(strict=True, pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    address: _Address
     zone: _Text
     # Statements that it runs at once.
     capacity: _Positive
@@ -71,39 +68,33 @@
     born: _Count = 0
 
 
-@checked_dataclass(frozen=True, config=_LENIENT)
-class _WireRoute:
+class _WireRoute(msgspec.Struct, frozen=True):
     # The database's name as callers give it.
     host: _Text
     type: Literal["primary", "bounded_staleness", "read_your_writes"]
     service: _Text
     timeoutMs: _Milliseconds = 1000.0  # noqa: N815
     maxStalenessMs: _Milliseconds = 0.0  # noqa: N815
-    priority: _Whole = 0
+    priority: int = 0
 
 
-@checked_dataclass(frozen=True, config=_LENIENT)
-class _WireService:
+class _WireService(msgspec.Struct, frozen=True):
     name: _Text
     maxConns: _Positive = 1000  # noqa: N815
     syncReplicas: _Count = 0  # noqa: N815
 
 
-@checked_dataclass(frozen=True, config=_LENIENT)
-class _WireLimits:
+class _WireLimits(msgspec.Struct, frozen=True):
     txIdleMs: _Milliseconds | None = None  # noqa: N815
 
 
-@checked_dataclass(frozen=True, config=_LENIENT)
-class _WireRoutes:
+class _WireRoutes(msgspec.Struct, frozen=True):
     version: _Count
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = _WireLimits()
 
 
-_INSTANCE = TypeAdapter(_WireInstance)
-_ROUTES = TypeAdapter(_WireRoutes)
 _CONSISTENCY = MappingProxyType(
     {
         "primary": Consistency.PRIMARY,
@@ -116,8 +107,8 @@
 def read_instance(raw: RawObject) -> InstanceEntry | None:
     """Read an instance's entry; None when it cannot be read."""
     try:
-        wire = _INSTANCE.validate_python(raw.spec)
-    except ValidationError:
+        wire = msgspec.convert(raw.spec, _WireInstance)
+    except msgspec.ValidationError:
         return None
     return InstanceEntry(
         raw.name,
@@ -136,8 +127,8 @@
     if raw.name != ROUTES_NAME:
         return None
     try:
-        wire = _ROUTES.validate_python(raw.spec)
-    except ValidationError:
+        wire = msgspec.convert(raw.spec, _WireRoutes)
+    except msgspec.ValidationError:
         return None
     idle = wire.limits.txIdleMs
     return RouteTable(
--- a/orioleplank/platform/_promotions.py
+++ b/orioleplank/platform/_promotions.py
@@ -5,10 +5,9 @@
 import json
 from typing import Any
 
-import treq
 from twisted.web.client import Agent
 
-from orioleplank._calls import UNANSWERED
+from orioleplank._calls import UNANSWERED, send_request
 from orioleplank.gateway import StoreUnavailableError
 
 # Time for the call, in seconds; then its connection is cut.
@@ -32,19 +31,15 @@
         Raise `StoreUnavailableError` when the outcome is not known; the connection is cut then, so
         that the call cannot take effect later.
         """
-        headers: Any = {
-            "Content-Type": ["application/json"],
-            "X-Orioleplank-Lease-Holder": [self._holder],
-            "X-Orioleplank-Fencing-Token": [str(token)],
+        headers = {
+            "Content-Type": "application/json",
+            "X-Orioleplank-Lease-Holder": self._holder,
+            "X-Orioleplank-Fencing-Token": str(token),
         }
+        body = json.dumps({"service": service, "id": instance}).encode()
         try:
-            response = await treq.post(
-                self._url,
-                agent=self._agent,
-                headers=headers,
-                data=json.dumps({"service": service, "id": instance}).encode(),
-                timeout=CALL_LIMIT_S,
-                reactor=self._reactor,
+            response = await send_request(
+                self._reactor, self._agent, "POST", self._url, CALL_LIMIT_S, headers, body
             )
         except UNANSWERED as error:
             detail = type(error).__name__
--- a/orioleplank/platform/_settings.py
+++ b/orioleplank/platform/_settings.py
@@ -6,39 +6,34 @@
 from pathlib import Path
 from typing import Annotated
 
-from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
-from pydantic.dataclasses import dataclass as checked_dataclass
+import msgspec
 
 from orioleplank._exceptions import SettingsError
 from orioleplank.gateway import GatewaySettings
 
 # Variable that holds the path of the file.
 PATH_VARIABLE = "ORIOLEPLANK_SETTINGS"
-_LENIENT = ConfigDict(extra="ignore")
-_Address = Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+_Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
 
 
-@checked_dataclass(frozen=True, config=_LENIENT)
-class _Listen:
+class _Listen(msgspec.Struct, frozen=True):
     front: _Address
     ready: _Address
 
 
-@checked_dataclass(frozen=True, config=_LENIENT)
-class _Endpoint:
+class _Endpoint(msgspec.Struct, frozen=True):
     address: _Address
 
 
-@checked_dataclass(frozen=True, config=_LENIENT)
-class _Bounds:
+class _Bounds(msgspec.Struct, frozen=True):
     # Seconds between the request to end and the kill.
-    graceS: Annotated[float, Field(gt=0)] = 6.0  # noqa: N815
+    graceS: _Positive = 6.0  # noqa: N815
     # Milliseconds for which an instance serves after it has said that it will end.
-    drainMs: Annotated[float, Field(gt=0)] = 7000.0  # noqa: N815
+    drainMs: _Positive = 7000.0  # noqa: N815
 
 
-@checked_dataclass(frozen=True, config=_LENIENT)
-class _Boot:
+class _Boot(msgspec.Struct, frozen=True):
     nodeName: str  # noqa: N815
     ip: str
     zone: str
@@ -51,17 +46,14 @@
     bounds: _Bounds = _Bounds()
 
 
-_BOOT = TypeAdapter(_Boot)
-
-
 def load_settings() -> GatewaySettings:
     """Read the file that the platform names; raise `SettingsError` when it is not valid."""
     path = os.environ.get(PATH_VARIABLE)
     if not path:
         raise SettingsError("read settings", "", f"{PATH_VARIABLE} is not set")
     try:
-        boot = _BOOT.validate_json(Path(path).read_bytes())
-    except (OSError, ValidationError) as error:
+        boot = msgspec.json.decode(Path(path).read_bytes(), type=_Boot)
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsError("read settings", path, str(error)) from error
     first = boot.internalPorts[0]
     return GatewaySettings(
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -7,10 +7,9 @@
 from typing import Any, Generic, TypeVar
 from urllib.parse import quote
 
-import treq
 from twisted.web.client import Agent, HTTPConnectionPool
 
-from orioleplank._calls import UNANSWERED
+from orioleplank._calls import UNANSWERED, read_body, send_request
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.gateway import (
     Changes,
@@ -62,19 +61,14 @@
         Raise `StoreUnavailableError`, `StoreConflictError` or `HistoryLostError`.
         """
         step = f"{method} {path.partition('?')[0]}"
-        headers: Any = {"Content-Type": ["application/json"]} if body is not None else {}
+        headers = {"Content-Type": "application/json"} if body is not None else {}
         data = None if body is None else json.dumps(body).encode()
+        url = f"{self._base}/{path}"
         try:
-            response = await treq.request(
-                method,
-                f"{self._base}/{path}",
-                agent=self._agent,
-                headers=headers,
-                data=data,
-                timeout=limit,
-                reactor=self._reactor,
+            response = await send_request(
+                self._reactor, self._agent, method, url, limit, headers, data
             )
-            text = await treq.content(response).addTimeout(limit, self._reactor)
+            text = await read_body(self._reactor, response, limit)
         except UNANSWERED as error:
             detail = type(error).__name__
             self._on_call(method, detail)
@@ -94,7 +88,7 @@
                 raise StoreUnavailableError(step, self._address, f"code {code}")
         try:
             return json.loads(text)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise StoreUnavailableError(step, self._address, "the body is not JSON") from error
 
 
--- a/orioleplank/platform/tests/test_main.py
+++ b/orioleplank/platform/tests/test_main.py
@@ -14,6 +14,8 @@
 LIMIT_S = 20.0
 # Exit code for settings that are not valid.
 BAD_SETTINGS = 2
+# Packages that the role does without: each would add to the time of every restart.
+NEEDLESS = {"automat", "grpc", "pydantic", "treq", "yaml", "orioleplank.decision.quorum"}
 
 
 class TestStart(testtools.TestCase):
@@ -33,3 +35,10 @@
                 settings.write("{}")
             process.communicate(timeout=LIMIT_S)
         self.assertEqual(BAD_SETTINGS, process.returncode)
+
+    def test_start_imports_only_what_the_role_uses(self) -> None:
+        program = "import orioleplank.platform._run, sys; print(*sys.modules, sep='\\n')"
+        run = subprocess.run(
+            [sys.executable, "-c", program], capture_output=True, check=True, timeout=LIMIT_S
+        )
+        self.assertEqual(set(), NEEDLESS & set(run.stdout.decode().split()))
--- a/orioleplank/standin/_instance.py
+++ b/orioleplank/standin/_instance.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     Boundary,
     LedgerState,
     Lineage,
--- a/orioleplank/standin/_upstream.py
+++ b/orioleplank/standin/_upstream.py
@@ -13,7 +13,14 @@
 from orioleplank._protos import orioleplank_upstream_pb2 as pb
 from orioleplank._protos import orioleplank_upstream_pb2_grpc as rpc
 from orioleplank._reactor import find_reactor
-from orioleplank.decision import Boundary, LedgerState, Lineage, Role, StatementStatus, TermStart
+from orioleplank.decision.quorum import (
+    Boundary,
+    LedgerState,
+    Lineage,
+    Role,
+    StatementStatus,
+    TermStart,
+)
 from orioleplank.standin._instance import Entry, Instance
 from orioleplank.standin._orders import Counters, Faults, Orders
 from orioleplank.wire import read_position, write_position, write_report
--- a/orioleplank/standin/tests/test_standin.py
+++ b/orioleplank/standin/tests/test_standin.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 
 from orioleplank.client import make_payload, make_query, read_rows
-from orioleplank.decision import Boundary, LedgerState, Position, Role, StatementStatus
+from orioleplank.decision.quorum import Boundary, LedgerState, Position, Role, StatementStatus
 from orioleplank.standin import Instance, PlatformState, StandinReply
 
 CREATE = make_payload(make_query("CREATE TABLE t (v INTEGER)"))
--- a/orioleplank/tests/_cells.py
+++ b/orioleplank/tests/_cells.py
@@ -7,7 +7,7 @@
 from functools import partial
 from zlib import crc32
 
-from orioleplank.decision import Event, StopRequested, Switch, UpdateVerdict
+from orioleplank.decision.quorum import Event, StopRequested, Switch, UpdateVerdict
 from orioleplank.tests._nodes import InstanceNode
 from orioleplank.tests._scene import NODE_FAULTS, WORK_S, Fault, Scene
 
--- a/orioleplank/tests/_clients.py
+++ b/orioleplank/tests/_clients.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from itertools import count
 
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     EMPTY_TOKEN,
     Answer,
     CallerArrived,
--- a/orioleplank/tests/_focused.py
+++ b/orioleplank/tests/_focused.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from orioleplank.decision import Answer, StatementEnded, StatementStatus, Switch
-from orioleplank.decision.tests.test_proxy import Bench
+from orioleplank.decision.quorum import Answer, StatementEnded, StatementStatus, Switch
+from orioleplank.decision.quorum.tests.test_proxy import Bench
 
 FLOOD = 60
 BUDGET = 100
--- a/orioleplank/tests/_group_links.py
+++ b/orioleplank/tests/_group_links.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AskLedger,
     AskRound,
     InstanceReported,
--- a/orioleplank/tests/_nodes.py
+++ b/orioleplank/tests/_nodes.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from orioleplank.decision import ConnectionId, Proxy
+from orioleplank.decision.quorum import ConnectionId, Proxy
 from orioleplank.standin import Instance
 from orioleplank.tests._fabric import Node
 
--- a/orioleplank/tests/_scene.py
+++ b/orioleplank/tests/_scene.py
@@ -8,7 +8,7 @@
 from itertools import pairwise
 
 from orioleplank._protos import orioleplank_common_pb2 as common
-from orioleplank.decision import Kind, ObjectKey, Switch, UpdateVerdict
+from orioleplank.decision.quorum import Kind, ObjectKey, Switch, UpdateVerdict
 from orioleplank.standin import Entry
 from orioleplank.tests._clients import Client, History, Script
 from orioleplank.tests._nodes import InstanceNode, ProxyNode
--- a/orioleplank/tests/_scripts.py
+++ b/orioleplank/tests/_scripts.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from orioleplank.client import make_payload, make_query, read_rows
-from orioleplank.decision import EMPTY_TOKEN, Current, MaxAge, Operation
+from orioleplank.decision.quorum import EMPTY_TOKEN, Current, MaxAge, Operation
 from orioleplank.tests._clients import Ask, Client, Script, Told, Written
 
 THINK_S = 0.06
--- a/orioleplank/tests/_store.py
+++ b/orioleplank/tests/_store.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from enum import Enum, unique
 
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     Change,
     InForceSpec,
     Kind,
--- a/orioleplank/tests/_storm.py
+++ b/orioleplank/tests/_storm.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from orioleplank.decision import StopRequested
+from orioleplank.decision.quorum import StopRequested
 from orioleplank.tests._scene import GAP_LIMIT_S, Fault, Scene
 from orioleplank.tests._scripts import read_aged, read_current, run_transactions, write_and_read
 
--- a/orioleplank/tests/_world.py
+++ b/orioleplank/tests/_world.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AskLedger,
     AskRound,
     AskSlots,
--- a/orioleplank/tests/matrix.py
+++ b/orioleplank/tests/matrix.py
@@ -9,7 +9,7 @@
 from hypothesis import HealthCheck, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from orioleplank.decision import Switch
+from orioleplank.decision.quorum import Switch
 from orioleplank.tests._cells import Cell, Step, Verdict, cannot_arise, list_cells, play_cell
 from orioleplank.tests._focused import FOCUSED_CASES
 from orioleplank.tests._scene import Fault
--- a/orioleplank/tests/test_docs.py
+++ b/orioleplank/tests/test_docs.py
@@ -4,7 +4,7 @@
 
 from testtools import TestCase
 
-from orioleplank.decision import Event, Reason
+from orioleplank.decision.quorum import Event, Reason
 from orioleplank.gateway import Topic
 
 DOCS = Path(__file__).parents[2] / "docs"
--- a/orioleplank/tests/test_matrix.py
+++ b/orioleplank/tests/test_matrix.py
@@ -4,7 +4,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 from testtools import TestCase
 
-from orioleplank.decision import Switch
+from orioleplank.decision.quorum import Switch
 from orioleplank.tests._cells import Cell, Step, list_cells, play_cell
 from orioleplank.tests._focused import FOCUSED_CASES
 from orioleplank.tests._scene import Fault
--- a/orioleplank/wire/_caller.py
+++ b/orioleplank/wire/_caller.py
@@ -7,7 +7,7 @@
 from orioleplank._exceptions import MalformedRequestError
 from orioleplank._protos import orioleplank_caller_pb2 as pb
 from orioleplank._protos import orioleplank_common_pb2 as common
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     Answer,
     Current,
     DidRun,
--- a/orioleplank/wire/_token.py
+++ b/orioleplank/wire/_token.py
@@ -8,7 +8,7 @@
 
 from orioleplank._exceptions import MalformedTokenError
 from orioleplank._protos import orioleplank_common_pb2 as common
-from orioleplank.decision import EMPTY_TOKEN, Position, SessionToken, TokenEntry
+from orioleplank.decision.quorum import EMPTY_TOKEN, Position, SessionToken, TokenEntry
 
 TOKEN_VERSION = b"\x01"
 CHECKSUM_BYTES = 4
--- a/orioleplank/wire/_upstream.py
+++ b/orioleplank/wire/_upstream.py
@@ -6,7 +6,7 @@
 
 from orioleplank._protos import orioleplank_common_pb2 as common
 from orioleplank._protos import orioleplank_upstream_pb2 as pb
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     AskLedger,
     Boundary,
     ConnectionId,
--- a/orioleplank/wire/tests/test_wire.py
+++ b/orioleplank/wire/tests/test_wire.py
@@ -6,7 +6,7 @@
 
 from orioleplank import MalformedRequestError, MalformedTokenError
 from orioleplank._protos import orioleplank_caller_pb2 as pb
-from orioleplank.decision import (
+from orioleplank.decision.quorum import (
     Current,
     DidRun,
     MaxAge,
