Refuse at once what would wait too long for a connection; owners where transactions would hold a proxy's few

Cause: (1) a queue for connections knew no deadline: work joined it however long it was. (2) 22 connections over nine proxies were two each, and every open transaction keeps one while its caller rests, so work waited at one proxy while others had connections free. (3) a statement that had waited was sent with the time it had before the wait, so an owner of connections took it although its proxy gave up first, and the caller heard "may have run" of what never was sent.

Change: `decision/admission` judges the wait by waiters ahead, connections and the mean time a use keeps one, against half of the time left; waiters whose turn will come too late are refused while others go on (`gateway/_waiters.py`); the refusal says that nothing ran and when to come back, also through owners. Owners hold the connections where a proxy would have fewer than four. The time left is taken again after the wait.

Ruled out: more than two owners (the pool splits again).

The worst windows that are left are the seconds in which no process runs.

--- a/orioleplank/decision/routing/_owners.py
+++ b/orioleplank/decision/routing/_owners.py
@@ -15,9 +15,9 @@
 
 # Connections of an instance that no proxy counts on, for proxies that come and go.
 SPARE_CONNECTIONS = 2
-# Connections to an instance that each proxy needs at least to use it directly: with one, every
-# transaction would keep all others from it.
-DIRECT_LEAST = 2
+# Connections to an instance that each proxy needs at least to use it directly: a transaction keeps
+# one while its caller rests, and others would wait for it although other proxies have some free.
+DIRECT_LEAST = 4
 # Proxies that own an instance's connections, so that one loss leaves another at once.
 OWNERS = 2
 # Proxies that stand in for an owner that some do not reach.
--- a/orioleplank/decision/session/_reply.py
+++ b/orioleplank/decision/session/_reply.py
@@ -72,6 +72,8 @@
     code: Code
     # One phrase for a person.
     detail: str
+    # Seconds after which asking again makes sense; None when that is not known.
+    retry_after: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/orioleplank/gateway/_carrier.py
+++ b/orioleplank/gateway/_carrier.py
@@ -17,6 +17,7 @@
 from orioleplank.decision.session import Reply, Runnable, TransactionState
 from orioleplank.gateway._beliefs import Beliefs
 from orioleplank.gateway._channels import Channel
+from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._exchange import NOT_ANSWERED, NOT_SENT, Exchange, PreparationError
 from orioleplank.gateway._frames import (
     Answered,
@@ -40,7 +41,7 @@
 )
 from orioleplank.gateway._inspection import Inspection
 from orioleplank.gateway._journal import Journal, Topic
-from orioleplank.gateway._pool import InstancePool, PooledConnection
+from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._ports import InstanceUnreachableError
 
 # Part of the time left that is kept for the way back of "not sent", in seconds: one way between
@@ -183,7 +184,7 @@
     async def _serve(self, use: _Use, asked: RunAsked | BeginAsked) -> Told:
         statement = read_statement(asked) if isinstance(asked, RunAsked) else None
         until = self._exchange.beliefs.now() + asked.seconds
-        refusal = await self._get_ready(use, asked, statement)
+        refusal = await self._get_ready(use, asked, statement, until)
         if refusal is not None:
             return refusal
         pool, connection = use.pool, use.connection
@@ -200,15 +201,18 @@
         return await self._take_answer(use, asked.number, answer, seconds, statement is not None)
 
     async def _get_ready(
-        self, use: _Use, asked: Work, statement: Runnable | None
+        self, use: _Use, asked: Work, statement: Runnable | None, until: float
     ) -> NotSent | None:
-        """Give a use a connection that fits the statement; return why it has none."""
+        """Give a use a connection that fits the statement; return why it has none.
+
+        `until` is when its time is over, in seconds of the steady clock.
+        """
         seconds = asked.seconds - WAY_BACK_S
         if use.connection is None:
             pool = self._carrier.beliefs.carrier_pool(asked.instance)
             if pool is None:
                 return NotSent(asked.number, "the instance is not known here", True)
-            waiting = pool.acquire(asked.values, use.number, asked.priority)
+            waiting = pool.acquire(asked.values, use.number, asked.priority, seconds)
             use.waiting = waiting
             try:
                 use.connection = await self._exchange.limit(waiting, seconds)
@@ -216,10 +220,13 @@
             except NOT_SENT as error:
                 is_unreachable = isinstance(error, InstanceUnreachableError)
                 why = _explain(error, "all are in use")
-                return NotSent(asked.number, why, is_unreachable)
+                retry_after = getattr(error, "retry_after", None)
+                return NotSent(asked.number, why, is_unreachable, retry_after)
             finally:
                 use.waiting = None
         assert use.pool is not None and use.connection is not None
+        # The wait for the connection has taken some of the time.
+        seconds = until - WAY_BACK_S - self._exchange.beliefs.now()
         try:
             await self._exchange.prepare(
                 use.pool, use.connection, asked.values, statement, asked.priority, seconds
--- a/orioleplank/gateway/_exchange.py
+++ b/orioleplank/gateway/_exchange.py
@@ -21,13 +21,21 @@
     find_preparation,
 )
 from orioleplank.gateway._beliefs import Beliefs
-from orioleplank.gateway._pool import InstancePool, PooledConnection
+from orioleplank.gateway._connection import PooledConnection
+from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._ports import InstanceRefusedError, InstanceUnreachableError
+from orioleplank.gateway._waiters import QueueTooLongError
 
 T = TypeVar("T")
 
 # What fails before a statement is sent.
-NOT_SENT = (InstanceUnreachableError, InstanceRefusedError, TwistedTimeoutError, CancelledError)
+NOT_SENT = (
+    InstanceUnreachableError,
+    InstanceRefusedError,
+    QueueTooLongError,
+    TwistedTimeoutError,
+    CancelledError,
+)
 # What leaves open whether a statement that was sent has run.
 NOT_ANSWERED = (InstanceUnreachableError, TwistedTimeoutError, CancelledError)
 
@@ -75,7 +83,8 @@
     ) -> PooledConnection:
         """Take a connection within `seconds`; raise one of `NOT_SENT`."""
         session = request.session
-        waiting = pool.acquire(session.values, request.number, request.route.priority)
+        priority, left = request.route.priority, self.left(request)
+        waiting = pool.acquire(session.values, request.number, priority, left)
         return await self.limit(waiting, seconds)
 
     async def prepare(
--- a/orioleplank/gateway/_forwarding.py
+++ b/orioleplank/gateway/_forwarding.py
@@ -367,11 +367,11 @@
                 if reply.state is TransactionState.IDLE:
                     self._bound_to = None
                 return reply
-            case NotSent(_, why, is_unreachable):
+            case NotSent(_, why, is_unreachable, retry_after):
                 if is_unreachable:
                     self._take_unreachable(owner)
                 self._bound_to = None
-                return self._refuse(why)
+                return self._refuse(why, retry_after)
             case _:
                 self._bound_to = None
                 self._forwarding.avoid(self._entry.id, owner.name)
@@ -393,8 +393,8 @@
         if self._choose_owner() is None:
             self._on_unreachable()
 
-    def _refuse(self, why: str) -> Reply:
-        return Reply(failure=Failure(Code.BUSY, f"not sent: {why}"))
+    def _refuse(self, why: str, retry_after: float | None = None) -> Reply:
+        return Reply(failure=Failure(Code.BUSY, f"not sent: {why}", retry_after))
 
     def _unreachable(self, why: str) -> InstanceUnreachableError:
         return InstanceUnreachableError("ask instance", self._entry.id, why)
--- a/orioleplank/gateway/_frames.py
+++ b/orioleplank/gateway/_frames.py
@@ -139,6 +139,8 @@
     why: str
     # True when the owner does not reach the instance either.
     is_unreachable: bool
+    # Seconds after which asking again makes sense; None when that is not known.
+    retry_after: float | None = None
 
 
 class Unanswered(Frame, frozen=True):
--- a/orioleplank/gateway/_inspection.py
+++ b/orioleplank/gateway/_inspection.py
@@ -60,7 +60,7 @@
     async def probe(self, pool: InstancePool) -> InstanceReport | None:
         """Ask an instance for its state on a pooled connection; None when it does not tell."""
         try:
-            waiting = pool.acquire({}, 0, 0, probing=True)
+            waiting = pool.acquire({}, 0, 0, REPORT_LIMIT_S, probing=True)
             connection = await waiting.addTimeout(REPORT_LIMIT_S, self._reactor)
         except UNREACHED as error:
             if isinstance(error, TwistedTimeoutError | CancelledError):
@@ -99,7 +99,7 @@
     async def step_down(self, pool: InstancePool, term: int) -> bool:
         """Make an old primary a replica; False when it is not reached."""
         try:
-            waiting = pool.acquire({}, 0, 0, probing=True)
+            waiting = pool.acquire({}, 0, 0, REPORT_LIMIT_S, probing=True)
             connection = await waiting.addTimeout(REPORT_LIMIT_S, self._reactor)
         except UNREACHED:
             return False
--- a/orioleplank/gateway/_outcome.py
+++ b/orioleplank/gateway/_outcome.py
@@ -28,10 +28,20 @@
     # Id of the instance concerned; empty for none.
     instance: str = ""
 
+    @property
+    def tells_when(self) -> bool:
+        """True when it says when asking again makes sense, so that waiting here does not."""
+        return self.failure.retry_after is not None
+
 
 Outcome = Ran | Refused
 
 
-def refuse(code: Code, step: str, detail: str, instance: str = "") -> Refused:
+def refuse(
+    code: Code, step: str, detail: str, instance: str = "", retry_after: float | None = None
+) -> Refused:
     """Build a refusal by this program, with the step and the reason in its text."""
-    return Refused(Failure(code, f"program {step}: {detail}"), step, instance)
+    text = f"program {step}: {detail}"
+    if retry_after is not None:
+        text = f"{text}; retry after {retry_after:.2f} s"
+    return Refused(Failure(code, text, retry_after), step, instance)
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -2,23 +2,23 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-from itertools import count
 
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.python.failure import Failure
 
 from orioleplank.decision import Position
+from orioleplank.decision.admission import QueueLoad, TooLong, judge_wait, learn_hold
 from orioleplank.decision.instances import InstanceEntry
-from orioleplank.decision.session import FRESH_CONNECTION, ConnectionState, find_preparation
+from orioleplank.decision.session import find_preparation
+from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._ports import (
     InstanceLink,
     InstanceRefusedError,
     InstanceUnreachableError,
 )
+from orioleplank.gateway._waiters import QueueTooLongError, Waiters
 
 # Pause before another try to open a connection after a failure, in seconds, doubled each time.
 RETRY_FIRST_S = 0.05
@@ -42,37 +42,6 @@
 FAILURE_LATENCY_S = 1.0
 
 
-@dataclass(slots=True, eq=False)
-class PooledConnection:
-    """One connection and what the instance holds for it."""
-
-    # The connection.
-    link: InstanceLink
-    # Values and prepared names at the instance.
-    state: ConnectionState = FRESH_CONNECTION
-    # Number of the session that used it last; 0 for none.
-    session: int = 0
-    # False once it must not be used again.
-    usable: bool = True
-    # Counts how often the way to the instance had changed when it was opened.
-    generation: int = 0
-
-
-@dataclass(slots=True, order=True)
-class _Waiter:
-    """Somebody who waits for a connection."""
-
-    # Of its route; 0 is the most important.
-    priority: int
-    # Order of arrival.
-    number: int
-    # Where the connection goes.
-    result: Deferred[PooledConnection] = field(compare=False)
-    # What the session has set, and its number.
-    values: Mapping[str, str] = field(compare=False)
-    session: int = field(compare=False)
-
-
 class InstancePool:
     """All connections of this proxy to one life of an instance."""
 
@@ -91,10 +60,12 @@
         self._on_trouble = on_trouble
         self._generation = 0
         self._idle: list[PooledConnection] = []
-        self._taken: set[PooledConnection] = set()
+        # Connections in use, and since when, in seconds.
+        self._taken: dict[PooledConnection, float] = {}
+        # Mean time for which a use keeps a connection, in seconds.
+        self._hold = FIRST_LATENCY_S
         self._opening = 0
-        self._waiters: list[_Waiter] = []
-        self._numbers = count(1)
+        self._waiters = Waiters(now)
         self._closed = False
         self._retry_at = 0.0
         self._dial_failures = 0
@@ -199,12 +170,18 @@
     # Connections.
 
     def acquire(
-        self, values: Mapping[str, str], session: int, priority: int, probing: bool = False
+        self,
+        values: Mapping[str, str],
+        session: int,
+        priority: int,
+        left: float,
+        probing: bool = False,
     ) -> Deferred[PooledConnection]:
         """Return a connection, the one that needs the least preparation.
 
-        Only a probe gets one of an instance that does not answer. Fails with
-        `InstanceUnreachableError` or `InstanceRefusedError` when none can be had.
+        `left` is the time that the work has, in seconds. Only a probe gets a connection to an
+        instance that does not answer. Fails with `InstanceUnreachableError`, `InstanceRefusedError`
+        or `QueueTooLongError` when none can be had.
         """
         if self._closed:
             error = InstanceUnreachableError("take connection", self.entry.id, "it is gone")
@@ -215,25 +192,21 @@
         if (self.is_suspect and not probing) or not self._can_hope():
             error = InstanceUnreachableError("take connection", self.entry.id, "it was unreachable")
             return fail(error)
-
-        def forget(_: object) -> None:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
-                heapq.heapify(self._waiters)
-
-        result: Deferred[PooledConnection] = Deferred(forget)
-        waiter = _Waiter(priority, next(self._numbers), result, values, session)
-        heapq.heappush(self._waiters, waiter)
+        verdict = judge_wait(self._describe_queue(priority), left)
+        if isinstance(verdict, TooLong) and not probing:
+            return fail(QueueTooLongError(self.entry.id, verdict.retry_after))
+        result = self._waiters.join(priority, left, values, session)
         self._open_wanted()
         return result
 
     def release(self, connection: PooledConnection) -> None:
         """Give back a connection that is in no transaction and waits for no answer."""
-        if connection not in self._taken:
+        taken_at = self._taken.pop(connection, None)
+        if taken_at is None:
             return
-        self._taken.discard(connection)
         self.used_at = self._now()
-        over = self.size >= max(1, self._share(self.entry)) and not self._waiters
+        self._hold = learn_hold(self._hold, self.used_at - taken_at)
+        over = self.size >= max(1, self._share(self.entry)) and not len(self._waiters)
         is_old = connection.generation != self._generation
         if not connection.usable or self._closed or over or is_old:
             connection.link.close()
@@ -269,7 +242,9 @@
         for connection in self._idle:
             connection.link.close()
         self._idle.clear()
-        self._fail_waiters(InstanceUnreachableError("take connection", self.entry.id, "it left"))
+        self._waiters.fail_all(
+            InstanceUnreachableError("take connection", self.entry.id, "it left")
+        )
 
     def _take_idle(self, values: Mapping[str, str], session: int) -> PooledConnection | None:
         if not self._idle:
@@ -282,9 +257,14 @@
         best = min(reversed(self._idle), key=cost)
         self._idle.remove(best)
         best.session = session
-        self._taken.add(best)
+        self._taken[best] = self._now()
         return best
 
+    def _describe_queue(self, priority: int) -> QueueLoad:
+        """Describe the queue as a new waiter of a priority finds it."""
+        ahead = self._waiters.count_ahead(priority)
+        return QueueLoad(ahead, self._share(self.entry), self._hold)
+
     def _can_hope(self) -> bool:
         """Tell whether a connection may become free or be opened soon."""
         return bool(self._taken or self._opening) or self._now() >= self._retry_at
@@ -323,17 +303,13 @@
             self.note_failure()
         if not self._taken and not self._opening:
             assert failure.value is not None
-            self._fail_waiters(failure.value)
+            self._waiters.fail_all(failure.value)
 
     def _serve_waiters(self) -> None:
-        while self._idle and self._waiters:
-            waiter = heapq.heappop(self._waiters)
+        while self._idle and len(self._waiters):
+            waiter = self._waiters.take_first()
             connection = self._take_idle(waiter.values, waiter.session)
             assert connection is not None
             waiter.result.callback(connection)
+        self._waiters.refuse_hopeless(self.entry.id, self._share(self.entry), self._hold)
         self._open_wanted()
-
-    def _fail_waiters(self, error: BaseException) -> None:
-        waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
-            waiter.result.errback(error)
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -10,6 +10,7 @@
 from orioleplank.decision.instances import Consistency, InstanceEntry
 from orioleplank.decision.routing import Candidate, Nowhere, ReadNeed, ToInstance, place_read
 from orioleplank.decision.session import PROVES_NOT_RUN, Code, Reply, Runnable
+from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._exchange import (
     NOT_ANSWERED,
     NOT_SENT,
@@ -17,8 +18,9 @@
     PreparationError,
     Request,
 )
-from orioleplank.gateway._outcome import Outcome, Ran, refuse
-from orioleplank.gateway._pool import InstancePool, PooledConnection
+from orioleplank.gateway._outcome import Outcome, Ran, Refused, refuse
+from orioleplank.gateway._pool import InstancePool
+from orioleplank.gateway._waiters import QueueTooLongError
 
 # Share of the time left that one try of a read may take, so that another one fits.
 TRY_SHARE = 0.5
@@ -64,10 +66,12 @@
     async def read(self, request: Request, statement: Runnable) -> Outcome:
         """Run a read outside a transaction; it may be tried several times."""
         avoided = Avoided(self)
-        last: Outcome = refuse(Code.BUSY, "place read", "its time is over")
+        last = refuse(Code.BUSY, "place read", "its time is over")
         while self.left(request) > LEAST_TRY_S:
             placement = self.place(request, avoided)
             if isinstance(placement, Nowhere):
+                if last.tells_when:
+                    return last
                 last = refuse(Code.BUSY, "place read", placement.why)
                 if not self.may_hope(request, avoided):
                     return last
@@ -83,6 +87,7 @@
     async def _try_read(
         self, request: Request, statement: Runnable, placement: ToInstance
     ) -> Outcome:
+        """Send a read once."""
         pool = self.beliefs.pools[placement.id]
         seconds = max(LEAST_TRY_S, self.left(request) * TRY_SHARE)
         taken = await self.take_connection(pool, request, statement, seconds)
@@ -108,8 +113,9 @@
             pool.note_lagging()
         if reply.failure.code is Code.EXECUTION_FAILED:
             pool.note_failure()
-        code = reply.failure.code
-        return refuse(code, "run read", f"{pool.entry.id} {reply.failure.detail}", pool.entry.id)
+        failure = reply.failure
+        detail = f"{pool.entry.id} {failure.detail}"
+        return refuse(failure.code, "run read", detail, pool.entry.id, failure.retry_after)
 
     # Placement.
 
@@ -233,7 +239,7 @@
         pool = self.beliefs.pools[lease.primary]
         taken = await self.take_connection(pool, request, statement, self.left(request))
         if not isinstance(taken, PooledConnection):
-            return taken, True
+            return taken, not taken.tells_when
         if not self._may_still_send(request, lease):
             pool.release(taken)
             return refuse(Code.BUSY, "send write", "the primary is being replaced"), True
@@ -257,7 +263,9 @@
         if code is Code.READ_ONLY:
             pool.note_denied_lead()
         detail = f"{pool.entry.id} {reply.failure.detail}"
-        return refuse(code, "run write", detail, pool.entry.id), code in PROVES_NOT_RUN
+        after = reply.failure.retry_after
+        may_be_sent_again = code in PROVES_NOT_RUN and after is None
+        return refuse(code, "run write", detail, pool.entry.id, after), may_be_sent_again
 
     def _may_still_send(self, request: Request, lease: Lease) -> bool:
         """Tell whether the lease still holds after the wait for a connection."""
@@ -281,17 +289,22 @@
 
     async def take_connection(
         self, pool: InstancePool, request: Request, statement: Runnable | None, seconds: float
-    ) -> PooledConnection | Outcome:
+    ) -> PooledConnection | Refused:
         """Return a connection that fits the session, or why there is none; nothing ran."""
         try:
             connection = await self.acquire(pool, request, seconds)
         except (TwistedTimeoutError, CancelledError):
             return refuse(Code.BUSY, "wait for connection", "all are in use", pool.entry.id)
+        except QueueTooLongError as error:
+            after = error.retry_after
+            return refuse(Code.BUSY, "wait for connection", error.detail, pool.entry.id, after)
         except NOT_SENT as error:
             return refuse(Code.BUSY, "open connection", str(error), pool.entry.id)
         try:
             values = request.session.values
             priority = request.route.priority
+            # The wait for the connection has taken some of the time.
+            seconds = min(seconds, self.left(request))
             await self.prepare(pool, connection, values, statement, priority, seconds)
         except (*NOT_SENT, PreparationError) as error:
             pool.discard(connection)
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -15,9 +15,10 @@
     TransactionState,
     is_write,
 )
+from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._exchange import NOT_ANSWERED, Request
-from orioleplank.gateway._outcome import Outcome, Ran, refuse
-from orioleplank.gateway._pool import InstancePool, PooledConnection
+from orioleplank.gateway._outcome import Outcome, Ran, Refused, refuse
+from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._statements import (
     LEAST_TRY_S,
     LOOK_AGAIN_S,
@@ -76,10 +77,12 @@
     ) -> tuple[Outcome, bool]:
         request = replace(request, received_at=transaction.began_at)
         avoided = Avoided(self._statements)
-        last: Outcome = refuse(Code.BUSY, "begin transaction", "its time is over")
+        last = refuse(Code.BUSY, "begin transaction", "its time is over")
         while self._statements.left(request) > LEAST_TRY_S:
             began = await self._begin(transaction, request, avoided)
             if isinstance(began, Nowhere):
+                if last.tells_when:
+                    return last, False
                 last = refuse(Code.BUSY, "begin transaction", began.why)
                 if not self._statements.may_hope(request, avoided):
                     return last, False
@@ -87,11 +90,13 @@
                 await self._beliefs.changed.wait(min(LOOK_AGAIN_S, left))
                 continue
             if began is not None:
+                if began.tells_when and not transaction.read_only:
+                    return began, False
                 last = began
                 continue
             instance = self._instance(transaction)
             outcome, goes_on = await self._run_next(transaction, request, statement)
-            if goes_on or not _may_begin_again(outcome):
+            if goes_on or isinstance(outcome, Ran) or not _may_begin_again(outcome):
                 return outcome, goes_on
             last = outcome
             avoided.add(instance)
@@ -143,7 +148,7 @@
 
     async def _begin(
         self, transaction: Transaction, request: Request, avoided: Avoided
-    ) -> Outcome | Nowhere | None:
+    ) -> Refused | Nowhere | None:
         """Begin at an instance; return why it could not, or None."""
         if transaction.read_only:
             placement = self._statements.place(request, avoided)
@@ -178,7 +183,7 @@
 
     def _refuse_begin(
         self, pool: InstancePool, taken: PooledConnection, reply: Reply, avoided: Avoided
-    ) -> Outcome:
+    ) -> Refused:
         self._statements.settle(pool, taken, reply)
         avoided.add(pool.entry.id)
         if reply.failure is None:
@@ -188,7 +193,8 @@
         if reply.failure.code is Code.READ_ONLY:
             pool.note_denied_lead()
         detail = f"{pool.entry.id} {reply.failure.code.value} {reply.failure.detail}"
-        return refuse(Code.BUSY, "begin transaction", detail, pool.entry.id)
+        after = reply.failure.retry_after
+        return refuse(Code.BUSY, "begin transaction", detail, pool.entry.id, after)
 
     def _own(
         self,
@@ -317,8 +323,6 @@
         return transaction.pool.entry.id if transaction.pool else ""
 
 
-def _may_begin_again(outcome: Outcome) -> bool:
+def _may_begin_again(outcome: Refused) -> bool:
     """Tell whether the first statement provably did not run, so that another instance may."""
-    if isinstance(outcome, Ran):
-        return False
     return outcome.failure.code in PROVES_NOT_RUN
