--- a/orioleplank/tests/test_site.py
+++ b/orioleplank/tests/test_site.py
@@ -268,6 +268,15 @@
         self.assertTrue(working.is_closed)
         self.assertIn(Topic.STOPPED, [topic for topic, _ in proxy.journal.lines])
 
+    def test_others_hear_that_a_proxy_is_stopping(self) -> None:
+        site = start_site()
+        leaving, other = site.proxies[:2]
+        Deferred.fromCoroutine(leaving.gateway.leave())
+        site.run(1.0)
+        self.assertTrue(other.gateway.beliefs.fleet.proxies[leaving.name].stopping)
+        topics = [topic for topic, _ in leaving.journal.lines]
+        self.assertNotIn(Topic.ERROR, topics)
+
 
 class TestLastCaller(testtools.TestCase):
     def test_caller_that_comes_as_the_port_is_closed_is_answered(self) -> None:
