Work out once a fleet what timers ask again and again

Load pattern: nothing happens, on hundreds of proxies. Cause, from a profile of 40 whole gateways on virtual time: two thirds of an idle proxy's processor time went into ordering all proxies anew, for each service four times a second (who acts first), for each instance (who owns its connections), for the ring and for the source of a zone; on each change of the fleet again twice an instance.

Change: a `Fleet` works out its active proxies, zones and ring once; weights of rendezvous hashing are remembered (bounded); owners are looked for in the instance's own zone first; a proxy's rank is kept until the fleet or the owners change; a listing that shows the same fleet changes nothing; a batch of changes from a watch is taken as one change of the fleet.

Ruled out: a cheaper hash (the order would change during an upgrade, and with it the owners).

Tests: `TestControlOfLargeFleets` counts orderings in a steady second with 12 and 48 proxies; the cached weights it counts did not exist before.

--- a/orioleplank/decision/membership/_fleet.py
+++ b/orioleplank/decision/membership/_fleet.py
@@ -8,8 +8,12 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property, lru_cache
 from hashlib import blake2b
 
+# Weights of proxies that are remembered: those of a few hundred proxies for some dozen subjects.
+REMEMBERED_WEIGHTS = 16_384
+
 
 @dataclass(frozen=True, slots=True)
 class ProxyRecord:
@@ -29,46 +33,77 @@
     stopping: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Fleet:
-    """All registered proxies."""
+    """All registered proxies.
+
+    What follows from them is worked out once, since timers ask for it again and again.
+    """
 
     # Records by name.
     proxies: Mapping[str, ProxyRecord] = field(default_factory=dict)
 
     def active(self) -> tuple[ProxyRecord, ...]:
         """Return the proxies that are neither retired nor stopping, by name."""
-        names = sorted(self.proxies)
-        records = (self.proxies[name] for name in names)
+        return self._active
+
+    def find_zone(self, zone: str) -> tuple[ProxyRecord, ...]:
+        """Return the active proxies of an availability zone, by name."""
+        return self._by_zone.get(zone, ())
+
+    @property
+    def ring(self) -> tuple[str, ...]:
+        """Names of the active proxies in the order in which they watch each other."""
+        return self._ring
+
+    @cached_property
+    def _active(self) -> tuple[ProxyRecord, ...]:
+        records = (self.proxies[name] for name in sorted(self.proxies))
         return tuple(r for r in records if not r.retired and not r.stopping)
 
+    @cached_property
+    def _by_zone(self) -> Mapping[str, tuple[ProxyRecord, ...]]:
+        zones: dict[str, list[ProxyRecord]] = {}
+        for record in self._active:
+            zones.setdefault(record.zone, []).append(record)
+        return {zone: tuple(records) for zone, records in zones.items()}
+
+    @cached_property
+    def _ring(self) -> tuple[str, ...]:
+        return rank_proxies(RING, (record.name for record in self._active))
+
 
+# Subject by which proxies are ordered in the ring.
+RING = "ring"
 # Proxies that each proxy watches, so that one is still watched when its neighbour dies too.
 WATCHED_COUNT = 2
 
 
-def find_watched(me: ProxyRecord, active: Iterable[ProxyRecord]) -> tuple[str, ...]:
+def find_watched(me: ProxyRecord, fleet: Fleet) -> tuple[str, ...]:
     """Return the proxies that `me` watches: the next in the ring of its zone, and in that of all.
 
     The first costs no bytes between zones; the other is there when a whole zone dies.
     """
-    zones = {record.name: record.zone for record in active} | {me.name: me.zone}
-    in_zone = _follow_ring(me.name, [name for name, zone in zones.items() if zone == me.zone])[:1]
-    of_all = _follow_ring(me.name, [name for name in zones if name not in in_zone])
+    followers = _follow_ring(me.name, fleet.ring)
+    nearby = {record.name for record in fleet.find_zone(me.zone)}
+    in_zone = tuple(name for name in followers if name in nearby)[:1]
+    of_all = tuple(name for name in followers if name not in in_zone)
     return in_zone + of_all[: WATCHED_COUNT - len(in_zone)]
 
 
-def _follow_ring(me: str, names: Iterable[str]) -> tuple[str, ...]:
+def _follow_ring(me: str, ring: tuple[str, ...]) -> tuple[str, ...]:
     """Return the others in the order of a ring, from the one after `me` on."""
-    ring = rank_proxies("ring", names)
+    if me not in ring:
+        ring = rank_proxies(RING, (*ring, me))
     place = ring.index(me)
     return ring[place + 1 :] + ring[:place]
 
 
-def rank_proxies(service: str, names: Iterable[str]) -> tuple[str, ...]:
-    """Order proxies by who acts first for a service (rendezvous hashing, Thaler, 1996)."""
+def rank_proxies(subject: str, names: Iterable[str]) -> tuple[str, ...]:
+    """Order proxies by who acts first for a subject (rendezvous hashing, Thaler, 1996)."""
+    return tuple(sorted(names, key=lambda name: _weigh(subject, name)))
 
-    def weigh(name: str) -> bytes:
-        return blake2b(f"{service}/{name}".encode(), digest_size=8).digest()
 
-    return tuple(sorted(names, key=weigh))
+@lru_cache(REMEMBERED_WEIGHTS)
+def _weigh(subject: str, name: str) -> bytes:
+    return blake2b(f"{subject}/{name}".encode(), digest_size=8).digest()
--- a/orioleplank/decision/membership/_source.py
+++ b/orioleplank/decision/membership/_source.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from orioleplank.decision.membership._fleet import ProxyRecord, rank_proxies
+from orioleplank.decision.membership._fleet import Fleet, ProxyRecord, rank_proxies
 
 # Proxies of a zone that may be asked for news: the one that reads, and the next in order.
 SOURCES_A_ZONE = 2
@@ -37,10 +37,10 @@
 
 
 def choose_source(
-    me: ProxyRecord, active: Iterable[ProxyRecord], is_avoided: Callable[[str], bool]
+    me: ProxyRecord, fleet: Fleet, is_avoided: Callable[[str], bool]
 ) -> ProxyRecord | None:
     """Return the proxy that tells `me` the store's news; None when `me` has to read it itself."""
-    nearby = {record.name: record for record in active if record.zone == me.zone}
+    nearby = {record.name: record for record in fleet.find_zone(me.zone)}
     order = rank_proxies(f"source {me.zone}", {*nearby, me.name})
     for name in order[:SOURCES_A_ZONE]:
         if name == me.name:
--- a/orioleplank/decision/routing/_owners.py
+++ b/orioleplank/decision/routing/_owners.py
@@ -69,20 +69,22 @@
     """
     if _equal_share(limit, len(active)) >= DIRECT_LEAST:
         return ()
-    zones = {record.name: record.zone for record in active}
-    ranked = rank_proxies(f"owner {instance.id}", zones)
-    nearest = sorted(ranked, key=lambda name: zones[name] != instance.zone)
-    return tuple(nearest[: OWNERS + STAND_INS])
+    subject, wanted = f"owner {instance.id}", OWNERS + STAND_INS
+    nearby = rank_proxies(subject, (r.name for r in active if r.zone == instance.zone))
+    if len(nearby) >= wanted:
+        return nearby[:wanted]
+    away = rank_proxies(subject, (r.name for r in active if r.zone != instance.zone))
+    return (nearby + away)[:wanted]
 
 
 def find_way(me: str, instance: InstanceEntry, limit: int, active: Collection[ProxyRecord]) -> Way:
     """Return how `me` reaches an instance that accepts `limit` connections."""
-    records = {record.name: record for record in active}
     owners = find_owners(instance, limit, active)
     if not owners:
         return Direct(max(1, _equal_share(limit, len(active))))
     if me in owners[:OWNERS]:
         return Direct(share_of_owner(limit))
+    records = {record.name: record for record in active if record.name in owners}
     order = _spread(me, owners[:OWNERS]) + owners[OWNERS:]
     return ThroughOwner(tuple(records[name] for name in order if name != me))
 
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -109,6 +109,8 @@
 
     def take_fleet(self, fleet: Fleet) -> None:
         """Take the registered proxies."""
+        if fleet == self.fleet:
+            return
         before, self.fleet = self.fleet, fleet
         names = sorted(before.proxies.keys() | fleet.proxies.keys())
         changed = [n for n in names if before.proxies.get(n) != fleet.proxies.get(n)]
@@ -122,9 +124,8 @@
         retired = {r.incarnation for r in fleet.proxies.values() if r.retired}
         now = self.lease_now()
         self.retired_at = {run: self.retired_at.get(run, now) for run in retired}
-        if fleet != before:
-            self._follow_ways()
-            self.changed.fire()
+        self._follow_ways()
+        self.changed.fire()
 
     def _note_proxy(self, name: str, record: ProxyRecord | None) -> None:
         self._journal.note(
--- a/orioleplank/gateway/_feed.py
+++ b/orioleplank/gateway/_feed.py
@@ -98,9 +98,8 @@
 
     def _choose(self) -> None:
         before = self._source.name if self._source else ""
-        active = self._beliefs.fleet.active()
-        is_known = self._registry.is_registered
-        self._source = choose_source(self._me, active, self._is_avoided) if is_known else None
+        fleet, is_known = self._beliefs.fleet, self._registry.is_registered
+        self._source = choose_source(self._me, fleet, self._is_avoided) if is_known else None
         name = self._source.name if self._source else ""
         if name != before:
             self._unanswered = 0
--- a/orioleplank/gateway/_liveness.py
+++ b/orioleplank/gateway/_liveness.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 from orioleplank.decision.group import LEASE_S, RELEASE_MARGIN_S
@@ -79,12 +79,12 @@
     async def watch(self) -> None:
         """Ask once; retire and remove those that are dead."""
         fleet = self._beliefs.fleet
-        active = {record.name: record for record in fleet.active()}
-        watched = [active[name] for name in find_watched(self._me, active.values())]
+        active = fleet.active()
+        watched = [fleet.proxies[name] for name in find_watched(self._me, fleet)]
         self._alone_for += 1
         self._missed = {r.incarnation: self._missed.get(r.incarnation, 0) + 1 for r in watched}
         for record in watched:
-            self._ask(record, list(active.values()))
+            self._ask(record, active)
         silent = [r for r in watched if self._missed[r.incarnation] > RETIRE_AFTER]
         if self._is_writing or (silent and self._is_alone(len(active))):
             return
@@ -98,7 +98,7 @@
         finally:
             self._is_writing = False
 
-    def _ask(self, record: ProxyRecord, active: list[ProxyRecord]) -> None:
+    def _ask(self, record: ProxyRecord, active: Sequence[ProxyRecord]) -> None:
         self._send(record.name, Ping(self._me.name, self._me.name))
         if self._missed[record.incarnation] <= ASK_OTHERS_AFTER:
             return
@@ -122,9 +122,12 @@
 
     async def _remove_lapsed(self) -> None:
         """Remove retired proxies whose leases are over."""
-        names = [record.name for record in self._beliefs.fleet.active()]
-        for record in self._beliefs.fleet.proxies.values():
-            since = self._beliefs.retired_at.get(record.incarnation)
+        fleet, retired_at = self._beliefs.fleet, self._beliefs.retired_at
+        if not retired_at:
+            return
+        names = [record.name for record in fleet.active()]
+        for record in fleet.proxies.values():
+            since = retired_at.get(record.incarnation)
             if not record.retired or since is None:
                 continue
             over = since + LEASE_S + 2 * RELEASE_MARGIN_S
--- a/orioleplank/gateway/_registry.py
+++ b/orioleplank/gateway/_registry.py
@@ -206,32 +206,34 @@
         self._beliefs.take_leases(book)
 
     def _take_changes(self, changes: Changes[StoredRecord]) -> None:
+        """Take changes; the fleet is worked out once for all of them."""
         self._beliefs.records_revision = max(self._beliefs.records_revision, changes.revision)
+        proxies = dict(self._beliefs.fleet.proxies)
         for item in changes.items:
             if isinstance(item, Gone):
-                self._take_removal(item.name)
-                continue
-            self._take_record(item)
+                self._take_removal(item.name, proxies)
+            else:
+                self._take_record(item, proxies)
+        self._beliefs.take_fleet(Fleet(proxies))
+        self._register_again_if_needed()
 
-    def _take_record(self, item: StoredRecord) -> None:
+    def _take_record(self, item: StoredRecord, proxies: dict[str, ProxyRecord]) -> None:
+        """Take a record; one of a proxy goes into `proxies`."""
         seen = read_group(item)
         if seen is not None:
             self._beliefs.take_leases(self._beliefs.leases.take_change(seen))
         record = read_proxy(item)
         if record is not None and item.revision > self.revisions.get(record.name, 0):
             self.revisions[record.name] = item.revision
-            proxies = {**self._beliefs.fleet.proxies, record.name: record}
-            self._beliefs.take_fleet(Fleet(proxies))
-            self._register_again_if_needed()
+            proxies[record.name] = record
 
-    def _take_removal(self, name: str) -> None:
+    def _take_removal(self, name: str, proxies: dict[str, ProxyRecord]) -> None:
+        """Take the end of a record; that of a proxy leaves `proxies`."""
         if not name.startswith(PROXY_PREFIX):
             return
         proxy = name.removeprefix(PROXY_PREFIX)
         self.revisions.pop(proxy, None)
-        kept = {n: r for n, r in self._beliefs.fleet.proxies.items() if n != proxy}
-        self._beliefs.take_fleet(Fleet(kept))
-        self._register_again_if_needed()
+        proxies.pop(proxy, None)
 
     def _register_again_if_needed(self) -> None:
         if self.is_registered or self._is_stopped or self._is_registering:
--- a/orioleplank/gateway/_watch.py
+++ b/orioleplank/gateway/_watch.py
@@ -19,7 +19,7 @@
     choose_witnesses,
     judge_primary,
 )
-from orioleplank.decision.membership import ProxyRecord, rank_proxies
+from orioleplank.decision.membership import Fleet, ProxyRecord, rank_proxies
 from orioleplank.gateway._beliefs import Beliefs
 from orioleplank.gateway._inspection import Inspection
 from orioleplank.gateway._journal import Journal, Topic
@@ -60,6 +60,18 @@
     since: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Rank:
+    """This proxy's place for one service, and what it follows from."""
+
+    # The proxies.
+    fleet: Fleet
+    # Owners of the connections to its primary.
+    owners: tuple[str, ...]
+    # The place; 0 acts first.
+    rank: int
+
+
 class Watch:
     """Watches all primaries."""
 
@@ -84,6 +96,7 @@
         self._probing: set[str] = set()
         # When each instance was asked last, in seconds.
         self._probed_at: dict[str, float] = {}
+        self._ranks: dict[str, _Rank] = {}
 
     # Watching.
 
@@ -150,11 +163,17 @@
         return now - standing.since >= self._rank(service) * RANK_DELAY_S
 
     def _rank(self, service: str) -> int:
-        names = {record.name for record in self._beliefs.fleet.active()} | {self._me.name}
-        seen = self._beliefs.leases.seen.get(service)
+        """Return this proxy's place among those who may act for a service; owners come first."""
+        seen, fleet = self._beliefs.leases.seen.get(service), self._beliefs.fleet
         owners = self._beliefs.owners(seen.record.primary) if seen else ()
+        known = self._ranks.get(service)
+        if known is not None and known.fleet is fleet and known.owners == owners:
+            return known.rank
+        names = {record.name for record in fleet.active()} | {self._me.name}
         ranked = owners + tuple(n for n in rank_proxies(service, names) if n not in owners)
-        return ranked.index(self._me.name)
+        rank = ranked.index(self._me.name)
+        self._ranks[service] = _Rank(fleet, owners, rank)
+        return rank
 
     def _hears_from_owners(self, primary: str) -> bool:
         """Tell whether others hold the connections to a primary, and look after it."""
--- a/orioleplank/gateway/_ways.py
+++ b/orioleplank/gateway/_ways.py
@@ -42,12 +42,15 @@
         self._fleet = Fleet()
         self._services: Mapping[str, ServiceLimits] = {}
         self._found: dict[str, Way] = {}
+        # Owners by instance.
+        self._owners: dict[str, tuple[str, ...]] = {}
         self._detours: dict[str, tuple[Detour, float]] = {}
 
     def take(self, fleet: Fleet, services: Mapping[str, ServiceLimits]) -> None:
         """Take the proxies and the services' limits, by which ways are chosen."""
         self._fleet, self._services = fleet, services
         self._found.clear()
+        self._owners.clear()
         self._forwarding.keep({record.address for record in fleet.proxies.values()})
 
     def find(self, entry: InstanceEntry) -> Way:
@@ -67,7 +70,13 @@
     def owners(self, entry: InstanceEntry) -> tuple[str, ...]:
         """Return who owns an instance's connections; nobody where every proxy has some."""
         limits = self._services.get(entry.service)
-        return find_owners(entry, limits.max_connections, self._fleet.active()) if limits else ()
+        if limits is None:
+            return ()
+        owners = self._owners.get(entry.id)
+        if owners is None:
+            owners = find_owners(entry, limits.max_connections, self._fleet.active())
+            self._owners[entry.id] = owners
+        return owners
 
     def share(self, entry: InstanceEntry) -> int:
         """Return the connections that this proxy may hold to an instance."""
--- a/orioleplank/tests/test_site_feed.py
+++ b/orioleplank/tests/test_site_feed.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import testtools
 
 from orioleplank.decision import Position
-from orioleplank.decision.membership import PositionNote, ProxyRecord, choose_source
+from orioleplank.decision.membership import Fleet, PositionNote, ProxyRecord, choose_source
 from orioleplank.decision.session import Read, Write
 from orioleplank.tests._site import CATALOGUE, QUOTES, ROUTES, Site, SiteProxy
 from orioleplank.tests._site_store import STORE
@@ -34,10 +36,14 @@
     return {p.gateway.beliefs.routes.version for p in site.proxies if p.alive}
 
 
+def _fleet(records: Iterable[ProxyRecord]) -> Fleet:
+    return Fleet({record.name: record for record in records})
+
+
 class TestSource(testtools.TestCase):
     def test_first_of_a_zone_has_none_and_the_others_have_it(self) -> None:
         records = [ProxyRecord(f"entry-{n}", "run", f"10.0.0.{n}:1", "a") for n in range(6)]
-        found = {r.name: choose_source(r, records, lambda name: False) for r in records}
+        found = {r.name: choose_source(r, _fleet(records), lambda name: False) for r in records}
         alone = [name for name, source in found.items() if source is None]
         self.assertEqual(1, len(alone))
         self.assertEqual({alone[0]}, {s.name for s in found.values() if s})
@@ -45,9 +51,9 @@
     def test_next_takes_the_place_of_one_that_is_avoided(self) -> None:
         records = [ProxyRecord(f"entry-{n}", "run", f"10.0.0.{n}:1", "a") for n in range(6)]
         first = next(
-            r.name for r in records if choose_source(r, records, lambda name: False) is None
+            r.name for r in records if choose_source(r, _fleet(records), lambda name: False) is None
         )
-        found = [choose_source(r, records, lambda name: name == first) for r in records]
+        found = [choose_source(r, _fleet(records), lambda name: name == first) for r in records]
         names = {source.name for source in found if source}
         self.assertEqual(1, len(names))
         self.assertNotIn(first, names)
@@ -55,7 +61,7 @@
     def test_other_zones_are_no_source(self) -> None:
         me = ProxyRecord("entry-1", "run", "10.0.0.1:1", "a")
         other = ProxyRecord("entry-2", "run", "10.0.0.2:1", "b")
-        self.assertIsNone(choose_source(me, [me, other], lambda name: False))
+        self.assertIsNone(choose_source(me, _fleet([me, other]), lambda name: False))
 
 
 class TestFeed(testtools.TestCase):
--- a/orioleplank/tests/test_site_load.py
+++ b/orioleplank/tests/test_site_load.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from orioleplank.decision.membership._fleet import _weigh
 from orioleplank.decision.session import Begin, Code, Commit, Read, Reply, Write
 from orioleplank.tests._site import JOBS, QUOTES, Site, SiteCaller, SiteProxy
 
@@ -109,3 +110,21 @@
         self.assertIsNone(reply.failure)
         site.run(3.0)
         self.assertEqual({1}, {len(caller.replies) for caller, _ in sent})
+
+
+class TestControlOfLargeFleets(testtools.TestCase):
+    """Pattern: nothing happens, on hundreds of proxies, whose timers go on."""
+
+    def _count_weighings(self, proxies: int) -> int:
+        """Return how often proxies are ordered anew in a steady second, per proxy."""
+        site = _started(proxies, 16)
+        before = _weigh.cache_info()
+        site.run(1.0)
+        after = _weigh.cache_info()
+        self.assertEqual(before.misses, after.misses)
+        return (after.hits - before.hits) // proxies
+
+    def test_steady_work_does_not_grow_with_the_fleet(self) -> None:
+        small, large = self._count_weighings(12), self._count_weighings(48)
+        # Only the order of a proxy's own zone is looked at again, a few times a second.
+        self.assertLessEqual(large - small, 3 * (48 - 12) // 3 + 3)
