Serve those first whose time is over first, among work of one priority

Cause: in order of arrival a kind with two seconds may join a queue twice as long as one with a second, so the longer the time of a kind, the larger its part of the primary, and the others were refused although they could go first.

Change: waiters are ordered by priority, then by the quarter of a second in which their time is over, then by arrival; a newcomer counts as ahead of it only who really is.

--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -192,7 +192,7 @@
         if (self.is_suspect and not probing) or not self._can_hope():
             error = InstanceUnreachableError("take connection", self.entry.id, "it was unreachable")
             return fail(error)
-        verdict = judge_wait(self._describe_queue(priority), left)
+        verdict = judge_wait(self._describe_queue(priority, left), left)
         if isinstance(verdict, TooLong) and not probing:
             return fail(QueueTooLongError(self.entry.id, verdict.retry_after))
         result = self._waiters.join(priority, left, values, session)
@@ -260,9 +260,9 @@
         self._taken[best] = self._now()
         return best
 
-    def _describe_queue(self, priority: int) -> QueueLoad:
-        """Describe the queue as a new waiter of a priority finds it."""
-        ahead = self._waiters.count_ahead(priority)
+    def _describe_queue(self, priority: int, left: float) -> QueueLoad:
+        """Describe the queue as a new waiter who has `left` seconds finds it."""
+        ahead = self._waiters.count_ahead(priority, left)
         return QueueLoad(ahead, self._share(self.entry), self._hold)
 
     def _can_hope(self) -> bool:
--- a/orioleplank/gateway/_waiters.py
+++ b/orioleplank/gateway/_waiters.py
@@ -15,6 +15,9 @@
 
 # Pause between two looks for waiters who will be out of time before their turn, in seconds.
 LOOK_S = 0.05
+# Work whose time is over within the same span is served in its order of arrival, in seconds:
+# otherwise newcomers would push back those who were admitted with nearly the same deadline.
+SPAN_S = 0.25
 
 
 class QueueTooLongError(OrioleplankError):
@@ -32,6 +35,8 @@
 
     # Of its route; 0 is the most important.
     priority: int
+    # The span in which its time is over.
+    span: int
     # Order of arrival.
     number: int
     # When its time is over, in seconds.
@@ -44,7 +49,10 @@
 
 
 class Waiters:
-    """A queue by priority, then by arrival."""
+    """A queue by priority, then by whose time is over first.
+
+    By arrival, work that has much time would keep work that has little from its turn.
+    """
 
     def __init__(self, now: Callable[[], float]) -> None:
         self._now = now
@@ -55,9 +63,10 @@
     def __len__(self) -> int:
         return len(self._queue)
 
-    def count_ahead(self, priority: int) -> int:
-        """Return how many are served before a new waiter of a priority."""
-        return sum(waiter.priority <= priority for waiter in self._queue)
+    def count_ahead(self, priority: int, left: float) -> int:
+        """Return how many are served before a new waiter who has `left` seconds."""
+        turn = (priority, _find_span(self._now() + left))
+        return sum((waiter.priority, waiter.span) <= turn for waiter in self._queue)
 
     def join(
         self, priority: int, left: float, values: Mapping[str, str], session: int
@@ -71,7 +80,8 @@
 
         result: Deferred[PooledConnection] = Deferred(forget)
         until = self._now() + left
-        waiter = Waiter(priority, next(self._numbers), until, result, values, session)
+        span, number = _find_span(until), next(self._numbers)
+        waiter = Waiter(priority, span, number, until, result, values, session)
         heapq.heappush(self._queue, waiter)
         return result
 
@@ -103,3 +113,8 @@
         for place in hopeless:
             error = QueueTooLongError(instance, load.expected_wait)
             ordered[place].result.errback(error)
+
+
+def _find_span(until: float) -> int:
+    """Return the number of the span in which a time lies."""
+    return int(until / SPAN_S)
