One judgement of a wait for both interfaces; plain names

The own interface's admission used a copy of the share of time that may be spent waiting; it asks `decision.admission` now, and tells callers to return after what the queue lacks rather than after the whole wait. Waiters are "too late", not hopeless; headings and constants stand where a reader looks for them.

--- a/orioleplank/decision/admission/__init__.py
+++ b/orioleplank/decision/admission/__init__.py
@@ -5,7 +5,7 @@
     QueueLoad,
     TooLong,
     WaitVerdict,
-    find_hopeless,
+    find_too_late,
     judge_wait,
     learn_hold,
 )
@@ -15,7 +15,7 @@
     "QueueLoad",
     "TooLong",
     "WaitVerdict",
-    "find_hopeless",
+    "find_too_late",
     "judge_wait",
     "learn_hold",
 ]
--- a/orioleplank/decision/admission/_wait.py
+++ b/orioleplank/decision/admission/_wait.py
@@ -49,28 +49,28 @@
 WaitVerdict = MayWait | TooLong
 
 
-def judge_wait(load: QueueLoad, left: float) -> WaitVerdict:
-    """Judge whether work that has `left` seconds may wait."""
+def judge_wait(expected: float, left: float) -> WaitVerdict:
+    """Judge whether work that has `left` seconds may wait for the `expected` seconds."""
     longest = left * WAIT_SHARE
-    if load.expected_wait <= longest:
+    if expected <= longest:
         return MayWait()
-    return TooLong(load.expected_wait - longest)
+    return TooLong(expected - longest)
 
 
-def find_hopeless(left: Sequence[float], load: QueueLoad) -> tuple[int, ...]:
+def find_too_late(left: Sequence[float], load: QueueLoad) -> tuple[int, ...]:
     """Return the places of waiters who will be out of time before their turn.
 
     `left` holds the seconds that each waiter has left, in the order in which they are served.
     Whoever is refused makes room for those behind.
     """
-    hopeless: list[int] = []
+    too_late: list[int] = []
     ahead = 0
     for place, seconds in enumerate(left):
         if QueueLoad(ahead, load.connections, load.hold).expected_wait > seconds:
-            hopeless.append(place)
+            too_late.append(place)
         else:
             ahead += 1
-    return tuple(hopeless)
+    return tuple(too_late)
 
 
 def learn_hold(mean: float, held: float) -> float:
--- a/orioleplank/decision/admission/tests/test_wait.py
+++ b/orioleplank/decision/admission/tests/test_wait.py
@@ -10,7 +10,7 @@
     MayWait,
     QueueLoad,
     TooLong,
-    find_hopeless,
+    find_too_late,
     judge_wait,
     learn_hold,
 )
@@ -18,23 +18,23 @@
 
 class TestWait(testtools.TestCase):
     def test_short_queue_is_joined(self) -> None:
-        self.assertEqual(MayWait(), judge_wait(QueueLoad(3, 2, 0.03), 1.0))
+        self.assertEqual(MayWait(), judge_wait(QueueLoad(3, 2, 0.03).expected_wait, 1.0))
 
     def test_work_that_would_be_too_late_is_refused_with_a_time_to_return(self) -> None:
-        verdict = judge_wait(QueueLoad(79, 2, 0.03), 1.0)
+        verdict = judge_wait(QueueLoad(79, 2, 0.03).expected_wait, 1.0)
         assert isinstance(verdict, TooLong)
         self.assertAlmostEqual(0.7, verdict.retry_after)
 
     def test_less_time_left_means_a_shorter_queue(self) -> None:
         load = QueueLoad(19, 2, 0.03)
-        self.assertIsInstance(judge_wait(load, 1.0), MayWait)
-        self.assertIsInstance(judge_wait(load, 0.3), TooLong)
+        self.assertIsInstance(judge_wait(load.expected_wait, 1.0), MayWait)
+        self.assertIsInstance(judge_wait(load.expected_wait, 0.3), TooLong)
 
     @given(st.integers(0, 500), st.integers(0, 50), st.floats(0, 2), st.floats(0, 10))
     def test_whoever_is_told_to_return_is_told_a_positive_time(
         self, ahead: int, connections: int, hold: float, left: float
     ) -> None:
-        verdict = judge_wait(QueueLoad(ahead, connections, hold), left)
+        verdict = judge_wait(QueueLoad(ahead, connections, hold).expected_wait, left)
         if isinstance(verdict, TooLong):
             self.assertGreater(verdict.retry_after, 0)
 
@@ -48,11 +48,11 @@
 class TestHopelessWaiters(testtools.TestCase):
     def test_only_those_who_will_be_too_late_are_refused(self) -> None:
         load = QueueLoad(0, 1, 0.1)
-        self.assertEqual((2,), find_hopeless((1.0, 1.0, 0.05, 1.0), load))
+        self.assertEqual((2,), find_too_late((1.0, 1.0, 0.05, 1.0), load))
 
     def test_whoever_is_refused_makes_room_for_those_behind(self) -> None:
         load = QueueLoad(0, 1, 0.1)
-        self.assertEqual((0, 1), find_hopeless((0.05, 0.05, 0.15, 0.25), load))
+        self.assertEqual((0, 1), find_too_late((0.05, 0.05, 0.15, 0.25), load))
 
     def test_nobody_is_refused_while_there_is_time(self) -> None:
-        self.assertEqual((), find_hopeless((1.0,) * 10, QueueLoad(0, 2, 0.1)))
+        self.assertEqual((), find_too_late((1.0,) * 10, QueueLoad(0, 2, 0.1)))
--- a/orioleplank/decision/membership/_fleet.py
+++ b/orioleplank/decision/membership/_fleet.py
@@ -13,6 +13,8 @@
 
 # Weights of proxies that are remembered: those of a few hundred proxies for some dozen subjects.
 REMEMBERED_WEIGHTS = 16_384
+# Subject by which proxies are ordered in the ring in which they watch each other.
+RING = "ring"
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,8 +75,6 @@
         return rank_proxies(RING, (record.name for record in self._active))
 
 
-# Subject by which proxies are ordered in the ring.
-RING = "ring"
 # Proxies that each proxy watches, so that one is still watched when its neighbour dies too.
 WATCHED_COUNT = 2
 
--- a/orioleplank/decision/quorum/_admission.py
+++ b/orioleplank/decision/quorum/_admission.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+from orioleplank.decision.admission import TooLong, judge_wait
 from orioleplank.decision.quorum._node import Node
 from orioleplank.decision.quorum._refusal import (
     DidRun,
@@ -17,9 +18,6 @@
 from orioleplank.decision.quorum._request import TRANSACTIONAL, Operation, Request
 from orioleplank.decision.quorum._specs import Change, PresetSpec
 
-# Share of the time left that a request may spend waiting.
-WAIT_SHARE = 0.5
-
 
 def admit(
     request: Request,
@@ -84,9 +82,10 @@
         return _refuse(Reason.DEADLINE, Mechanism.DEADLINE, "the deadline passed on the way")
     if queued >= preset.queue_limit:
         return _refuse(Reason.OVERLOADED, Mechanism.ADMISSION, "the queue is full", max(wait, 0.1))
-    if wait > (request.deadline - node.now) * WAIT_SHARE:
-        detail = f"it would wait {wait:.2f} s, too close to its deadline"
-        return _refuse(Reason.OVERLOADED, Mechanism.ADMISSION, detail, wait)
+    match judge_wait(wait, request.deadline - node.now):
+        case TooLong(retry_after):
+            detail = f"it would wait {wait:.2f} s, too close to its deadline"
+            return _refuse(Reason.OVERLOADED, Mechanism.ADMISSION, detail, retry_after)
     return None
 
 
--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -107,6 +107,8 @@
         """Return the route of a database, or None."""
         return self.routes.routes.get(database)
 
+    # The fleet.
+
     def take_fleet(self, fleet: Fleet) -> None:
         """Take the registered proxies."""
         if fleet == self.fleet:
--- a/orioleplank/gateway/_moves.py
+++ b/orioleplank/gateway/_moves.py
@@ -41,8 +41,6 @@
 REFRESH_S = 1.0
 # Pause between looks whether all words are in, in seconds.
 GATHER_LOOK_S = 0.05
-
-
 # Pause before a move that was put off is tried again, in seconds.
 PUT_OFF_S = 0.5
 # Names of silent proxies in one line.
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -192,7 +192,7 @@
         if (self.is_suspect and not probing) or not self._can_hope():
             error = InstanceUnreachableError("take connection", self.entry.id, "it was unreachable")
             return fail(error)
-        verdict = judge_wait(self._describe_queue(priority, left), left)
+        verdict = judge_wait(self._describe_queue(priority, left).expected_wait, left)
         if isinstance(verdict, TooLong) and not probing:
             return fail(QueueTooLongError(self.entry.id, verdict.retry_after))
         result = self._waiters.join(priority, left, values, session)
@@ -311,5 +311,5 @@
             connection = self._take_idle(waiter.values, waiter.session)
             assert connection is not None
             waiter.result.callback(connection)
-        self._waiters.refuse_hopeless(self.entry.id, self._share(self.entry), self._hold)
+        self._waiters.refuse_too_late(self.entry.id, self._share(self.entry), self._hold)
         self._open_wanted()
--- a/orioleplank/gateway/_waiters.py
+++ b/orioleplank/gateway/_waiters.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from orioleplank._exceptions import OrioleplankError
-from orioleplank.decision.admission import QueueLoad, find_hopeless
+from orioleplank.decision.admission import QueueLoad, find_too_late
 from orioleplank.gateway._connection import PooledConnection
 
 # Pause between two looks for waiters who will be out of time before their turn, in seconds.
@@ -95,7 +95,7 @@
         for waiter in waiters:
             waiter.result.errback(error)
 
-    def refuse_hopeless(self, instance: str, connections: int, hold: float) -> None:
+    def refuse_too_late(self, instance: str, connections: int, hold: float) -> None:
         """Refuse those who will be out of time before their turn, while they can go elsewhere.
 
         `hold` is the mean time for which a use keeps one of the `connections`, in seconds.
@@ -106,11 +106,11 @@
         ordered = sorted(self._queue)
         left = [waiter.until - self._now() for waiter in ordered]
         load = QueueLoad(len(ordered), connections, hold)
-        hopeless = set(find_hopeless(left, load))
-        if not hopeless:
+        too_late = set(find_too_late(left, load))
+        if not too_late:
             return
-        self._queue = [waiter for place, waiter in enumerate(ordered) if place not in hopeless]
-        for place in hopeless:
+        self._queue = [waiter for place, waiter in enumerate(ordered) if place not in too_late]
+        for place in too_late:
             error = QueueTooLongError(instance, load.expected_wait)
             ordered[place].result.errback(error)
 
--- a/orioleplank/gateway/tests/test_waiters.py
+++ b/orioleplank/gateway/tests/test_waiters.py
@@ -57,7 +57,7 @@
         for name, left in (("first", 0.15), ("second", 0.19), ("third", 1.0)):
             self._join(name, 2, left)
         self.now += LOOK_S
-        self.waiters.refuse_hopeless("i-1", 1, 0.1)
+        self.waiters.refuse_too_late("i-1", 1, 0.1)
         self.assertEqual(["second"], self.refused)
         self.assertEqual(["first", "third"], self._take_names())
 
@@ -70,7 +70,7 @@
         for _ in range(3):
             self.waiters.join(2, 0.1, {}, 0).addErrback(note)
         self.now += LOOK_S
-        self.waiters.refuse_hopeless("i-1", 1, 0.2)
+        self.waiters.refuse_too_late("i-1", 1, 0.2)
         self.assertEqual(3, len(failures))
         for failure in failures:
             assert isinstance(failure, QueueTooLongError)
