A probe is not refused for its place in the queue

Cause, found by reading: a question for an instance's state waits for a connection like work, and since waiters are refused whose turn comes too late, a busy pool could refuse it with an error that whoever moves a primary does not expect, which would have given the move up. Its own time-out, which tells of a silent instance, ends it as before. Test: test_probe_is_not_refused_for_its_place.

--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -195,7 +195,7 @@
         verdict = judge_wait(self._describe_queue(priority, left).expected_wait, left)
         if isinstance(verdict, TooLong) and not probing:
             return fail(QueueTooLongError(self.entry.id, verdict.retry_after))
-        result = self._waiters.join(priority, left, values, session)
+        result = self._waiters.join(priority, left, values, session, stays=probing)
         self._open_wanted()
         return result
 
--- a/orioleplank/gateway/_waiters.py
+++ b/orioleplank/gateway/_waiters.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from itertools import count
+from math import inf
 
 from twisted.internet.defer import Deferred
 
@@ -46,6 +47,8 @@
     # What the session has set, and its number.
     values: Mapping[str, str] = field(compare=False)
     session: int = field(compare=False)
+    # True when it waits until it gives up by itself.
+    stays: bool = field(compare=False)
 
 
 class Waiters:
@@ -69,9 +72,17 @@
         return sum((waiter.priority, waiter.span) <= turn for waiter in self._queue)
 
     def join(
-        self, priority: int, left: float, values: Mapping[str, str], session: int
+        self,
+        priority: int,
+        left: float,
+        values: Mapping[str, str],
+        session: int,
+        stays: bool = False,
     ) -> Deferred[PooledConnection]:
-        """Add a waiter who has `left` seconds; it leaves when its result is cancelled."""
+        """Add a waiter who has `left` seconds; it leaves when its result is cancelled.
+
+        One that `stays` is not refused before, since its own time-out tells of a silent instance.
+        """
 
         def forget(_: object) -> None:
             if waiter in self._queue:
@@ -81,7 +92,7 @@
         result: Deferred[PooledConnection] = Deferred(forget)
         until = self._now() + left
         span, number = _find_span(until), next(self._numbers)
-        waiter = Waiter(priority, span, number, until, result, values, session)
+        waiter = Waiter(priority, span, number, until, result, values, session, stays)
         heapq.heappush(self._queue, waiter)
         return result
 
@@ -104,7 +115,7 @@
             return
         self._looked_at = self._now()
         ordered = sorted(self._queue)
-        left = [waiter.until - self._now() for waiter in ordered]
+        left = [inf if waiter.stays else waiter.until - self._now() for waiter in ordered]
         load = QueueLoad(len(ordered), connections, hold)
         too_late = set(find_too_late(left, load))
         if not too_late:
--- a/orioleplank/gateway/tests/test_waiters.py
+++ b/orioleplank/gateway/tests/test_waiters.py
@@ -61,6 +61,15 @@
         self.assertEqual(["second"], self.refused)
         self.assertEqual(["first", "third"], self._take_names())
 
+    def test_probe_is_not_refused_for_its_place(self) -> None:
+        probe = self.waiters.join(0, 0.1, {"name": "probe"}, 0, stays=True)
+        probe.addErrback(lambda _: self.fail("the probe was refused"))
+        self._join("work", 2, 0.1)
+        self.now += LOOK_S
+        self.waiters.refuse_too_late("i-1", 1, 5.0)
+        self.assertEqual(["work"], self.refused)
+        self.assertEqual(["probe"], self._take_names())
+
     def test_refusal_tells_when_to_return(self) -> None:
         failures: list[Any] = []
 
