A new process lets statements wait for its first listing of instances too

"Starting" meant routes and leases only.

Change: a process is starting until it has all three, and a statement whose primary's entry is not known waits while it is. Ruled out: the instances being down (others served through them in the same moment).

Test: test_statement_waits_for_the_first_listing_of_instances failed first.

--- a/orioleplank/gateway/_beliefs.py
+++ b/orioleplank/gateway/_beliefs.py
@@ -98,7 +98,8 @@
     @property
     def is_starting(self) -> bool:
         """True while the first listings from the store are likely to come soon."""
-        is_complete = self.routes.version > 0 and self.leases.asked_at > float("-inf")
+        knows_groups = self.leases.asked_at > float("-inf")
+        is_complete = self.routes.version > 0 and knows_groups and self.directory_revision > 0
         return not is_complete and self.now() - self._started_at < START_LIMIT_S
 
     # Routes.
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -193,9 +193,9 @@
         if lease is None:
             return self.beliefs.expects_primary(request.route.service)
         pool = self.beliefs.pools.get(lease.primary)
-        if pool is None or pool.failing_for >= HOPE_S:
-            return False
-        return avoided.any
+        if pool is None:
+            return self.beliefs.is_starting
+        return pool.failing_for < HOPE_S and avoided.any
 
     # Writes.
 
--- a/orioleplank/tests/_site_store.py
+++ b/orioleplank/tests/_site_store.py
@@ -55,6 +55,8 @@
     loses_answers: bool = False
     # Seconds added to each answer.
     slowness: float = 0.0
+    # Seconds by which answers about a kind come later still, by the kind.
+    late: dict[str, float] = field(default_factory=dict)
     # Calls, watches included, by the proxy that made them.
     calls: Counter[str] = field(default_factory=Counter)
 
@@ -179,7 +181,8 @@
                 result.callback(answer)
 
         fabric, name = self._store.fabric, self._node.name
-        fabric.after(self._store.slowness, lambda: fabric.deliver(STORE, name, arrive, reply=True))
+        late = self._store.slowness + self._store.late.get(self._kind, 0.0)
+        fabric.after(late, lambda: fabric.deliver(STORE, name, arrive, reply=True))
 
     def _limit(self, result: Deferred[Any], seconds: float) -> None:
 
--- a/orioleplank/tests/test_site.py
+++ b/orioleplank/tests/test_site.py
@@ -348,6 +348,19 @@
         caller = site.open(node, QUOTES)
         self.assertIsNone(site.ask(caller, Write("q1 oak")).failure)
 
+    def test_statement_waits_for_the_first_listing_of_instances(self) -> None:
+        site = start_site()
+        site.store.late["instances"] = 0.3
+        self._restart(site)
+        node = site.proxies[0]
+        while node.gateway.beliefs.lease("books") is None:
+            site.run(0.001)
+        self.assertEqual({}, node.gateway.beliefs.pools)
+        writer, reader = site.open(node, QUOTES), site.open(node, QUOTES)
+        site.send(reader, Read("q1"))
+        self.assertIsNone(site.ask(writer, Write("q1 oak")).failure)
+        self.assertIsNone(reader.replies[0].failure)
+
     def test_early_session_is_refused_in_time_when_the_store_is_away(self) -> None:
         site = start_site()
         site.store.refused.add("*")
