--- a/orioleplank/tests/_world.py
+++ b/orioleplank/tests/_world.py
@@ -29,9 +29,7 @@
     Mechanisms,
     Message,
     Note,
-    ObjectsReceived,
     OpenConnection,
-    PeerHeard,
     PresetSpec,
     Proxy,
     Reply,
@@ -42,8 +40,6 @@
     SendSeal,
     SendStatement,
     ServiceSpec,
-    SlotsGiven,
-    SlotsWanted,
     StatementEnded,
     StatementStatus,
     Stopped,
@@ -56,6 +52,7 @@
 from orioleplank.tests._fabric import Fabric, Node
 from orioleplank.tests._group_links import SERVICE, GroupLinks
 from orioleplank.tests._nodes import InstanceNode, ProxyNode, Socket
+from orioleplank.tests._peer_links import PeerLinks
 from orioleplank.tests._store import PLATFORM, WALL_S, StepListener, Store
 
 TICK_S = 0.025
@@ -92,10 +89,11 @@
         self.group = GroupLinks(
             self.fabric, self.mechanisms, self.tell, lambda *step: self.on_step(*step)
         )
+        self.peers = PeerLinks(self.fabric, self.tell)
         self.instances = [self._add_instance(f"db-{letter}", lag) for letter in "abc"]
         self.group.instances = self.instances
         self.proxies = [self._add_proxy(f"entry-{n}") for n in range(1, proxies + 1)]
-        self.group.proxies = self.proxies
+        self.group.proxies = self.peers.proxies = self.proxies
         self._fill_platform()
         for proxy in self.proxies:
             self._start_proxy(proxy)
@@ -222,16 +220,8 @@
                 self.group.send_control(node, effect)
             case UpdateObject():
                 self.store.update(node, effect)
-            case Heartbeat():
-                self._heartbeat(node, effect)
-            case SendObjects():
-                self._send_objects(node, effect)
-            case AskSlots(peer, service, name, epoch, count):
-                wanted = SlotsWanted(node.name, service, name, epoch, count)
-                self._to_peer(node, self.proxy(peer), wanted)
-            case GiveSlots(peer, service, name, epoch, count):
-                given = SlotsGiven(service, name, epoch, count)
-                self._to_peer(node, self.proxy(peer), given)
+            case Heartbeat() | SendObjects() | AskSlots() | GiveSlots():
+                self.peers.send(node, effect)
             case Stopped():
                 node.ended = True
                 self._drop_connections_of(node)
@@ -365,34 +355,6 @@
         if (connection.instance, node.name) not in self.fabric.cuts:
             self.fabric.after(0.002, lambda: self._close_at_proxy(node, connection))
 
-    # Peers.
-
-    def _heartbeat(self, node: ProxyNode, effect: Heartbeat) -> None:
-        heard = PeerHeard(
-            node.name,
-            f"{node.name}-run-{node.run}",
-            effect.revision,
-            effect.newest,
-            effect.stopping,
-            effect.unreachable_services,
-            effect.headless_services,
-            effect.number,
-            effect.echoes,
-            effect.holdings,
-        )
-        for peer in self.proxies:
-            if peer is not node and peer.alive:
-                self._to_peer(node, peer, heard)
-
-    def _to_peer(self, node: ProxyNode, peer: ProxyNode, message: Message) -> None:
-        self.fabric.deliver(node.name, peer.name, lambda: self.tell(peer, message))
-
-    def _send_objects(self, node: ProxyNode, effect: SendObjects) -> None:
-        peer = self.fabric.nodes[effect.proxy]
-        assert isinstance(peer, ProxyNode)
-        if peer.alive:
-            self._to_peer(node, peer, ObjectsReceived(effect.revision, effect.objects))
-
     # Helpers for clients and checks.
 
     def leave_caller(self, node: ProxyNode, caller: int) -> None:
