Ports of test_processes stay reserved until their processes have them

Change: `ReservedPorts` keeps its sockets bound until the deployment ends. With SO_REUSEADDR on both sides a process can still listen on the port, and the system gives a port with a bound socket to no outgoing connection. The tests and their limits are as before.

Ruled out: processes that listen on port 0 and report it; the platform's stand-in, the settings and the relays would have to learn the ports after the start, and the race would move to the report.

--- a/orioleplank/tests/test_processes.py
+++ b/orioleplank/tests/test_processes.py
@@ -34,15 +34,23 @@
 }
 
 
-def find_ports(count: int) -> list[int]:
-    """Return free loopback ports; another process can bind one before the caller does."""
-    sockets = [socket.socket() for _ in range(count)]
-    for opened_socket in sockets:
-        opened_socket.bind(("127.0.0.1", 0))
-    ports = [opened_socket.getsockname()[1] for opened_socket in sockets]
-    for opened_socket in sockets:
-        opened_socket.close()
-    return ports
+class ReservedPorts:
+    """Free loopback ports that only listeners with SO_REUSEADDR can bind until `release`.
+
+    The system does not give a port with a bound socket to an outgoing connection.
+    """
+
+    def __init__(self, count: int) -> None:
+        self._sockets = [socket.socket() for _ in range(count)]
+        for opened_socket in self._sockets:
+            opened_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            opened_socket.bind(("127.0.0.1", 0))
+        self.numbers = [opened_socket.getsockname()[1] for opened_socket in self._sockets]
+
+    def release(self) -> None:
+        """Allow others to bind the ports."""
+        for opened_socket in self._sockets:
+            opened_socket.close()
 
 
 class Relay:
@@ -109,7 +117,8 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        ports = find_ports(13)
+        self._ports = ReservedPorts(13)
+        ports = self._ports.numbers
         self.platform = f"127.0.0.1:{ports[0]}"
         self.instances = dict(zip(INSTANCE_NAMES, ports[1:4], strict=True))
         self.admin_ports = dict(zip(INSTANCE_NAMES, ports[4:7], strict=True))
@@ -218,6 +227,7 @@
             process.wait()
         for relay in self.relays.values():
             relay.close()
+        self._ports.release()
 
     def send_requests(self, number: int, *requests: pb.CallerRequest) -> list[pb.CallerReply]:
         """Send requests to a proxy on one stream and return the replies."""
@@ -256,6 +266,17 @@
             deployment.stop()
 
 
+class ReservedPortsTest(TestCase):
+    def test_reserved_port_is_for_listeners_and_not_for_other_connections(self) -> None:
+        ports = ReservedPorts(1)
+        self.addCleanup(ports.release)
+        address = ("127.0.0.1", ports.numbers[0])
+        with socket.socket() as other:
+            self.assertRaises(OSError, other.bind, address)
+        with socket.create_server(address) as server, socket.create_connection(address):
+            server.accept()[0].close()
+
+
 class ProcessesTest(TestCase):
     def test_invalid_input_is_refused_and_no_process_or_data_is_lost(self) -> None:
         with deploy() as deployment:
