--- a/orioleplank/decision/_position.py
+++ b/orioleplank/decision/_position.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Position:
+class Position(Struct, frozen=True, order=True):
     """A position in the log of a group; ordered by term first, then by index."""
 
     # 0 for the empty log.
@@ -25,8 +24,7 @@
 ZERO_POSITION = Position(0, 0)
 
 
-@dataclass(frozen=True, slots=True)
-class TermStart:
+class TermStart(Struct, frozen=True):
     """The point in a log at which a term starts."""
 
     term: int
@@ -34,8 +32,7 @@
     first_index: int
 
 
-@dataclass(frozen=True, slots=True)
-class TermHistory:
+class TermHistory(Struct, frozen=True):
     """The last position of a log and the starts of its terms.
 
     Two logs that contain an entry with the same term and index are identical up to that entry
--- a/orioleplank/decision/admission/_queue_admission.py
+++ b/orioleplank/decision/admission/_queue_admission.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 # Fraction of the remaining time that may be spent in the queue; the rest is for the statement.
 MAX_WAIT_FRACTION = 0.5
@@ -17,8 +18,7 @@
 HOLD_TIME_SMOOTHING_FACTOR = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class QueueLoad:
+class QueueLoad(Struct, frozen=True):
     """State of the queue for connections to one instance."""
 
     # Number of waiters that are served before a new one.
@@ -34,13 +34,11 @@
         return (self.waiters_ahead + 1) * self.mean_hold_time / max(1, self.connections)
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(Struct, frozen=True):
     """The request is expected to get a connection in time."""
 
 
-@dataclass(frozen=True, slots=True)
-class AdmissionRefused:
+class AdmissionRefused(Struct, frozen=True):
     """The request would get a connection too late."""
 
     # Seconds after which the queue is expected to be short enough.
--- a/orioleplank/decision/failover/_primary_health.py
+++ b/orioleplank/decision/failover/_primary_health.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 # How long a primary has to fail before it is suspected and other proxies are asked about it; longer
 # than a reconnect between regions takes.
@@ -12,8 +12,7 @@
 MIN_CONSECUTIVE_FAILURES = 2
 
 
-@dataclass(frozen=True, slots=True)
-class PrimaryHealth:
+class PrimaryHealth(Struct, frozen=True):
     """What one proxy has observed of a primary."""
 
     # True when the instance directory has an entry for it.
@@ -29,26 +28,22 @@
     denies_primary_role: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class PrimaryHealthy:
+class PrimaryHealthy(Struct, frozen=True):
     """The primary needs no action."""
 
 
-@dataclass(frozen=True, slots=True)
-class PrimaryLeaving:
+class PrimaryLeaving(Struct, frozen=True):
     """The primary is leaving but still serves; a switchover is due."""
 
 
-@dataclass(frozen=True, slots=True)
-class PrimarySuspected:
+class PrimarySuspected(Struct, frozen=True):
     """The primary is unresponsive or unlisted, as seen by this proxy."""
 
     # The observation behind the suspicion.
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class PrimaryDemoted:
+class PrimaryDemoted(Struct, frozen=True):
     """The instance responds but is not the primary.
 
     This happens when a promotion took effect that no proxy knows of.
--- a/orioleplank/decision/failover/_promotion.py
+++ b/orioleplank/decision/failover/_promotion.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orioleplank.decision._position import Position
 from orioleplank.decision.instances import DbRole
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceReport:
+class InstanceReport(Struct, frozen=True):
     """The state of an instance as reported by the instance itself."""
 
     id: str
--- a/orioleplank/decision/group/_lease.py
+++ b/orioleplank/decision/group/_lease.py
@@ -13,9 +13,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
 from enum import Enum, unique
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 # How long a lease is valid after the read: the usual length of a store outage, plus one renewal
 # (about every 1.2 s).
 LEASE_DURATION_S = 9.0
@@ -32,8 +34,7 @@
     MOVING = "moving"
 
 
-@dataclass(frozen=True, slots=True)
-class GroupRecord:
+class GroupRecord(Struct, frozen=True):
     """The store's record of one group."""
 
     service: str
@@ -54,8 +55,7 @@
     released: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class VersionedGroupRecord:
+class VersionedGroupRecord(Struct, frozen=True):
     """A group record together with its revision in the store."""
 
     record: GroupRecord
@@ -63,8 +63,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Lease:
+class Lease(Struct, frozen=True):
     """Permission to rely on a primary until `expires_at`."""
 
     # Id of the primary.
@@ -81,8 +80,7 @@
         return time < self.expires_at
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseTable:
+class LeaseTable(Struct, frozen=True):
     """The group records and leases of one proxy, for all groups."""
 
     # Newest known records by service.
--- a/orioleplank/decision/group/_positions.py
+++ b/orioleplank/decision/group/_positions.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orioleplank.decision._position import Position
 
@@ -15,8 +16,7 @@
 HISTORY_RETENTION_S = 10.0
 
 
-@dataclass(frozen=True, slots=True)
-class ObservedPosition:
+class ObservedPosition(Struct, frozen=True):
     """A log position together with the time up to which it is complete.
 
     A log that reaches `position` contains every commit acknowledged before `observed_at`.
--- a/orioleplank/decision/instances/_directory.py
+++ b/orioleplank/decision/instances/_directory.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field, replace
 from enum import Enum, unique
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 # How long a missing entry is kept while the store is reachable, in seconds: entries that lapsed
 # during a store outage are back by then.
 MISSING_GRACE_S = 2.0
@@ -47,8 +49,7 @@
     REPLICA = "replica"
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceEntry:
+class InstanceEntry(Struct, frozen=True):
     """The entry of one instance in the platform's listing."""
 
     id: str
@@ -65,8 +66,7 @@
     born: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class TrackedInstance:
+class TrackedInstance(Struct, frozen=True):
     """An entry together with how long it has been missing or draining."""
 
     # Last known version of the entry.
@@ -83,8 +83,7 @@
         return self.missing_since is not None and now - self.missing_since >= MISSING_AS_LEAVING_S
 
 
-@dataclass(frozen=True, slots=True)
-class InstanceDirectory:
+class InstanceDirectory(Struct, frozen=True):
     """All instances known to one proxy; immutable, each update returns a new directory."""
 
     # By instance id.
--- a/orioleplank/decision/instances/_routes.py
+++ b/orioleplank/decision/instances/_routes.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from enum import Enum, unique
 
+from msgspec import Struct, field
+
 # Idle limit of a transaction when none is configured, in seconds: one day, effectively unlimited.
 DEFAULT_TRANSACTION_IDLE_S = 86400.0
 
@@ -22,8 +23,7 @@
     READ_YOUR_WRITES = "own-writes"
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """The route of one database."""
 
     # Database name that callers send at the start of a session.
@@ -39,8 +39,7 @@
     priority: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceLimits:
+class ServiceLimits(Struct, frozen=True):
     """Configured limits of one service."""
 
     # Connections that each instance of the service accepts, from all proxies together.
@@ -49,8 +48,7 @@
     sync_replicas: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class RouteTable:
+class RouteTable(Struct, frozen=True):
     """One version of the routes and limits."""
 
     # 0 before the first version is known.
--- a/orioleplank/decision/membership/_fleet.py
+++ b/orioleplank/decision/membership/_fleet.py
@@ -7,18 +7,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
 from functools import cached_property, lru_cache
 from hashlib import blake2b
 
+from msgspec import Struct, field
+
 # Number of cached rendezvous hashes: enough for a few hundred proxies and some dozen subjects.
 RENDEZVOUS_CACHE_SIZE = 16_384
 # Ranking subject that defines the ring in which proxies monitor each other.
 RING_SUBJECT = "ring"
 
 
-@dataclass(frozen=True, slots=True)
-class ProxyRecord:
+class ProxyRecord(Struct, frozen=True):
     """One registered proxy."""
 
     # Name of the VM.
@@ -36,8 +36,7 @@
     stopping: bool = False
 
 
-@dataclass(frozen=True)
-class Fleet:
+class Fleet(Struct, frozen=True, dict=True):
     """All registered proxies.
 
     Derived values are computed once, because timers use them repeatedly.
--- a/orioleplank/decision/membership/_peer_messages.py
+++ b/orioleplank/decision/membership/_peer_messages.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from orioleplank.decision._position import Position
 from orioleplank.decision.membership._view_source import ViewVersions
 
 
-@dataclass(frozen=True, slots=True)
-class ReleaseAsked:
+class ReleaseAsked(Struct, frozen=True):
     """Requests that a proxy releases its lease on the primary of a group."""
 
     sender: str
@@ -24,8 +23,7 @@
     planned: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Released:
+class Released(Struct, frozen=True):
     """Confirms that a proxy has released all leases on record revisions below `revision`."""
 
     sender: str
@@ -34,8 +32,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class ReachAsked:
+class ReachAsked(Struct, frozen=True):
     """Asks a proxy when it last received a response from an instance."""
 
     sender: str
@@ -44,8 +41,7 @@
     instance: str
 
 
-@dataclass(frozen=True, slots=True)
-class ReachTold:
+class ReachTold(Struct, frozen=True):
     """When a proxy last received a response from an instance; responds to `ReachAsked`."""
 
     sender: str
@@ -56,8 +52,7 @@
     failures: int
 
 
-@dataclass(frozen=True, slots=True)
-class Ping:
+class Ping(Struct, frozen=True):
     """Probes whether a proxy is responsive."""
 
     sender: str
@@ -65,8 +60,7 @@
     asker: str
 
 
-@dataclass(frozen=True, slots=True)
-class PingAsked:
+class PingAsked(Struct, frozen=True):
     """Requests an indirect probe: the receiver sends a `Ping` to another proxy.
 
     The receiver may reach that proxy although the sender does not.
@@ -77,24 +71,21 @@
     target: str
 
 
-@dataclass(frozen=True, slots=True)
-class Pong:
+class Pong(Struct, frozen=True):
     """Responds to a `Ping`: the sender is running."""
 
     sender: str
     incarnation: str
 
 
-@dataclass(frozen=True, slots=True)
-class ViewAsked:
+class ViewAsked(Struct, frozen=True):
     """Asks a proxy how recent its view of the store is."""
 
     sender: str
     number: int
 
 
-@dataclass(frozen=True, slots=True)
-class ViewTold:
+class ViewTold(Struct, frozen=True):
     """How recent a proxy's view of the store is."""
 
     sender: str
@@ -105,8 +96,7 @@
     versions: ViewVersions
 
 
-@dataclass(frozen=True, slots=True)
-class PositionsAsked:
+class PositionsAsked(Struct, frozen=True):
     """Asks a proxy for the newest log positions that it knows of the primaries of `services`."""
 
     sender: str
@@ -114,8 +104,7 @@
     services: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class PrimaryPosition:
+class PrimaryPosition(Struct, frozen=True):
     """The newest log position that a proxy knows of one primary."""
 
     service: str
@@ -126,8 +115,7 @@
     position: Position
 
 
-@dataclass(frozen=True, slots=True)
-class PositionsTold:
+class PositionsTold(Struct, frozen=True):
     """The newest log positions that a proxy knows; responds to `PositionsAsked`."""
 
     sender: str
--- a/orioleplank/decision/membership/_view_source.py
+++ b/orioleplank/decision/membership/_view_source.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orioleplank.decision.membership._fleet import Fleet, ProxyRecord, rank_proxies
 
@@ -17,8 +18,7 @@
 MAX_SOURCES_PER_ZONE = 2
 
 
-@dataclass(frozen=True, slots=True)
-class ViewVersions:
+class ViewVersions(Struct, frozen=True):
     """How recent one proxy's view of the store is."""
 
     # Store revision up to which the records of proxies and groups are completely known.
--- a/orioleplank/decision/routing/_connection_owners.py
+++ b/orioleplank/decision/routing/_connection_owners.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orioleplank.decision.instances import InstanceEntry
 from orioleplank.decision.membership import ProxyRecord, rank_proxies
@@ -31,8 +32,7 @@
 NON_OWNER_SHARE = 0.1
 
 
-@dataclass(frozen=True, slots=True)
-class DirectPath:
+class DirectPath(Struct, frozen=True):
     """The proxy opens its own connections to the instance, instead of forwarding to an owner.
 
     A connection of its own may lead through a tunnel.
@@ -42,8 +42,7 @@
     connections: int
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardingPath:
+class ForwardingPath(Struct, frozen=True):
     """The proxy forwards its statements to an owner of the instance's connections.
 
     When it can reach none of them, it opens connections itself, like a backup owner.
--- a/orioleplank/decision/routing/_placement.py
+++ b/orioleplank/decision/routing/_placement.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from orioleplank.decision._position import Position
 
@@ -17,8 +18,7 @@
 CROSS_ZONE_PENALTY_S = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class ReadCandidate:
+class ReadCandidate(Struct, frozen=True):
     """An instance that is considered for a read."""
 
     id: str
@@ -36,16 +36,14 @@
     is_lagging: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRequirement:
+class ReadRequirement(Struct, frozen=True):
     """What a read requires of an instance."""
 
     # Position that the log must have reached; None when only the primary can serve the read.
     min_position: Position | None
 
 
-@dataclass(frozen=True, slots=True)
-class SelectedInstance:
+class SelectedInstance(Struct, frozen=True):
     """The read is sent to an instance."""
 
     id: str
@@ -53,8 +51,7 @@
     min_position: Position | None
 
 
-@dataclass(frozen=True, slots=True)
-class NoInstanceAvailable:
+class NoInstanceAvailable(Struct, frozen=True):
     """No instance can serve the read now."""
 
     # Explanation for the caller.
--- a/orioleplank/decision/session/_connection_setup.py
+++ b/orioleplank/decision/session/_connection_setup.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from orioleplank.decision.session._statement import PreparedStatement
 
@@ -11,21 +13,18 @@
 MAX_PREPARED_STATEMENTS = 200
 
 
-@dataclass(frozen=True, slots=True)
-class ResetConnection:
+class ResetConnection(Struct, frozen=True):
     """Clears all values and prepared statements of a connection."""
 
 
-@dataclass(frozen=True, slots=True)
-class SetConnectionValue:
+class SetConnectionValue(Struct, frozen=True):
     """Sets a session value on a connection."""
 
     name: str
     value: str
 
 
-@dataclass(frozen=True, slots=True)
-class PrepareOnConnection:
+class PrepareOnConnection(Struct, frozen=True):
     """Prepares a statement on a connection under a name that the proxy assigns."""
 
     # Name assigned by the proxy, unique for each prepared statement of the connection.
@@ -36,8 +35,7 @@
 ConnectionSetupStep = ResetConnection | SetConnectionValue | PrepareOnConnection
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionState:
+class ConnectionState(Struct, frozen=True):
     """The session state that an instance keeps for one connection."""
 
     # Session values by name.
--- a/orioleplank/decision/session/_reply.py
+++ b/orioleplank/decision/session/_reply.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, unique
 
+from msgspec import Struct
+
 from orioleplank.decision._position import Position
 
 
@@ -64,8 +65,7 @@
     FAILED = "failed"
 
 
-@dataclass(frozen=True, slots=True)
-class Failure:
+class Failure(Struct, frozen=True):
     """The failure of a statement, with a description for the caller."""
 
     code: FailureCode
@@ -75,8 +75,7 @@
     retry_after: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(Struct, frozen=True):
     """The complete reply to one statement, from an instance or from the proxy itself."""
 
     # Rows exactly as the instance sent them.
--- a/orioleplank/decision/session/_session.py
+++ b/orioleplank/decision/session/_session.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
 from enum import Enum, unique
 
+from msgspec import Struct, field
+from msgspec.structs import replace
+
 from orioleplank.decision._position import ZERO_POSITION, Position
 from orioleplank.decision.session._statement import (
     Execute,
@@ -26,8 +28,7 @@
     FAILED = "failed"
 
 
-@dataclass(frozen=True, slots=True)
-class Session:
+class Session(Struct, frozen=True):
     """State of one caller's session; immutable, each change returns a new session."""
 
     # Database that the caller named at the start of the session.
--- a/orioleplank/decision/session/_statement.py
+++ b/orioleplank/decision/session/_statement.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, unique
 
+from msgspec import Struct
+
 
 @unique
 class AccessMode(Enum):
@@ -14,8 +15,7 @@
     WRITE = "write"
 
 
-@dataclass(frozen=True, slots=True)
-class PreparedStatement:
+class PreparedStatement(Struct, frozen=True):
     """The definition of a prepared statement, independent of its name."""
 
     mode: AccessMode
@@ -23,42 +23,36 @@
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class Begin:
+class Begin(Struct, frozen=True):
     """Begins a transaction."""
 
     # True for a transaction without writes.
     read_only: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Commit:
+class Commit(Struct, frozen=True):
     """Commits the open transaction."""
 
 
-@dataclass(frozen=True, slots=True)
-class Rollback:
+class Rollback(Struct, frozen=True):
     """Rolls back the open transaction."""
 
 
-@dataclass(frozen=True, slots=True)
-class Read:
+class Read(Struct, frozen=True):
     """Reads one item."""
 
     # The text after the verb, exactly as the caller sent it.
     arguments: str
 
 
-@dataclass(frozen=True, slots=True)
-class Write:
+class Write(Struct, frozen=True):
     """Writes one item."""
 
     # The text after the verb, exactly as the caller sent it.
     arguments: str
 
 
-@dataclass(frozen=True, slots=True)
-class Execute:
+class Execute(Struct, frozen=True):
     """Executes a prepared statement by its name in the session."""
 
     # Name that the caller prepared.
@@ -67,8 +61,7 @@
     arguments: str
 
 
-@dataclass(frozen=True, slots=True)
-class ExecutePrepared:
+class ExecutePrepared(Struct, frozen=True):
     """Executes a prepared statement by its definition.
 
     The name under which it is prepared on the connection is filled in when it is sent.
@@ -79,8 +72,7 @@
     arguments: str
 
 
-@dataclass(frozen=True, slots=True)
-class SetValue:
+class SetValue(Struct, frozen=True):
     """Sets a session value."""
 
     name: str
@@ -88,23 +80,20 @@
     value: str
 
 
-@dataclass(frozen=True, slots=True)
-class Prepare:
+class Prepare(Struct, frozen=True):
     """Prepares a statement under a name in the session."""
 
     name: str
     prepared_statement: PreparedStatement
 
 
-@dataclass(frozen=True, slots=True)
-class ClosePrepared:
+class ClosePrepared(Struct, frozen=True):
     """Closes a prepared statement, which removes its name from the session."""
 
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class Unreadable:
+class Unreadable(Struct, frozen=True):
     """A text that cannot be parsed as a statement."""
 
     # Description of the error.
--- a/orioleplank/gateway/_channels.py
+++ b/orioleplank/gateway/_channels.py
@@ -6,9 +6,8 @@
 from typing import Any, Protocol
 
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.interfaces import IAddress
-from twisted.internet.protocol import ServerFactory, connectionDone
+from twisted.internet.protocol import ClientCreator, ServerFactory, connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
@@ -61,8 +60,8 @@
 
     MAX_LENGTH = MAX_FRAME_BYTES
 
-    def __init__(self) -> None:
-        self.handler: FrameHandler | None = None
+    def __init__(self, handler: FrameHandler | None = None) -> None:
+        self.handler = handler
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disable send delays, and set TCP timeouts that detect an unresponsive peer."""
@@ -106,17 +105,14 @@
     def open(self, address: str, handler: FrameHandler) -> Deferred[Channel]:
         """Open a channel to the proxy whose peer address is `address`, as HOST:PORT."""
         host, _, port = address.rpartition(":")
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, host, int(port) + CHANNEL_PORT_OFFSET, timeout=OPEN_TIMEOUT_S
-        )
-        protocol = ChannelProtocol()
-        protocol.handler = handler
 
         def raise_channel_lost(failure: Failure) -> Failure:
             detail = type(failure.value).__name__
             raise ChannelLostError("open channel", address, detail)
 
-        opening: Any = connectProtocol(endpoint, protocol)
+        opening: Any = ClientCreator(self._reactor, ChannelProtocol, handler).connectTCP(
+            host, int(port) + CHANNEL_PORT_OFFSET, timeout=OPEN_TIMEOUT_S
+        )
         opened: Deferred[Channel] = opening.addErrback(raise_channel_lost)
         return opened
 
--- a/orioleplank/gateway/_connection.py
+++ b/orioleplank/gateway/_connection.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from orioleplank.decision.session import INITIAL_CONNECTION_STATE, ConnectionState
 from orioleplank.gateway._interfaces import InstanceLink
 
 
-@dataclass(slots=True, eq=False)
-class PooledConnection:
+class PooledConnection(Struct, eq=False):
     """A connection to an instance, with the session state that the instance keeps for it."""
 
     link: InstanceLink
--- a/orioleplank/gateway/_failover.py
+++ b/orioleplank/gateway/_failover.py
@@ -10,9 +10,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
 from typing import Any
 
+from msgspec import Struct
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 
 from orioleplank._exceptions import OrioleplankError
@@ -69,8 +70,7 @@
     """Another proxy has taken the failover over, or this proxy is stopping."""
 
 
-@dataclass(slots=True)
-class _Failover:
+class _Failover(Struct):
     """A failover or switchover that this proxy has claimed."""
 
     # As this proxy wrote it last.
--- a/orioleplank/gateway/_fleet_membership.py
+++ b/orioleplank/gateway/_fleet_membership.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from random import Random
 from typing import Any
 
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 
 from orioleplank.decision.group import VersionedGroupRecord
--- a/orioleplank/gateway/_forwarding_server.py
+++ b/orioleplank/gateway/_forwarding_server.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from itertools import count
 from typing import Any
 
+from msgspec import Struct, field
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
@@ -59,8 +59,7 @@
 ROLLBACK_TIMEOUT_S = 1.0
 
 
-@dataclass(slots=True, eq=False)
-class _LinkState:
+class _LinkState(Struct, eq=False):
     """Server-side state of one link: its connection and its transaction."""
 
     # Session id under which it acquires connections from the pool.
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -4,11 +4,11 @@
 
 import uuid
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from random import Random
 from traceback import format_exc
 from typing import Any
 
+from msgspec import Struct
 from twisted.internet.defer import Deferred
 
 from orioleplank.decision.membership import PeerMessage, ProxyRecord, ViewVersions
@@ -56,8 +56,7 @@
 LOOP_RESTART_DELAY_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class GatewayDependencies:
+class GatewayDependencies(Struct, frozen=True):
     """The interfaces through which the proxy reaches systems outside its process."""
 
     store: Store
@@ -204,13 +203,14 @@
         socket = PeerSocket(self._dispatch_peer_message)
         host, _, port = self._settings.peer_address.rpartition(":")
         self._reactor.listenUDP(int(port), socket, interface=host)
-        self._reactor.listenTCP(int(port), self._view_publisher.build_site(), interface=host)
+        views = self._view_publisher.build_site(self._reactor)
+        self._reactor.listenTCP(int(port), views, interface=host)
         tunnels = TunnelFactory(self._reactor, self._find_address)
         self._reactor.listenTCP(int(port) + TUNNEL_PORT_OFFSET, tunnels, interface=host)
         channels = ChannelFactory(self.forwarding_server.accept)
         self._reactor.listenTCP(int(port) + CHANNEL_PORT_OFFSET, channels, interface=host)
         host, _, port = self._settings.metrics_address.rpartition(":")
-        self._reactor.listenTCP(int(port), self.metrics.build_site(), interface=host)
+        self._reactor.listenTCP(int(port), self.metrics.build_site(self._reactor), interface=host)
         for component in (
             self._prober,
             self._lease_releases,
--- a/orioleplank/gateway/_instance_executor.py
+++ b/orioleplank/gateway/_instance_executor.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any, TypeVar
 
+from msgspec import Struct
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
@@ -44,8 +44,7 @@
     """An instance rejected a session value or a prepared statement; nothing has run."""
 
 
-@dataclass(frozen=True, slots=True)
-class Request:
+class Request(Struct, frozen=True):
     """A request of a session that has to run at an instance."""
 
     # The request id chosen by the caller.
--- a/orioleplank/gateway/_instance_prober.py
+++ b/orioleplank/gateway/_instance_prober.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from itertools import count
 from typing import Any
 
+from msgspec import Struct, field
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
@@ -40,8 +40,7 @@
 )
 
 
-@dataclass(slots=True)
-class _ReachabilityQuery:
+class _ReachabilityQuery(Struct):
     """A query to other proxies that is in progress."""
 
     # Seconds since each proxy's latest response from the instance, by proxy; infinite when its
--- a/orioleplank/gateway/_interfaces.py
+++ b/orioleplank/gateway/_interfaces.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Mapping
-from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
+from msgspec import Struct
 from twisted.internet.defer import Deferred
 
 from orioleplank._exceptions import OrioleplankError
@@ -43,8 +43,7 @@
     """An instance refused a connection when it was opened; no statement has run."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoredRecord:
+class StoredRecord(Struct, frozen=True):
     """An object of the kind that the proxies own in the store, with its uninterpreted content."""
 
     name: str
@@ -53,23 +52,20 @@
     content: Mapping[str, object]
 
 
-@dataclass(frozen=True, slots=True)
-class RemovedObject:
+class RemovedObject(Struct, frozen=True):
     """The removal of an object, as an item of `Changes`."""
 
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class Listing(Generic[T]):
+class Listing(Struct, Generic[T], frozen=True):
     """All objects of one kind at one revision of the store."""
 
     revision: int
     items: tuple[T, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Changes(Generic[T]):
+class Changes(Struct, Generic[T], frozen=True):
     """The result of a watch: the changes after the revision that was asked for."""
 
     # The revision from which the next watch continues.
@@ -161,8 +157,7 @@
         """Close the connection; unanswered requests fail."""
 
 
-@dataclass(frozen=True, slots=True)
-class TunnelRoute:
+class TunnelRoute(Struct, frozen=True):
     """The first hop of a tunnel to an instance through another proxy."""
 
     # Where the other proxy accepts tunnels, HOST:PORT.
--- a/orioleplank/gateway/_lease_release.py
+++ b/orioleplank/gateway/_lease_release.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
 from twisted.internet.defer import Deferred
 
 from orioleplank.decision.group import CLOCK_DRIFT_MARGIN_S, LEASE_DURATION_S
@@ -37,8 +37,7 @@
 RUNNING_WORK_CHECK_INTERVAL_S = 0.02
 
 
-@dataclass(slots=True)
-class _ReleaseCollection:
+class _ReleaseCollection(Struct):
     """The releases received for one failover."""
 
     # Store revision of the group record that claims the failover.
--- a/orioleplank/gateway/_list_watcher.py
+++ b/orioleplank/gateway/_list_watcher.py
@@ -6,10 +6,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 from typing import Any, Generic, TypeVar
 
+from msgspec import Struct
+
 from orioleplank.gateway._interfaces import (
     Changes,
     Listing,
@@ -28,8 +29,7 @@
 T = TypeVar("T")
 
 
-@dataclass(frozen=True, slots=True)
-class WatchHandler(Generic[T]):
+class WatchHandler(Struct, Generic[T], frozen=True):
     """The callbacks of a `ListWatcher`."""
 
     # Called with a complete listing and the time of its request, on the lease clock.
--- a/orioleplank/gateway/_outcome.py
+++ b/orioleplank/gateway/_outcome.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from orioleplank.decision.session import Failure, FailureCode, Reply
 
 
-@dataclass(frozen=True, slots=True)
-class Completed:
+class Completed(Struct, frozen=True):
     """A reply of an instance that is returned to the caller."""
 
     reply: Reply
@@ -16,8 +15,7 @@
     instance: str
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(Struct, frozen=True):
     """A request that the proxy refused or abandoned."""
 
     # The reason; its code shows whether the request may have run.
--- a/orioleplank/gateway/_primary_monitor.py
+++ b/orioleplank/gateway/_primary_monitor.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Coroutine
-from dataclasses import dataclass
 from typing import Any
 
+from msgspec import Struct
 from twisted.internet.defer import Deferred
 
 from orioleplank._exceptions import OrioleplankError
@@ -55,8 +55,7 @@
 FAILOVER_TAKEOVER_TIMEOUT_S = 4.0
 
 
-@dataclass(frozen=True, slots=True)
-class _UnchangedAssessment:
+class _UnchangedAssessment(Struct, frozen=True):
     """The latest kind of assessment of a primary, and since when it has been the same."""
 
     kind: type[object]
@@ -64,8 +63,7 @@
     unchanged_since: float
 
 
-@dataclass(frozen=True, slots=True)
-class _CachedRank:
+class _CachedRank(Struct, frozen=True):
     """This proxy's rank for one service, with the inputs that it was computed from."""
 
     fleet: Fleet
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -4,9 +4,10 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
 from typing import Any
 
+from msgspec import Struct
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure as TwistedFailure
 
@@ -50,8 +51,7 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class _PendingRequest:
+class _PendingRequest(Struct, frozen=True):
     """A request that has arrived and is not answered yet."""
 
     request_id: str
@@ -341,8 +341,7 @@
         return Reply(failure=outcome.failure)
 
 
-@dataclass(frozen=True, slots=True)
-class SessionDependencies:
+class SessionDependencies(Struct, frozen=True):
     """Dependencies and callbacks that all sessions of a proxy share."""
 
     cluster_state: ClusterState
--- a/orioleplank/gateway/_settings.py
+++ b/orioleplank/gateway/_settings.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 
-@dataclass(frozen=True, slots=True)
-class GatewaySettings:
+class GatewaySettings(Struct, frozen=True):
     """Identity, addresses and time limits of one proxy; addresses are HOST:PORT."""
 
     # Name of the VM that it runs on.
--- a/orioleplank/gateway/_store_view.py
+++ b/orioleplank/gateway/_store_view.py
@@ -2,21 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Mapping
-from dataclasses import asdict, dataclass
+from collections.abc import Awaitable
 from typing import Any, Protocol
-from urllib.parse import urlencode
+from urllib.parse import parse_qsl, urlencode
 
 import msgspec
-from twisted.web.client import Agent
+from msgspec import Struct
+from msgspec.structs import asdict
 
 from orioleplank._exceptions import OrioleplankError
-from orioleplank._http_client import NO_RESPONSE_ERRORS, read_response_body, send_request
 from orioleplank.decision.group import VersionedGroupRecord
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.decision.membership import ProxyRecord, ViewVersions
+from orioleplank.http import HttpClient, NoResponseError, Request
 
-VIEW_PATH = b"view"
+VIEW_PATH = "/view"
 # Timeout of a peer's response: several round trips between regions.
 VIEW_FETCH_TIMEOUT_S = 0.7
 
@@ -25,8 +25,7 @@
     """Another proxy did not respond with a valid view of the store."""
 
 
-@dataclass(frozen=True, slots=True)
-class VersionedProxyRecord:
+class VersionedProxyRecord(Struct, frozen=True):
     """A proxy record with its revision in the store."""
 
     record: ProxyRecord
@@ -34,8 +33,7 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class StoreView:
+class StoreView(Struct, frozen=True):
     """The store's contents as one proxy knows them, less what the requesting proxy already has."""
 
     # Seconds since the request for the listing of the records.
@@ -57,10 +55,9 @@
 _VIEW_DECODER = msgspec.msgpack.Decoder(StoreView)
 
 
-def parse_known_versions(query: Mapping[bytes, list[bytes]]) -> ViewVersions:
+def parse_known_versions(query: str) -> ViewVersions:
     """Parse the versions that a requesting proxy knows; raise `ValueError` if invalid."""
-    fields = {key.decode(): values[0].decode() for key, values in query.items()}
-    return msgspec.convert(fields, ViewVersions, strict=False)
+    return msgspec.convert(dict(parse_qsl(query)), ViewVersions, strict=False)
 
 
 def encode_view(view: StoreView) -> bytes:
@@ -88,18 +85,17 @@
 
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
-        self._agent: Any = Agent(reactor, connectTimeout=VIEW_FETCH_TIMEOUT_S)
 
     async def fetch(self, address: str, known: ViewVersions) -> StoreView:
         """Return what the proxy at HOST:PORT knows beyond `known`; raise `ViewUnavailableError`."""
         try:
-            url = f"http://{address}/{VIEW_PATH.decode()}?{urlencode(asdict(known))}"
-            response = await send_request(
-                self._reactor, self._agent, "GET", url, VIEW_FETCH_TIMEOUT_S
-            )
-            body = await read_response_body(self._reactor, response, VIEW_FETCH_TIMEOUT_S)
-            if response.code == 200:
-                return decode_view(body)
-        except (*NO_RESPONSE_ERRORS, ValueError) as error:
-            raise ViewUnavailableError("fetch view", address, type(error).__name__) from error
-        raise ViewUnavailableError("fetch view", address, f"code {response.code}")
+            request = Request("GET", f"{VIEW_PATH}?{urlencode(asdict(known))}")
+            client = HttpClient(self._reactor, address, VIEW_FETCH_TIMEOUT_S)
+            response = await client.send(request, VIEW_FETCH_TIMEOUT_S)
+            if response.status == 200:
+                return decode_view(response.body)
+        except NoResponseError as error:
+            raise ViewUnavailableError("fetch view", address, error.detail) from error
+        except ValueError as error:
+            raise ViewUnavailableError("fetch view", address, "the view is not valid") from error
+        raise ViewUnavailableError("fetch view", address, f"code {response.status}")
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
+
+from msgspec import Struct, field
+from msgspec.structs import replace
 
 from orioleplank.decision.group import Lease
 from orioleplank.decision.routing import NoInstanceAvailable
@@ -33,8 +35,7 @@
 ROLLBACK_TIMEOUT_S = 1.0
 
 
-@dataclass(slots=True, eq=False)
-class Transaction:
+class Transaction(Struct, eq=False):
     """The transaction of a session; it begins at an instance with its first statement."""
 
     # True when the caller declared it read-only.
--- a/orioleplank/gateway/_view_publisher.py
+++ b/orioleplank/gateway/_view_publisher.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from twisted.web.resource import Resource
-from twisted.web.server import Request, Site
+from typing import Any
 
 from orioleplank.decision.membership import (
     PeerMessage,
@@ -26,6 +25,7 @@
     encode_view,
     parse_known_versions,
 )
+from orioleplank.http import HttpServerFactory, Request, Response
 
 # A view older than this is not served: with a lease duration of 9 s (`LEASE_DURATION_S`), leases
 # granted from it would expire almost at once.
@@ -36,15 +36,12 @@
 CHANGE_CHECK_INTERVAL_S = 10.0
 
 
-class ViewPublisher(Resource):
+class ViewPublisher:
     """Serves this proxy's view over HTTP, and notifies its subscribers when it has changed."""
 
-    isLeaf = True  # noqa: N815
-
     def __init__(
         self, cluster_state: ClusterState, membership: FleetMembership, own_name: str
     ) -> None:
-        super().__init__()  # type: ignore[no-untyped-call]
         self._cluster_state = cluster_state
         self._membership = membership
         self._own_name = own_name
@@ -53,27 +50,23 @@
         self._published_versions = cluster_state.versions
         self.socket: PeerSocket | None = None
 
-    def build_site(self) -> Site:
+    def build_site(self, reactor: Any) -> HttpServerFactory:
         """Return an HTTP site that serves the view."""
-        site = Site(self)
-        site.noisy = False
-        return site
+        return HttpServerFactory(reactor, self.respond)
 
-    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+    def respond(self, request: Request) -> Response:
         """Serve what is newer than the requesting proxy's view; 503 while it is too old to use."""
-        if request.path != b"/" + VIEW_PATH:
-            request.setResponseCode(404)
-            return b""
+        path, _, query = request.target.partition("?")
+        if path != VIEW_PATH:
+            return Response(404)
         try:
-            known = parse_known_versions(request.args or {})
+            known = parse_known_versions(query)
         except ValueError:
-            request.setResponseCode(400)
-            return b""
+            return Response(400)
         view = self.build_view(known)
         if view.age > MAX_SERVED_AGE_S:
-            request.setResponseCode(503)
-            return b""
-        return encode_view(view)
+            return Response(503)
+        return Response(200, encode_view(view))
 
     def build_view(self, known: ViewVersions) -> StoreView:
         """Return the contents of the store that are newer than `known`."""
--- a/orioleplank/gateway/_wait_queue.py
+++ b/orioleplank/gateway/_wait_queue.py
@@ -4,10 +4,10 @@
 
 import heapq
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from itertools import count
 from math import inf
 
+from msgspec import Struct
 from twisted.internet.defer import Deferred
 
 from orioleplank._exceptions import OrioleplankError
@@ -30,9 +30,11 @@
         self.retry_after = retry_after
 
 
-@dataclass(slots=True, order=True)
-class Waiter:
-    """A request that waits for a connection; it compares by its order of service."""
+class Waiter(Struct, order=True):
+    """A request that waits for a connection; it compares by its order of service.
+
+    The arrival number is unique, so the fields after it never decide.
+    """
 
     # Priority of its route; 0 is the highest.
     priority: int
@@ -41,14 +43,14 @@
     # Sequence number of its arrival.
     arrival_number: int
     # Deadline, in seconds of the clock of the queue.
-    deadline: float = field(compare=False)
+    deadline: float
     # Receives the connection, or the error.
-    result: Deferred[PooledConnection] = field(compare=False)
+    result: Deferred[PooledConnection]
     # Values that its session has set.
-    values: Mapping[str, str] = field(compare=False)
-    session_id: int = field(compare=False)
+    values: Mapping[str, str]
+    session_id: int
     # True if it is never refused early but waits until its own timeout.
-    waits_until_timeout: bool = field(compare=False)
+    waits_until_timeout: bool
 
 
 class WaitQueue:
--- a/orioleplank/gateway/tests/test_messages.py
+++ b/orioleplank/gateway/tests/test_messages.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import math
-from dataclasses import asdict
 
 import msgspec
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import asdict
 
 from orioleplank.decision.group import GroupPhase, GroupRecord, VersionedGroupRecord
 from orioleplank.decision.instances import (
@@ -108,9 +108,9 @@
             self.assertRaises(ValueError, decode_view, data)
 
     def test_known_versions_are_parsed_and_invalid_ones_are_rejected(self) -> None:
-        known = {b"records": [b"5"], b"instances": [b"6"], b"routes": [b"7"]}
-        self.assertEqual(ViewVersions(5, 6, 7), parse_known_versions(known))
-        for invalid in ({}, {**known, b"routes": [b"x"]}, {**known, b"routes": [b"\xff"]}):
+        known = "records=5&instances=6&routes="
+        self.assertEqual(ViewVersions(5, 6, 7), parse_known_versions(f"{known}7"))
+        for invalid in ("", f"{known}x", f"{known}%ff", known):
             self.assertRaises(ValueError, parse_known_versions, invalid)
 
 
--- /dev/null
+++ b/orioleplank/http/_client.py
@@ -0,0 +1,174 @@
+"""HTTP client with one timeout a request, and with connections that are kept for the next one."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import httptools
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.protocol import ClientCreator, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from orioleplank._exceptions import OrioleplankError
+from orioleplank.http._message import Request, Response, encode_request
+
+# Longest response body, in bytes.
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class NoResponseError(OrioleplankError):
+    """No complete response arrived; the request may have taken effect."""
+
+
+class HttpClient:
+    """Sends requests to one address, each on a connection that no other request uses meanwhile.
+
+    A request that times out closes its connection, so that the request cannot take effect later if
+    it was not delivered, and the idle connections too: they may be as unresponsive.
+    """
+
+    def __init__(
+        self, reactor: Any, address: str, connect_timeout: float, max_idle_connections: int = 0
+    ) -> None:
+        self._reactor = reactor
+        self._address = address
+        # In seconds.
+        self._connect_timeout = connect_timeout
+        self._max_idle_connections = max_idle_connections
+        self._idle: list[_ClientConnection] = []
+
+    def send(self, request: Request, timeout: float) -> Deferred[Response]:
+        """Send a request and wait at most `timeout` seconds for its whole response.
+
+        Fails with `NoResponseError`.
+        """
+        step = f"{request.method} {request.target.partition('?')[0]}"
+        data = encode_request(request, self._address, self._max_idle_connections > 0)
+        pending: Deferred[Any] = self._acquire()
+        pending.addCallback(lambda connection: connection.exchange(data))
+        pending.addTimeout(timeout, self._reactor, self._handle_timeout)
+
+        def convert_error(failure: Failure) -> Failure:
+            detail = type(failure.value).__name__
+            raise NoResponseError(step, self._address, detail) from failure.value
+
+        return pending.addErrback(convert_error)
+
+    def close_idle_connections(self) -> None:
+        """Close the connections that no request uses."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
+
+    def _handle_timeout(self, _: object, timeout: float) -> None:
+        self.close_idle_connections()
+        raise TimeoutError(f"no response within {timeout} s")
+
+    def _acquire(self) -> Deferred[_ClientConnection]:
+        if self._idle:
+            return succeed(self._idle.pop())
+        host, _, port = self._address.rpartition(":")
+        creator = ClientCreator(self._reactor, _ClientConnection, self)
+        connecting: Deferred[_ClientConnection] = creator.connectTCP(
+            host, int(port), timeout=self._connect_timeout
+        )
+        return connecting
+
+    def _release(self, connection: _ClientConnection) -> None:
+        """Keep a connection whose response is complete, or close it."""
+        if len(self._idle) < self._max_idle_connections:
+            self._idle.append(connection)
+        else:
+            connection.end()
+
+    def _discard(self, connection: _ClientConnection) -> None:
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+
+class _ClientConnection(Protocol):
+    """One connection; parses the response of the request in progress."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+        self._pending: Deferred[Response] | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._body: list[bytes] = []
+        self._body_length = 0
+
+    def exchange(self, data: bytes) -> Deferred[Response]:
+        """Send an encoded request; return its response. Cancelling it closes the connection."""
+        self._pending = Deferred(self._cancel)
+        self._parser = httptools.HttpResponseParser(self)
+        self._body, self._body_length = [], 0
+        pending, transport = self._pending, self._transport
+        if transport is None or not transport.connected:
+            self._fail(connectionDone)
+        else:
+            transport.write(data)
+        return pending
+
+    def close(self) -> None:
+        """Abort the connection."""
+        if self._transport is not None:
+            self._transport.abortConnection()
+
+    def end(self) -> None:
+        """Close the connection in order."""
+        if self._transport is not None:
+            self._transport.loseConnection()
+
+    @property
+    def _transport(self) -> Any:
+        return self.transport
+
+    # Methods called by Twisted.
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Disable send delays."""
+        self._transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse a part of a response; data that nobody waits for closes the connection."""
+        if self._pending is None:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._fail(Failure(error))
+            self.close()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Fail the request in progress."""
+        self._client._discard(self)
+        self._fail(reason)
+
+    # Methods called by the parser.
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body."""
+        self._body_length += len(body)
+        if self._body_length > MAX_BODY_BYTES:
+            raise ValueError(f"the body is longer than {MAX_BODY_BYTES} bytes")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Return the response, and the connection to the client."""
+        pending, self._pending = self._pending, None
+        response = Response(self._parser.get_status_code(), b"".join(self._body))
+        if self._parser.should_keep_alive():
+            self._client._release(self)
+        else:
+            self.end()
+        if pending is not None:
+            pending.callback(response)
+
+    def _cancel(self, _: object) -> None:
+        self._pending = None
+        self.close()
+
+    def _fail(self, reason: Failure) -> None:
+        pending, self._pending = self._pending, None
+        if pending is not None:
+            pending.errback(reason)
--- a/orioleplank/kernel/_timer.py
+++ b/orioleplank/kernel/_timer.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from orioleplank.kernel._service import Service
 
 
-@dataclass(frozen=True, slots=True)
-class TimerTick:
+class TimerTick(Struct, frozen=True):
     """Message sent to a subscriber once per period."""
 
     # Topic given by the subscriber.
--- a/orioleplank/platform/__main__.py
+++ b/orioleplank/platform/__main__.py
@@ -4,7 +4,7 @@
 import sys
 
 from orioleplank._exceptions import SettingsError
-from orioleplank._reactor import install_monotonic_reactor
+from orioleplank.platform._imports import shorten_imports
 
 
 def main() -> int:
@@ -12,6 +12,9 @@
     # Without a handler, the reload signal would terminate the process. Ignoring it until then loses
     # nothing, because the settings are read later.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    shorten_imports()
+    from orioleplank._reactor import install_monotonic_reactor
+
     install_monotonic_reactor()
     from orioleplank.platform import run_on_platform
 
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
 from typing import Any
 
+from msgspec import Struct, field
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
-from twisted.internet.protocol import connectionDone
+from twisted.internet.protocol import ClientCreator, connectionDone
 from twisted.protocols.basic import LineOnlyReceiver
 from twisted.python.failure import Failure as TwistedFailure
 
@@ -33,8 +32,7 @@
 PROXY_CALLER_NAME = "orioleplank"
 
 
-@dataclass(slots=True)
-class _PendingRequest:
+class _PendingRequest(Struct):
     """A statement without a complete reply."""
 
     # Fires with the complete reply.
@@ -240,8 +238,8 @@
         """
         address = tunnel_route.address if tunnel_route else entry.address
         host, _, port = address.rpartition(":")
-        endpoint = TCP4ClientEndpoint(self._reactor, host, int(port), timeout=DIAL_TIMEOUT_S)
-        protocol = InstanceProtocol(entry, tunnel_route.prologue if tunnel_route else b"")
+        prologue = tunnel_route.prologue if tunnel_route else b""
+        creator = ClientCreator(self._reactor, InstanceProtocol, entry, prologue)
 
         def convert_error(failure: TwistedFailure) -> TwistedFailure:
             if isinstance(failure.value, OrioleplankError):
@@ -249,7 +247,7 @@
             detail = type(failure.value).__name__
             raise InstanceUnreachableError("open connection", entry.id, detail)
 
-        def await_greeting(_: object) -> Deferred[InstanceLink]:
+        def await_greeting(protocol: InstanceProtocol) -> Deferred[InstanceLink]:
             timer = self._reactor.callLater(DIAL_TIMEOUT_S, protocol.close)
 
             def cancel_timer(result: Any) -> Any:
@@ -259,7 +257,7 @@
 
             return protocol.greeted.addBoth(cancel_timer)
 
-        connecting: Any = connectProtocol(endpoint, protocol)
+        connecting: Any = creator.connectTCP(host, int(port), timeout=DIAL_TIMEOUT_S)
         opened: Deferred[InstanceLink] = connecting.addCallback(await_greeting).addErrback(
             convert_error
         )
--- a/orioleplank/platform/_objects.py
+++ b/orioleplank/platform/_objects.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from types import MappingProxyType
 from typing import Annotated, Literal
 
 import msgspec
+from msgspec import Struct
 
 from orioleplank.decision.instances import (
     DEFAULT_TRANSACTION_IDLE_S,
@@ -33,8 +33,7 @@
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
 
 
-@dataclass(frozen=True, slots=True)
-class RawObject:
+class RawObject(Struct, frozen=True):
     """An object as returned by the store, with its content not validated."""
 
     name: str
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -38,7 +38,7 @@
     reactor = get_reactor()
     metrics = Metrics()
     event_log = EventLog(
-        settings.name, seconds_since_boot, lambda event: metrics.events.labels(event).inc()
+        settings.name, seconds_since_boot, lambda event: metrics.events.increment(event)
     )
     gateway = _build_gateway(reactor, settings, event_log, metrics)
     kernel = build_kernel(reactor, gateway, event_log)
@@ -52,7 +52,7 @@
     reactor: Any, settings: GatewaySettings, event_log: EventLog, metrics: Metrics
 ) -> Gateway:
     def count_call(method: str, result: str) -> None:
-        metrics.store_calls.labels(method, result).inc()
+        metrics.store_calls.increment(method, result)
 
     def log_unreadable(kind: str, name: str) -> None:
         event_log.log_event(EventType.UNREADABLE, kind=kind, object=name)
@@ -71,7 +71,8 @@
     callers = CallerFactory(gateway.sessions, reactor)
     port = _listen_on(reactor, settings.caller_address, callers)
     gateway.stop_accepting = port.stopListening
-    _listen_on(reactor, settings.readiness_address, build_readiness_site(lambda: gateway.is_ready))
+    readiness = build_readiness_site(reactor, lambda: gateway.is_ready)
+    _listen_on(reactor, settings.readiness_address, readiness)
 
 
 def _listen_on(reactor: Any, address: str, factory: Any) -> Any:
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -7,9 +7,6 @@
 from typing import Any, Generic, TypeVar
 from urllib.parse import quote
 
-from twisted.web.client import Agent, HTTPConnectionPool
-
-from orioleplank._http_client import NO_RESPONSE_ERRORS, read_response_body, send_request
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.gateway import (
     Changes,
@@ -22,11 +19,16 @@
     StoreUnavailableError,
     WatchHistoryExpiredError,
 )
+from orioleplank.http import HttpClient, NoResponseError, Request
 from orioleplank.platform._objects import RawObject, parse_instance, parse_record, parse_routes
 
 # Timeout for a request: many times the response time of a slow store.
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
+# Connections that are kept for further requests.
+MAX_IDLE_CONNECTIONS = 8
+# Path below which the store has all objects.
+ROOT_PATH = "/orioleplank/objects"
 # Kinds of objects, as named in the store's paths.
 ROUTES_KIND = "config"
 INSTANCES_KIND = "servers"
@@ -45,13 +47,8 @@
     """Sends requests to the store; shared by all kinds of objects."""
 
     def __init__(self, reactor: Any, address: str, on_call: CallListener) -> None:
-        self._base_url = f"http://{address}/orioleplank/objects"
         self._address = address
-        self._reactor = reactor
-        pool = HTTPConnectionPool(reactor, persistent=True)
-        pool.maxPersistentPerHost = 8
-        pool.retryAutomatically = False
-        self._agent: Any = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+        self._http = HttpClient(reactor, address, CONNECT_TIMEOUT_S, MAX_IDLE_CONNECTIONS)
         self._on_call = on_call
 
     async def call(
@@ -59,25 +56,21 @@
     ) -> Any:
         """Send a request; return the parsed body of the response.
 
-        `path` is relative to the root of all objects; `body` is sent as JSON. `timeout` applies in
-        seconds to the head of the response and then again to its body. Raises
-        `StoreUnavailableError`, `StoreConflictError` or `WatchHistoryExpiredError`.
+        `path` is relative to the root of all objects; `body` is sent as JSON. `timeout` is in
+        seconds. Raises `StoreUnavailableError`, `StoreConflictError` or
+        `WatchHistoryExpiredError`.
         """
         step = f"{method} {path.partition('?')[0]}"
         headers = {"Content-Type": "application/json"} if body is not None else {}
         encoded_body = None if body is None else json.dumps(body).encode()
-        url = f"{self._base_url}/{path}"
+        request = Request(method, f"{ROOT_PATH}/{path}", headers, encoded_body)
         try:
-            response = await send_request(
-                self._reactor, self._agent, method, url, timeout, headers, encoded_body
-            )
-            text = await read_response_body(self._reactor, response, timeout)
-        except NO_RESPONSE_ERRORS as error:
-            detail = type(error).__name__
-            self._on_call(method, detail)
-            raise StoreUnavailableError(step, self._address, detail) from error
-        self._on_call(method, str(response.code))
-        return self._parse_response(step, response.code, text)
+            response = await self._http.send(request, timeout)
+        except NoResponseError as error:
+            self._on_call(method, error.detail)
+            raise StoreUnavailableError(step, self._address, error.detail) from error
+        self._on_call(method, str(response.status))
+        return self._parse_response(step, response.status, response.body)
 
     def _parse_response(self, step: str, code: int, text: bytes) -> Any:
         match code:
--- a/orioleplank/platform/tests/test_main.py
+++ b/orioleplank/platform/tests/test_main.py
@@ -14,8 +14,39 @@
 PROCESS_TIMEOUT_S = 20.0
 # Exit code for invalid settings.
 EXIT_INVALID_SETTINGS = 2
-# Packages that the program does not use. Importing one would lengthen every restart.
-UNNEEDED_PACKAGES = {"automat", "grpc", "pydantic", "treq", "yaml", "orioleplank.decision.quorum"}
+# Packages that the program does not use, or not until later. Importing one lengthens every restart.
+UNNEEDED_PACKAGES = {
+    "_ssl",
+    "asyncio",
+    "automat",
+    "http.client",
+    "grpc",
+    "orioleplank.decision.quorum",
+    "prometheus_client",
+    "pydantic",
+    "treq",
+    "twisted.internet.endpoints",
+    "twisted.web",
+    "urllib.request",
+    "yaml",
+}
+# Largest number of modules that a start may import, the reactor and the standard library included.
+MAX_IMPORTED_MODULES = 400
+# Prints the imported modules, and the data classes of the project: each takes long to build.
+LIST_IMPORTS = """
+import sys
+imported_before = set(sys.modules)
+from orioleplank.platform._imports import shorten_imports
+shorten_imports()
+import twisted.internet.epollreactor, orioleplank.platform._run
+print(*(sys.modules.keys() - imported_before))
+print(*{
+    item.__qualname__
+    for name, module in sys.modules.items() if name.startswith("orioleplank")
+    for item in vars(module).values()
+    if isinstance(item, type) and "__dataclass_fields__" in vars(item)
+})
+"""
 
 
 class TestStart(testtools.TestCase):
@@ -36,12 +67,30 @@
             process.communicate(timeout=PROCESS_TIMEOUT_S)
         self.assertEqual(EXIT_INVALID_SETTINGS, process.returncode)
 
-    def test_start_does_not_import_unneeded_packages(self) -> None:
-        script = "import orioleplank.platform._run, sys; print(*sys.modules, sep='\\n')"
+    def test_start_imports_little_and_builds_no_data_classes(self) -> None:
+        modules, data_classes = self._run_script(LIST_IMPORTS).split("\n")[:2]
+        self.assertEqual(set(), UNNEEDED_PACKAGES & set(modules.split()))
+        self.assertEqual("", data_classes)
+        self.assertLessEqual(len(modules.split()), MAX_IMPORTED_MODULES)
+
+    def test_shortened_imports_leave_coroutines_and_asyncio_usable(self) -> None:
+        output = self._run_script("""
+from orioleplank.platform._imports import shorten_imports
+shorten_imports()
+from twisted.internet.defer import Deferred
+async def double(number): return 2 * number
+Deferred.fromCoroutine(double(4)).addCallback(print)
+import asyncio, http.cookiejar, logging
+print(asyncio.run(double(5)), http.cookiejar.CookieJar.__name__, logging.INFO)
+""")
+        self.assertEqual("8\n10 CookieJar 20\n", output)
+
+    def _run_script(self, script: str) -> str:
         completed = subprocess.run(
             [sys.executable, "-c", script],
             capture_output=True,
             check=True,
+            text=True,
             timeout=PROCESS_TIMEOUT_S,
         )
-        self.assertEqual(set(), UNNEEDED_PACKAGES & set(completed.stdout.decode().split()))
+        return completed.stdout
--- a/orioleplank/soak/_process_cluster.py
+++ b/orioleplank/soak/_process_cluster.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from pathlib import Path
 from random import Random
 from typing import Any
 
+from msgspec.structs import replace
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 
 from orioleplank.decision.instances import (
--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 
 from orioleplank.decision import Position
--- a/orioleplank/tests/_simulated_instances.py
+++ b/orioleplank/tests/_simulated_instances.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
 
 from orioleplank.decision import ZERO_POSITION, Position
 from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
