Mechanisms can be switched off by name; a pool shrinks to its share under load

`InstancePool.release` closes a connection above the limit whether or not requests wait.

Ruled out: switches in the platform's settings file, which the platform writes.

The test of the pool fails on the old condition (four open connections at a limit of two).

--- a/orioleplank/decision/routing/_connection_owners.py
+++ b/orioleplank/decision/routing/_connection_owners.py
@@ -87,13 +87,18 @@
     return (nearby + remote)[:count]
 
 
+def direct_path(limit: int, active: Collection[ProxyRecord]) -> DirectPath:
+    """Return the path in which every proxy opens an equal share of `limit` connections."""
+    return DirectPath(max(1, _equal_share(limit, len(active))))
+
+
 def choose_connection_path(
     proxy_name: str, instance: InstanceEntry, limit: int, active: Collection[ProxyRecord]
 ) -> ConnectionPath:
     """Return how the proxy `proxy_name` reaches an instance that accepts `limit` connections."""
     owners = select_owners(instance, limit, active)
     if not owners:
-        return DirectPath(max(1, _equal_share(limit, len(active))))
+        return direct_path(limit, active)
     if proxy_name in owners[:OWNER_COUNT]:
         return DirectPath(owner_connection_limit(limit))
     records = {record.name: record for record in active if record.name in owners}
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -20,6 +20,7 @@
     VersionedGroupRecord,
 )
 from orioleplank.decision.instances import InstanceDirectory, InstanceEntry, Route, RouteTable
+from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.decision.membership import Fleet, PrimaryPosition, ProxyRecord, ViewVersions
 from orioleplank.decision.routing import DirectPath
 from orioleplank.gateway._event_log import EventLog, EventType
@@ -57,7 +58,9 @@
         event_log: EventLog,
         seconds_since_boot: Callable[[], float],
         drain_time_s: float,
+        mechanisms: MechanismSwitches = ALL_ON,
     ) -> None:
+        self.mechanisms = mechanisms
         self.routes = RouteTable()
         self.directory = InstanceDirectory()
         # Store revision up to which all proxy and group records are known.
@@ -115,6 +118,8 @@
     @property
     def is_starting(self) -> bool:
         """True while first listings are missing and the startup timeout has not expired."""
+        if not self.mechanisms.is_on(Mechanism.STARTUP_WAIT):
+            return False
         knows_groups = self.leases.leases_start_at > float("-inf")
         is_complete = self.routes.version > 0 and knows_groups and self.directory_revision > 0
         return not is_complete and self.now() - self._started_at < STARTUP_TIMEOUT_S
@@ -222,7 +227,9 @@
         def report_problem(instance: str) -> None:
             self.on_instance_problem(instance)
 
-        return InstancePool(entry, dial, self.now, connection_limit, report_problem)
+        return InstancePool(
+            entry, dial, self.now, connection_limit, report_problem, self.mechanisms
+        )
 
     def primary_accepts_work(self, instance: str) -> bool:
         """Return whether new work may be sent to an instance that is a primary."""
--- a/orioleplank/gateway/_failover.py
+++ b/orioleplank/gateway/_failover.py
@@ -24,6 +24,7 @@
 )
 from orioleplank.decision.group import GroupPhase, GroupRecord, VersionedGroupRecord
 from orioleplank.decision.instances import DbRole
+from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.membership import ProxyRecord, ReleaseAsked
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
@@ -115,7 +116,10 @@
         serve, as long as it accepts work.
         """
         primary = versioned_record.record.primary
-        if self._cluster_state.drains_for_at_least(primary, SWITCHOVER_POSTPONEMENT_S):
+        may_postpone = self._cluster_state.mechanisms.is_on(Mechanism.SWITCHOVER_POSTPONEMENT)
+        if may_postpone and self._cluster_state.drains_for_at_least(
+            primary, SWITCHOVER_POSTPONEMENT_S
+        ):
             unresponsive = await self._lease_releases.find_unresponsive_proxies()
             if unresponsive and self._cluster_state.drains_for_at_least(
                 primary, SWITCHOVER_POSTPONEMENT_S
@@ -141,7 +145,8 @@
         are limited.
         """
         old_record = versioned_record.record
-        taken_over_at = self._cluster_state.move_times.seen_at(old_record)
+        is_early = self._cluster_state.mechanisms.is_on(Mechanism.EARLY_SUCCESSION)
+        taken_over_at = self._cluster_state.move_times.seen_at(old_record) if is_early else None
         failover = await self._claim(old_record, versioned_record.revision, planned)
         move_started_at = (
             self._cluster_state.lease_clock() if taken_over_at is None else taken_over_at
@@ -221,7 +226,10 @@
         of the old primary is not awaited.
         """
         catch_up_deadline = self._cluster_state.now() + CATCH_UP_TIMEOUT_S
-        unawaited = "" if failover.record.planned else old_record.primary
+        awaits_all = failover.record.planned or not self._cluster_state.mechanisms.is_on(
+            Mechanism.UNAWAITED_REPORT
+        )
+        unawaited = "" if awaits_all else old_record.primary
         marking: Deferred[None] | None = Deferred.fromCoroutine(self._mark_released(failover))
         while True:
             entries = self._cluster_state.directory.entries_of_service(failover.record.service)
--- a/orioleplank/gateway/_failure_detector.py
+++ b/orioleplank/gateway/_failure_detector.py
@@ -12,6 +12,7 @@
 from random import Random
 
 from orioleplank.decision.group import CLOCK_DRIFT_MARGIN_S, LEASE_DURATION_S
+from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.membership import (
     PeerMessage,
     Ping,
@@ -121,6 +122,8 @@
         self._send(record.name, Ping(self._own_record.name, self._own_record.name))
         if self._unanswered[record.incarnation] <= INDIRECT_PROBE_AFTER_PINGS:
             return
+        if not self._cluster_state.mechanisms.is_on(Mechanism.INDIRECT_PINGS):
+            return
         others = [
             other for other in active if other.name not in (self._own_record.name, record.name)
         ]
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -104,9 +104,16 @@
         self.forwarding_client = forwarding = ForwardingClient(
             settings.name, dependencies.channels, reactor.seconds
         )
-        connector = InstanceConnector(own_record, dependencies.dialer, forwarding, reactor.seconds)
+        connector = InstanceConnector(
+            own_record, dependencies.dialer, forwarding, reactor.seconds, settings.mechanisms
+        )
         self.cluster_state = ClusterState(
-            reactor, connector, event_log, lease_clock, settings.instance_drain_time
+            reactor,
+            connector,
+            event_log,
+            lease_clock,
+            settings.instance_drain_time,
+            settings.mechanisms,
         )
         self.cluster_state.on_instance_problem = self._handle_instance_problem
         gate = StoreReadGate(reactor)
--- a/orioleplank/gateway/_instance_connector.py
+++ b/orioleplank/gateway/_instance_connector.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from orioleplank.decision.instances import InstanceEntry, ServiceLimits
+from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.decision.membership import Fleet, ProxyRecord
 from orioleplank.decision.routing import (
     ConnectionPath,
@@ -14,6 +15,7 @@
     ForwardingPath,
     choose_connection_path,
     choose_owner,
+    direct_path,
     non_owner_connection_limit,
     select_owners,
 )
@@ -43,7 +45,9 @@
         dialer: Dialer,
         forwarding: ForwardingClient,
         now: Callable[[], float],
+        mechanisms: MechanismSwitches = ALL_ON,
     ) -> None:
+        self._mechanisms = mechanisms
         self._own_record = own_record
         self._dialer = dialer
         self._forwarding = forwarding
@@ -64,24 +68,31 @@
             {record.address for record in fleet.proxies.values()}
         )
 
+    @property
+    def _uses_owners(self) -> bool:
+        return self._mechanisms.is_on(Mechanism.CONNECTION_OWNERS)
+
     def connection_path(self, entry: InstanceEntry) -> ConnectionPath:
         """Return the connection path to an instance; `DirectPath` if its service has no limits."""
         path = self._paths.get(entry.id)
         if path is None:
             limits = self._services.get(entry.service)
             active = self._fleet.active()
-            path = (
-                choose_connection_path(self._own_record.name, entry, limits.max_connections, active)
-                if limits
-                else DirectPath(1)
-            )
+            if limits is None:
+                path = DirectPath(1)
+            elif not self._uses_owners:
+                path = direct_path(limits.max_connections, active)
+            else:
+                path = choose_connection_path(
+                    self._own_record.name, entry, limits.max_connections, active
+                )
             self._paths[entry.id] = path
         return path
 
     def connection_owners(self, entry: InstanceEntry) -> tuple[str, ...]:
         """Return the connection owners of an instance; empty if every proxy connects itself."""
         limits = self._services.get(entry.service)
-        if limits is None:
+        if limits is None or not self._uses_owners:
             return ()
         owners = self._owners.get(entry.id)
         if owners is None:
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -16,6 +16,7 @@
     update_mean_hold_time,
 )
 from orioleplank.decision.instances import InstanceEntry
+from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.decision.session import plan_connection_setup
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._interfaces import (
@@ -62,7 +63,9 @@
         now: Callable[[], float],
         connection_limit: Callable[[InstanceEntry], int],
         on_problem: Callable[[str], None],
+        mechanisms: MechanismSwitches = ALL_ON,
     ) -> None:
+        self._mechanisms = mechanisms
         self.entry = entry
         self._dial = dial
         self._now = now
@@ -75,7 +78,7 @@
         # Mean time for which a connection stays in use, in seconds.
         self._mean_hold_time = INITIAL_LATENCY_S
         self._opening = 0
-        self._waiters = WaitQueue(now)
+        self._waiters = WaitQueue(now, mechanisms)
         self._closed = False
         self._retry_at = 0.0
         self._dial_failures = 0
@@ -164,7 +167,8 @@
         True during the lag backoff for positions beyond the last reported one. Reads that accept
         older data are still sent to the instance.
         """
-        if self._now() >= self._lag_backoff_until:
+        backs_off = self._mechanisms.is_on(Mechanism.LAG_BACKOFF)
+        if not backs_off or self._now() >= self._lag_backoff_until:
             return False
         return self._reported_position is None or position > self._reported_position
 
@@ -220,7 +224,8 @@
         admission = decide_admission(
             self._queue_load(priority, remaining_time).expected_wait, remaining_time
         )
-        if isinstance(admission, AdmissionRefused) and not is_probe:
+        refuses_early = self._mechanisms.is_on(Mechanism.EARLY_REFUSAL)
+        if isinstance(admission, AdmissionRefused) and refuses_early and not is_probe:
             return fail(QueueTooLongError(self.entry.id, admission.retry_after))
         result = self._waiters.enqueue(
             priority, remaining_time, values, session_id, waits_until_timeout=is_probe
@@ -238,9 +243,7 @@
             self._mean_hold_time, self.last_released_at - taken_at
         )
         # `size` no longer counts this connection, so an equal limit is exceeded as well.
-        exceeds_limit = self.size >= max(1, self._connection_limit(self.entry)) and not len(
-            self._waiters
-        )
+        exceeds_limit = self.size >= max(1, self._connection_limit(self.entry))
         is_outdated = connection.generation != self._generation
         if not connection.is_usable or self._closed or exceeds_limit or is_outdated:
             connection.link.close()
--- a/orioleplank/gateway/_position_exchange.py
+++ b/orioleplank/gateway/_position_exchange.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from random import Random
 
+from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.membership import (
     PeerMessage,
     PositionsAsked,
@@ -54,7 +55,8 @@
     def request_positions(self, peers: Iterable[ProxyRecord]) -> None:
         """Request the required positions that are not known or not fresh from nearby proxies."""
         services = self._find_stale_services()
-        if not services or self.socket is None:
+        is_on = self._cluster_state.mechanisms.is_on(Mechanism.POSITION_EXCHANGE)
+        if not services or self.socket is None or not is_on:
             return
         self._request_number += 1
         self._request_times[self._request_number] = self._cluster_state.lease_clock()
--- a/orioleplank/gateway/_primary_monitor.py
+++ b/orioleplank/gateway/_primary_monitor.py
@@ -23,6 +23,7 @@
 )
 from orioleplank.decision.group import GroupPhase, GroupRecord, VersionedGroupRecord
 from orioleplank.decision.instances import InstanceEntry
+from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.membership import Fleet, ProxyRecord, rank_proxies
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
@@ -186,7 +187,10 @@
         """
         if self._has_holder_ended(record):
             return 0.0
-        return PROMOTION_TAKEOVER_TIMEOUT_S if record.released else FAILOVER_TAKEOVER_TIMEOUT_S
+        is_early = self._cluster_state.mechanisms.is_on(Mechanism.EARLY_SUCCESSION)
+        if record.released or not is_early:
+            return PROMOTION_TAKEOVER_TIMEOUT_S
+        return FAILOVER_TAKEOVER_TIMEOUT_S
 
     def _has_holder_ended(self, record: GroupRecord) -> bool:
         """Return whether the incarnation that holds a failover has certainly ended."""
@@ -339,6 +343,8 @@
 
     def _use_tunnel_through_peer(self, instance: str, ages: dict[str, float]) -> None:
         """Use a tunnel to an instance through the peer that received its latest response."""
+        if not self._cluster_state.mechanisms.is_on(Mechanism.TUNNELS):
+            return
         recent_ages = {name: age for name, age in ages.items() if age <= RECENT_RESPONSE_S}
         if not recent_ages:
             return
--- a/orioleplank/gateway/_settings.py
+++ b/orioleplank/gateway/_settings.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
+
 
 class GatewaySettings(Struct, frozen=True):
     """Identity, addresses and time limits of one proxy; addresses are HOST:PORT."""
@@ -26,3 +28,4 @@
     shutdown_grace: float
     # Seconds for which an instance still serves after it has announced its shutdown.
     instance_drain_time: float
+    mechanisms: MechanismSwitches = ALL_ON
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -12,6 +12,7 @@
 from orioleplank.decision import ZERO_POSITION, Position
 from orioleplank.decision.group import Lease
 from orioleplank.decision.instances import Consistency, InstanceEntry
+from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.routing import (
     NoInstanceAvailable,
     ReadCandidate,
@@ -29,7 +30,7 @@
     Request,
 )
 from orioleplank.gateway._outcome import Completed, Outcome, Refused, refuse
-from orioleplank.gateway._pool import InstancePool
+from orioleplank.gateway._pool import INITIAL_LATENCY_S, InstancePool
 from orioleplank.gateway._wait_queue import QueueTooLongError
 
 # Share of the remaining time that one attempt may take, which leaves time for another attempt.
@@ -173,14 +174,15 @@
     def _build_candidate(
         self, entry: InstanceEntry, is_primary: bool, requirement: ReadRequirement
     ) -> ReadCandidate:
-        pool = self.cluster_state.pools[entry.id]
+        pool, mechanisms = self.cluster_state.pools[entry.id], self.cluster_state.mechanisms
+        weighs_latency = mechanisms.is_on(Mechanism.LATENCY_PREFERENCE)
         return ReadCandidate(
             entry.id,
-            entry.zone == self.zone,
+            entry.zone == self.zone or not mechanisms.is_on(Mechanism.ZONE_PREFERENCE),
             is_primary,
             entry.slots,
-            pool.in_flight,
-            pool.latency,
+            pool.in_flight if weighs_latency else 0,
+            pool.latency if weighs_latency else INITIAL_LATENCY_S,
             requirement.min_position is not None
             and pool.is_likely_behind(requirement.min_position),
         )
--- a/orioleplank/gateway/_view_subscriber.py
+++ b/orioleplank/gateway/_view_subscriber.py
@@ -11,6 +11,7 @@
 
 from twisted.internet.defer import Deferred
 
+from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.membership import (
     PeerMessage,
     ProxyRecord,
@@ -109,7 +110,9 @@
         previous_name = self._source.name if self._source else ""
         fleet, is_registered = self._cluster_state.fleet, self._membership.is_registered
         self._source = (
-            choose_view_source(self._own_record, fleet, self._is_avoided) if is_registered else None
+            choose_view_source(self._own_record, fleet, self._is_avoided)
+            if is_registered and self._cluster_state.mechanisms.is_on(Mechanism.VIEW_SOURCES)
+            else None
         )
         name = self._source.name if self._source else ""
         if name != previous_name:
--- a/orioleplank/gateway/_wait_queue.py
+++ b/orioleplank/gateway/_wait_queue.py
@@ -12,6 +12,7 @@
 
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.admission import QueueLoad, find_expiring_waiters
+from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.gateway._connection import PooledConnection
 
 # Interval between checks for waiters that cannot be served before their deadline, in seconds.
@@ -59,8 +60,9 @@
     In order of arrival, work with a distant deadline would delay work with a close one.
     """
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(self, now: Callable[[], float], mechanisms: MechanismSwitches = ALL_ON) -> None:
         self._now = now
+        self._mechanisms = mechanisms
         self._queue: list[Waiter] = []
         self._arrival_numbers = count(1)
         self._last_expiry_check_at = now()
@@ -70,7 +72,7 @@
 
     def count_ahead(self, priority: int, remaining_time: float) -> int:
         """Return how many waiters are served before a new one that has `remaining_time` seconds."""
-        queue_position = (priority, _deadline_bucket(self._now() + remaining_time))
+        queue_position = (priority, self._deadline_bucket(self._now() + remaining_time))
         return sum(
             (waiter.priority, waiter.deadline_bucket) <= queue_position for waiter in self._queue
         )
@@ -96,7 +98,10 @@
 
         result: Deferred[PooledConnection] = Deferred(remove_waiter)
         deadline = self._now() + remaining_time
-        deadline_bucket, arrival_number = _deadline_bucket(deadline), next(self._arrival_numbers)
+        deadline_bucket, arrival_number = (
+            self._deadline_bucket(deadline),
+            next(self._arrival_numbers),
+        )
         waiter = Waiter(
             priority,
             deadline_bucket,
@@ -127,6 +132,8 @@
         mean time for which one of the `connection_count` connections stays in use, in seconds.
         Does nothing within `EXPIRY_CHECK_INTERVAL_S` of the previous check.
         """
+        if not self._mechanisms.is_on(Mechanism.EARLY_REFUSAL):
+            return
         if not self._queue or self._now() < self._last_expiry_check_at + EXPIRY_CHECK_INTERVAL_S:
             return
         self._last_expiry_check_at = self._now()
@@ -144,7 +151,8 @@
             error = QueueTooLongError(instance, load.expected_wait)
             ordered[index].result.errback(error)
 
-
-def _deadline_bucket(deadline: float) -> int:
-    """Return the number of the bucket that contains a deadline."""
-    return int(deadline / DEADLINE_BUCKET_S)
+    def _deadline_bucket(self, deadline: float) -> int:
+        """Return the number of the bucket that contains a deadline."""
+        if not self._mechanisms.is_on(Mechanism.DEADLINE_ORDER):
+            return 0
+        return int(deadline / DEADLINE_BUCKET_S)
--- a/orioleplank/gateway/tests/test_pool.py
+++ b/orioleplank/gateway/tests/test_pool.py
@@ -1,9 +1,11 @@
-"""How a pool backs off from a replica that lags."""
+"""How a pool backs off from a replica that lags, and how it shrinks to a smaller limit."""
 
 from __future__ import annotations
 
+from typing import Any
+
 import testtools
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from orioleplank.decision import Position
 from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
@@ -49,3 +51,42 @@
         self.pool.record_lagging()
         self.assertTrue(self.pool.is_likely_behind(REQUESTED_POSITION))
         self.assertFalse(self.pool.is_likely_behind(Position(3, 80)))
+
+
+class _Link:
+    """A connection that is only closed."""
+
+    has_replied_on_opening = True
+
+    def __init__(self) -> None:
+        self.is_closed = False
+
+    def close(self) -> None:
+        """Record the call."""
+        self.is_closed = True
+
+
+class TestLimit(testtools.TestCase):
+    def test_pool_shrinks_to_a_smaller_limit_while_requests_wait(self) -> None:
+        """After the fleet has grown, the connections above the share belong to other proxies."""
+        limit = 4
+        links: list[_Link] = []
+
+        def dial(*_: object) -> Any:
+            links.append(_Link())
+            return succeed(links[-1])
+
+        entry = InstanceEntry(
+            "i-1", "books", "10.0.0.9:1", "a", InstanceState.READY, DbRole.PRIMARY, 5
+        )
+        pool = InstancePool(entry, dial, lambda: 0.0, lambda _: limit, lambda _: None)
+        served: list[Any] = []
+        for number in range(8):
+            pool.acquire({}, number, 0, 60.0).addCallback(served.append)
+        limit = 2
+        for index in range(2):
+            pool.release(served[index])
+        self.assertEqual(2, sum(not link.is_closed for link in links))
+        for index in range(2, 6):
+            pool.release(served[index])
+        self.assertEqual(8, len(served))
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Iterable
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
 from orioleplank._exceptions import SettingsError
 from orioleplank._reactor import get_reactor
+from orioleplank.decision.mechanisms import parse_switches
 from orioleplank.gateway import (
     EventLog,
     EventType,
@@ -32,9 +34,9 @@
 LISTEN_BACKLOG = 1024
 
 
-def run_gateway() -> None:
+def run_gateway(disabled_mechanisms: Iterable[str] = ()) -> None:
     """Run the gateway until a stop signal; raise `SettingsError` if its settings are invalid."""
-    settings = load_settings()
+    settings = load_settings(parse_switches(disabled_mechanisms))
     reactor = get_reactor()
     metrics = Metrics()
     event_log = EventLog(
--- a/orioleplank/platform/_settings.py
+++ b/orioleplank/platform/_settings.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from orioleplank._exceptions import SettingsError
+from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
 from orioleplank.gateway import GatewaySettings
 
 # Environment variable that contains the path of the file.
@@ -46,7 +47,7 @@
     bounds: _Bounds = _Bounds()
 
 
-def load_settings() -> GatewaySettings:
+def load_settings(mechanisms: MechanismSwitches = ALL_ON) -> GatewaySettings:
     """Read the settings file of the platform; raise `SettingsError` if it is missing or invalid."""
     path = os.environ.get(PATH_VARIABLE)
     if not path:
@@ -67,4 +68,5 @@
         promotion_service_address=boot.cloud.address,
         shutdown_grace=boot.bounds.graceS,
         instance_drain_time=boot.bounds.drainMs / 1000,
+        mechanisms=mechanisms,
     )
--- a/orioleplank/soak/_processes.py
+++ b/orioleplank/soak/_processes.py
@@ -61,6 +61,12 @@
         """True while the process exists, paused or not."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """The id of the running process."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def paused(self) -> bool:
         """True between a pause and the next resume."""
--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -20,6 +20,7 @@
     RouteTable,
     ServiceLimits,
 )
+from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
 from orioleplank.decision.membership import ViewVersions
 from orioleplank.decision.session import Failure, Reply, Statement
 from orioleplank.gateway import (
@@ -171,7 +172,14 @@
 class GatewayCluster:
     """A small deployment: proxies, one service of three instances, the store."""
 
-    def __init__(self, seed: int = 1, proxies: int = 3, connection_limit: int = 30) -> None:
+    def __init__(
+        self,
+        seed: int = 1,
+        proxies: int = 3,
+        connection_limit: int = 30,
+        mechanisms: MechanismSwitches = ALL_ON,
+    ) -> None:
+        self.mechanisms = mechanisms
         self.simulator = Simulator(seed)
         self.network = DatagramNetwork(self.simulator)
         self.simulator.nodes[STORE_NODE] = Node(STORE_NODE)
@@ -219,6 +227,7 @@
             "10.9.0.2:1",
             6.0,
             DRAIN_PERIOD_S,
+            self.mechanisms,
         )
         node.dialer = SimulatedDialer(self.group, node, self._find_proxy)
         store: Any = SimulatedStoreClient(self.store, node)
--- a/orioleplank/tests/_random_faults.py
+++ b/orioleplank/tests/_random_faults.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from orioleplank.decision.instances import DbRole, InstanceState
+from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
 from orioleplank.tests._audited_run import Audit, AuditedRun
 from orioleplank.tests._gateway_cluster import GatewayCluster, GatewayNode
 from orioleplank.tests._simulated_instances import SimulatedInstance
@@ -21,9 +22,15 @@
     """A simulated cluster under random faults, followed by a recovery period."""
 
     def __init__(
-        self, seed: int, proxies: int = 4, callers: int = 10, connection_limit: int = 30
+        self,
+        seed: int,
+        proxies: int = 4,
+        callers: int = 10,
+        connection_limit: int = 30,
+        mechanisms: MechanismSwitches = ALL_ON,
     ) -> None:
-        super().__init__(GatewayCluster(seed, proxies, connection_limit), Random(seed), callers)
+        cluster = GatewayCluster(seed, proxies, connection_limit, mechanisms)
+        super().__init__(cluster, Random(seed), callers)
 
     def run(self) -> Audit:
         """Inject faults, end them, check that callers are served again, and return the audit."""
