Eleven suspected faults on the platform's path mended

- Registration goes on after any error of the store; an expired history left it registering for ever.
- A watcher pauses when the history expires during a listing, and a conflict no longer ends it.
- Peers that answer nothing about a primary without a pool no longer keep a lone survivor from acting for ever.
- A refused STEPDOWN is not reported as done; an unreadable report is a refusal; "3.²" is no position.
- The loopback channel informs both ends when it is closed, and is opened again.
- The retry delay of a failure crosses a forwarded reply (a trailing field, absent in older frames).
- A new life of a draining instance has its own drain time.
- The wait for a connection counts towards the time of an attempt, so that one attempt leaves time for another.

--- a/orioleplank/decision/instances/_directory.py
+++ b/orioleplank/decision/instances/_directory.py
@@ -173,7 +173,8 @@
         if entry.state is not InstanceState.DRAINING:
             return TrackedInstance(entry)
         previous = self.instances.get(entry.id)
-        draining_since = previous.draining_since if previous else None
+        is_same_life = previous is not None and previous.entry.born == entry.born
+        draining_since = previous.draining_since if previous and is_same_life else None
         return TrackedInstance(
             entry, draining_since=now if draining_since is None else draining_since
         )
--- a/orioleplank/decision/instances/tests/test_directory.py
+++ b/orioleplank/decision/instances/tests/test_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import testtools
+from msgspec.structs import replace
 
 from orioleplank.decision.instances import (
     MISSING_GRACE_S,
@@ -46,6 +47,12 @@
         self.assertTrue(directory.accepts_work_as_primary("db-a", 4.5, 7.0))
         self.assertFalse(directory.accepts_work_as_primary("db-a", 5.0, 7.0))
 
+    def test_new_life_of_a_draining_instance_drains_from_its_own_start(self) -> None:
+        draining = replace(_entry("db-a", InstanceState.DRAINING), born=1)
+        directory = InstanceDirectory().upsert(draining, 1.0)
+        directory = directory.upsert(replace(draining, born=2), 6.0)
+        self.assertTrue(directory.accepts_work_as_primary("db-a", 7.0, 7.0))
+
 
 class TestRouteTable(testtools.TestCase):
     def test_newer_version_is_kept(self) -> None:
--- a/orioleplank/gateway/_fleet_membership.py
+++ b/orioleplank/gateway/_fleet_membership.py
@@ -42,6 +42,8 @@
 WATCH_TIMEOUT_S = 10.0
 # Mean pause before a failed registration is retried.
 REGISTRATION_RETRY_DELAY_S = 0.3
+# Every way in which a call to the store may fail.
+STORE_ERRORS = (StoreUnavailableError, StoreConflictError, WatchHistoryExpiredError)
 
 
 class FleetMembership:
@@ -122,7 +124,7 @@
         """List all records once, which renews the leases; a failure is logged."""
         try:
             await self._watcher.list_now()
-        except (StoreUnavailableError, WatchHistoryExpiredError, StoreConflictError) as error:
+        except STORE_ERRORS as error:
             self._event_log.log_event(EventType.LEASE, outcome="not renewed", why=str(error))
 
     async def register(self) -> None:
@@ -130,26 +132,31 @@
         if self._is_registering:
             return
         self._is_registering = True
-        while not self._is_stopped:
-            try:
-                await self._write_record(self._own_record)
-                self._event_log.log_event(
-                    EventType.FLEET, outcome="registered", incarnation=self._own_record.incarnation
-                )
-                break
-            except (StoreUnavailableError, StoreConflictError) as error:
-                self._event_log.log_event(EventType.FLEET, outcome="not registered", why=str(error))
+        try:
+            while not self._is_stopped and not await self._try_to_register():
                 await sleep(
                     self._reactor, REGISTRATION_RETRY_DELAY_S * (0.5 + self._random.random())
                 )
-        self._is_registering = False
+        finally:
+            self._is_registering = False
+
+    async def _try_to_register(self) -> bool:
+        try:
+            await self._write_record(self._own_record)
+        except STORE_ERRORS as error:
+            self._event_log.log_event(EventType.FLEET, outcome="not registered", why=str(error))
+            return False
+        self._event_log.log_event(
+            EventType.FLEET, outcome="registered", incarnation=self._own_record.incarnation
+        )
+        return True
 
     async def mark_stopping(self) -> None:
         """Mark this proxy as stopping in the store, so that it is given no further duties."""
         self._own_record = replace(self._own_record, stopping=True)
         try:
             await self._write_record(self._own_record)
-        except (StoreUnavailableError, StoreConflictError) as error:
+        except STORE_ERRORS as error:
             self._event_log.log_event(
                 EventType.FLEET, outcome="not marked as stopping", why=str(error)
             )
@@ -162,7 +169,7 @@
             return
         try:
             await self._records.remove(proxy_record_name(self._own_record.name), revision)
-        except (StoreUnavailableError, StoreConflictError) as error:
+        except STORE_ERRORS as error:
             self._event_log.log_event(EventType.FLEET, outcome="not removed", why=str(error))
 
     async def _write_record(self, record: ProxyRecord) -> None:
--- a/orioleplank/gateway/_frames.py
+++ b/orioleplank/gateway/_frames.py
@@ -117,6 +117,8 @@
     failure: tuple[FailureCode, str] | None
     state: TransactionState
     position: tuple[int, int] | None
+    # Seconds after which a retry may succeed; None if unknown, and in frames of older versions.
+    retry_after: float | None = None
 
 
 class Reported(Frame, frozen=True):
@@ -203,15 +205,24 @@
 
 
 def encode_reply(correlation_id: int, reply: Reply) -> Answered:
-    """Encode a reply; the retry delay of a failure is not transmitted."""
+    """Encode a reply."""
     failure = (reply.failure.code, reply.failure.detail) if reply.failure else None
+    retry_after = reply.failure.retry_after if reply.failure else None
     position = encode_position(reply.position)
-    return Answered(correlation_id, reply.rows, reply.signature, failure, reply.state, position)
+    return Answered(
+        correlation_id,
+        reply.rows,
+        reply.signature,
+        failure,
+        reply.state,
+        position,
+        retry_after,
+    )
 
 
 def decode_reply(frame: Answered) -> Reply:
     """Return the reply of a frame."""
-    failure = None if frame.failure is None else Failure(*frame.failure)
+    failure = None if frame.failure is None else Failure(*frame.failure, frame.retry_after)
     position = decode_position(frame.position)
     return Reply(frame.rows, frame.signature, failure, frame.state, position)
 
--- a/orioleplank/gateway/_instance_prober.py
+++ b/orioleplank/gateway/_instance_prober.py
@@ -124,8 +124,8 @@
     async def step_down(self, pool: InstancePool, term: int) -> bool:
         """Request that an old primary becomes a replica.
 
-        Returns False when no connection was available or no reply arrived, and True after any
-        reply, also one that contains a failure.
+        Returns False when no connection was available, no reply arrived, or the reply contains a
+        failure.
         """
         try:
             # No session (id 0), and priority 0, the highest.
@@ -135,12 +135,12 @@
             return False
         link: InstanceLink = connection.link
         try:
-            await link.step_down(term).addTimeout(REPORT_TIMEOUT_S, self._reactor)
+            reply = await link.step_down(term).addTimeout(REPORT_TIMEOUT_S, self._reactor)
         except PROBE_ERRORS:
             pool.discard(connection)
             return False
         pool.release(connection)
-        return True
+        return reply.failure is None
 
     # Other proxies.
 
--- a/orioleplank/gateway/_list_watcher.py
+++ b/orioleplank/gateway/_list_watcher.py
@@ -15,6 +15,7 @@
     Changes,
     Listing,
     ObjectCollection,
+    StoreConflictError,
     StoreUnavailableError,
     WatchHistoryExpiredError,
 )
@@ -82,17 +83,27 @@
             await self._gate.wait_until_open()
             initial_close_count = self._gate.close_count
             try:
-                revision = await self.list_now()
+                revision = await self._list_until_complete()
                 while not self.is_stopped and self._gate.close_count == initial_close_count:
                     revision = await self._watch(revision, initial_close_count)
             except WatchHistoryExpiredError:
                 continue
-            except StoreUnavailableError as error:
+            except (StoreUnavailableError, StoreConflictError) as error:
                 self._handler.on_call_finished(str(error))
                 await sleep(self._reactor, self._next_retry_delay())
                 if not self._probes_unreachable_store:
                     await self._gate.wait_until_store_reachable()
 
+    async def _list_until_complete(self) -> int:
+        """List; raise `StoreUnavailableError` too if the history expires during the listing.
+
+        Only a watch is followed by a listing at once.
+        """
+        try:
+            return await self.list_now()
+        except WatchHistoryExpiredError as error:
+            raise StoreUnavailableError("list", error.peer, error.detail) from error
+
     async def list_now(self) -> int:
         """List once; return the revision. Raises `StoreUnavailableError`."""
         requested_at = self._lease_clock()
--- a/orioleplank/gateway/_loopback_channel.py
+++ b/orioleplank/gateway/_loopback_channel.py
@@ -17,16 +17,21 @@
 
     def __init__(self) -> None:
         self.handler: FrameHandler | None = None
+        # The other end; set once both exist.
+        self.peer: _ChannelEnd | None = None
 
     def send(self, frame: bytes) -> None:
         if self.handler is not None:
             self.handler.handle_frame(frame)
 
     def close(self) -> None:
-        """Close the channel; the handler of the other end is informed."""
+        """Close the channel; the handlers of both ends are informed, as over TCP."""
         handler, self.handler = self.handler, None
-        if handler is not None:
-            handler.handle_channel_closed()
+        if handler is None:
+            return
+        handler.handle_channel_closed()
+        if self.peer is not None:
+            self.peer.close()
 
 
 class LoopbackChannelDialer:
@@ -38,6 +43,7 @@
     def open(self, address: str, handler: FrameHandler) -> Deferred[Channel]:
         """Open a channel to this proxy, whatever the address is; it never fails."""
         client_end, server_end = _ChannelEnd(), _ChannelEnd()
+        client_end.peer, server_end.peer = server_end, client_end
         server_end.handler = handler
         client_end.handler = self._accept(server_end)
         return succeed(client_end)
--- a/orioleplank/gateway/_primary_monitor.py
+++ b/orioleplank/gateway/_primary_monitor.py
@@ -101,6 +101,9 @@
         self._assessments: dict[str, _UnchangedAssessment] = {}
         # Store revision of each running failover's record, and since when it has not changed.
         self._failover_revisions: dict[str, tuple[int, float]] = {}
+        # Since when no peer has answered a query about a primary, by service, in seconds of the
+        # monotonic clock.
+        self._peers_silent_since: dict[str, float] = {}
         # Services with an action in progress.
         self._services_in_action: set[str] = set()
         self._probing: set[str] = set()
@@ -325,10 +328,7 @@
             record.primary, self._own_record, self._cluster_state.fleet.active()
         )
         ages = await self._prober.query_peer_reachability(record.primary, peers)
-        pool = self._cluster_state.pools.get(record.primary)
-        is_isolated = (
-            bool(peers) and not ages and (pool is None or pool.failing_for < UNCONFIRMED_FAILURE_S)
-        )
+        is_isolated = self._is_isolated(record, bool(peers) and not ages)
         is_failed = not is_isolated and all(age > RECENT_RESPONSE_S for age in ages.values())
         self._event_log.log_event(
             EventType.SUSPICION,
@@ -341,6 +341,21 @@
         self._use_tunnel_through_peer(record.primary, ages)
         return is_failed
 
+    def _is_isolated(self, record: GroupRecord, is_unanswered: bool) -> bool:
+        """Return whether the silence of all peers rather shows a fault of this proxy's own.
+
+        No longer so once the peers have been silent, or the primary has failed here, for
+        `UNCONFIRMED_FAILURE_S`.
+        """
+        if not is_unanswered:
+            self._peers_silent_since.pop(record.service, None)
+            return False
+        now = self._cluster_state.now()
+        silent_for = now - self._peers_silent_since.setdefault(record.service, now)
+        pool = self._cluster_state.pools.get(record.primary)
+        failing_for = pool.failing_for if pool else 0.0
+        return max(silent_for, failing_for) < UNCONFIRMED_FAILURE_S
+
     def _use_tunnel_through_peer(self, instance: str, ages: dict[str, float]) -> None:
         """Use a tunnel to an instance through the peer that received its latest response."""
         if not self._cluster_state.mechanisms.is_on(Mechanism.TUNNELS):
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -107,6 +107,7 @@
         """Make one attempt of a read."""
         pool = self.cluster_state.pools[placement.id]
         timeout = max(MIN_ATTEMPT_S, self.remaining_time(request) * ATTEMPT_TIME_SHARE)
+        attempt_end = self.cluster_state.now() + timeout
         acquired = await self.acquire_prepared_connection(pool, request, statement, timeout)
         if not isinstance(acquired, PooledConnection):
             return acquired
@@ -114,6 +115,7 @@
         sent_at = self.cluster_state.lease_clock()
         pending_reply = acquired.link.run(request.id, statement, name, placement.min_position)
         try:
+            timeout = max(MIN_ATTEMPT_S, attempt_end - self.cluster_state.now())
             reply = await self.await_reply(pool, pending_reply, timeout)
         except NO_REPLY_ERRORS as error:
             pool.discard(acquired)
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -174,12 +174,14 @@
             instance, min_position = lease.primary, None
         pool = self._cluster_state.pools[instance]
         timeout = self._statements.remaining_time(request) * ATTEMPT_TIME_SHARE
+        attempt_end = self._cluster_state.now() + timeout
         acquired = await self._statements.acquire_prepared_connection(pool, request, None, timeout)
         if not isinstance(acquired, PooledConnection):
             avoided.add(instance)
             return acquired
         pending_reply = acquired.link.begin(transaction.read_only, min_position)
         try:
+            timeout = max(MIN_ATTEMPT_S, attempt_end - self._cluster_state.now())
             reply = await self._statements.await_reply(
                 pool, pending_reply, timeout, is_latency_sample=False
             )
--- a/orioleplank/gateway/tests/test_frames.py
+++ b/orioleplank/gateway/tests/test_frames.py
@@ -46,7 +46,8 @@
     Reply,
     st.lists(_TEXT, max_size=3).map(tuple),
     _TEXT,
-    st.none() | st.builds(Failure, st.sampled_from(FailureCode), _TEXT),
+    st.none()
+    | st.builds(Failure, st.sampled_from(FailureCode), _TEXT, st.none() | st.floats(0.0, 60.0)),
     st.sampled_from(TransactionState),
     _POSITIONS,
 )
--- a/orioleplank/platform/_codec.py
+++ b/orioleplank/platform/_codec.py
@@ -141,7 +141,7 @@
 def parse_position(text: str) -> Position | None:
     """Parse TERM.INDEX; return `None` for any other text."""
     term, _, index = text.partition(".")
-    if not (term.isdigit() and index.isdigit()):
+    if not (term.isdecimal() and index.isdecimal()):
         return None
     return Position(int(term), int(index))
 
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -210,13 +210,17 @@
     def _read_report(self, reply: Reply) -> InstanceReport:
         columns = reply.rows[0].split(" ") if reply.rows else []
         received_position = codec.parse_position(columns[2]) if len(columns) >= 6 else None
-        if reply.failure is not None or received_position is None:
+        is_readable = received_position is not None and (
+            columns[0] in (DbRole.PRIMARY.value, DbRole.REPLICA.value)
+            and columns[1].isdecimal()
+            and columns[5].isdecimal()
+        )
+        if reply.failure is not None or received_position is None or not is_readable:
             detail = reply.failure.code.value if reply.failure else "the report is not readable"
             raise InstanceRefusedError("ask for report", self._entry.id, detail)
-        role = DbRole.PRIMARY if columns[0] == "primary" else DbRole.REPLICA
         return InstanceReport(
             self._entry.id,
-            role,
+            DbRole(columns[0]),
             int(columns[1]),
             received_position,
             running_statements=int(columns[5]),
--- a/orioleplank/platform/tests/test_codec.py
+++ b/orioleplank/platform/tests/test_codec.py
@@ -71,5 +71,5 @@
 
     def test_valid_position_is_parsed_and_invalid_one_is_none(self) -> None:
         self.assertEqual(Position(3, 1207), codec.parse_position("3.1207"))
-        for text in ("-", "", "3", "3.x", "-1.2"):
+        for text in ("-", "", "3", "3.x", "-1.2", "3.²"):
             self.assertIsNone(codec.parse_position(text))
--- a/orioleplank/platform/tests/test_instance.py
+++ b/orioleplank/platform/tests/test_instance.py
@@ -144,3 +144,17 @@
         self.record_result(self.protocol.fetch_report())
         self.protocol.dataReceived(b"DATAROW boss x y\r\nCOMPLETE -\r\nREADY I 3.1\r\n")
         self.assertIsInstance(self.results[0], InstanceRefusedError)
+
+
+class TestUnreadableReports(InstanceTestCase):
+    def test_unreadable_report_is_a_refusal(self) -> None:
+        self.receive_greeting()
+        for row in (
+            b"leader 2 2.17 0 30 4 9",
+            b"replica two 2.17 0 30 4 9",
+            b"replica 2 2.17 0 30 x",
+        ):
+            self.results.clear()
+            self.record_result(self.protocol.fetch_report())
+            self.protocol.dataReceived(b"DATAROW " + row + b"\r\nCOMPLETE -\r\nREADY I -\r\n")
+            self.assertIsInstance(self.results[0], InstanceRefusedError)
