Failovers and forwarding parted by job

Change, moves only: `_group_record_writer.py` signs and writes the group record; `_owner_channel.py` is the channel to one connection owner. `FailoverCoordinator.stop()` takes the place of setting `is_stopped` from outside.

--- a/orioleplank/gateway/_failover.py
+++ b/orioleplank/gateway/_failover.py
@@ -12,11 +12,9 @@
 
 from typing import Any
 
-from msgspec import Struct
 from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 
-from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.failover import (
     InstanceReport,
     has_caught_up_replica,
@@ -28,6 +26,11 @@
 from orioleplank.decision.membership import ProxyRecord, ReleaseAsked
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
+from orioleplank.gateway._group_record_writer import (
+    RETRY_DELAY_S,
+    ClaimedFailover,
+    GroupRecordWriter,
+)
 from orioleplank.gateway._instance_prober import InstanceProber
 from orioleplank.gateway._interfaces import (
     PromotionService,
@@ -38,9 +41,6 @@
 from orioleplank.gateway._lease_release import LeaseReleaseCoordinator
 from orioleplank.gateway._notifier import ChangeNotifier, sleep
 from orioleplank.gateway._records import (
-    dump_group_record,
-    group_record_name,
-    parse_group_record,
     parse_proxy_record,
 )
 
@@ -54,8 +54,6 @@
 CATCH_UP_TIMEOUT_S = 1.5
 # Interval at which the received positions of the replicas are read during that wait.
 CATCH_UP_CHECK_INTERVAL_S = 0.02
-# Pause before a step that failed is retried.
-RETRY_DELAY_S = 0.2
 # Interval at which the record of a running failover is rewritten, so that no other proxy takes the
 # failover over.
 RECORD_REFRESH_INTERVAL_S = 0.5
@@ -65,21 +63,6 @@
 MAX_LOGGED_PROXIES = 5
 
 
-class FailoverSupersededError(OrioleplankError):
-    """Another proxy has taken the failover over, or this proxy is stopping."""
-
-
-class _Failover(Struct):
-    """A failover or switchover that this proxy has claimed."""
-
-    # As this proxy wrote it last.
-    record: GroupRecord
-    # Store revision of the record, which is also the fencing token.
-    revision: int
-    # When the last write was requested, in seconds of the lease clock.
-    requested_at: float
-
-
 class FailoverCoordinator:
     """Runs failovers and switchovers, and writes the first record of a group.
 
@@ -106,8 +89,16 @@
         self._prober = prober
         self._lease_releases = lease_releases
         self._own_record = own_record
-        self._write_count = 0
-        self.is_stopped = False
+        self._writer = GroupRecordWriter(reactor, cluster_state, event_log, records, own_record)
+
+    @property
+    def is_stopped(self) -> bool:
+        """True once this proxy replaces no more primaries."""
+        return self._writer.is_stopped
+
+    def stop(self) -> None:
+        """Replace no more primaries; a failover in progress ends with its next write."""
+        self._writer.is_stopped = True
 
     async def switch_over(self, service: str, versioned_record: VersionedGroupRecord) -> None:
         """Replace a draining primary, once no lease of an unresponsive proxy would delay it.
@@ -151,30 +142,36 @@
         move_started_at = (
             self._cluster_state.lease_clock() if taken_over_at is None else taken_over_at
         )
-        self._log_failover(failover, "claimed", old_primary=old_record.primary, planned=planned)
+        self._writer.log_failover(
+            failover, "claimed", old_primary=old_record.primary, planned=planned
+        )
         holders = await self._list_lease_holders(failover)
         request = ReleaseAsked(self._own_record.name, service, failover.revision, planned)
         releases = Deferred.fromCoroutine(
             self._lease_releases.collect_releases(request, move_started_at, holders)
         )
         expired_holders = await self._refresh_while_collecting(failover, releases)
-        self._log_failover(failover, "released", waited_out=[peer.name for peer in expired_holders])
+        self._writer.log_failover(
+            failover, "released", waited_out=[peer.name for peer in expired_holders]
+        )
         new_primary = await self._promote(failover, old_record)
         stable_record = replace(
             failover.record, phase=GroupPhase.STABLE, primary=new_primary.id, term=new_primary.term
         )
-        await self._write(failover, stable_record)
-        self._log_failover(failover, "done", primary=new_primary.id, term=new_primary.term)
+        await self._writer.write(failover, stable_record)
+        self._writer.log_failover(failover, "done", primary=new_primary.id, term=new_primary.term)
         await self._step_down(old_record.primary, new_primary)
         await self._retire_expired_holders(expired_holders)
 
-    async def _claim(self, old_record: GroupRecord, revision: int, planned: bool) -> _Failover:
+    async def _claim(
+        self, old_record: GroupRecord, revision: int, planned: bool
+    ) -> ClaimedFailover:
         record = replace(old_record, phase=GroupPhase.MOVING, planned=planned, released=False)
-        failover = _Failover(record, revision, self._cluster_state.lease_clock())
-        await self._write(failover, record)
+        failover = ClaimedFailover(record, revision, self._cluster_state.lease_clock())
+        await self._writer.write(failover, record)
         return failover
 
-    async def _list_lease_holders(self, failover: _Failover) -> tuple[ProxyRecord, ...]:
+    async def _list_lease_holders(self, failover: ClaimedFailover) -> tuple[ProxyRecord, ...]:
         """Return the proxies that may hold a lease from before the failover.
 
         Retries until the store responds.
@@ -189,7 +186,7 @@
             return tuple(record for record in found if record is not None)
 
     async def _refresh_while_collecting(
-        self, failover: _Failover, releases: Deferred[tuple[ProxyRecord, ...]]
+        self, failover: ClaimedFailover, releases: Deferred[tuple[ProxyRecord, ...]]
     ) -> tuple[ProxyRecord, ...]:
         """Keep the claim until all leases are released; return the proxies whose leases expired."""
         finished = ChangeNotifier(self._reactor)
@@ -205,21 +202,21 @@
                 await self._refresh_if_due(failover)
         return await releases
 
-    def _time_until_refresh(self, failover: _Failover) -> float:
+    def _time_until_refresh(self, failover: ClaimedFailover) -> float:
         """Return the seconds after which the record has to be written again."""
         refresh_at = failover.requested_at + RECORD_REFRESH_INTERVAL_S
         return refresh_at - self._cluster_state.lease_clock()
 
-    async def _refresh_if_due(self, failover: _Failover) -> None:
+    async def _refresh_if_due(self, failover: ClaimedFailover) -> None:
         """Write the record again if its latest write is too long ago."""
         if self._time_until_refresh(failover) <= 0:
-            await self._write(failover, failover.record)
+            await self._writer.write(failover, failover.record)
 
-    async def _mark_released(self, failover: _Failover) -> None:
+    async def _mark_released(self, failover: ClaimedFailover) -> None:
         """Record that no proxy relies on the old primary; must precede the first promotion."""
-        await self._write(failover, replace(failover.record, released=True))
+        await self._writer.write(failover, replace(failover.record, released=True))
 
-    async def _promote(self, failover: _Failover, old_record: GroupRecord) -> InstanceReport:
+    async def _promote(self, failover: ClaimedFailover, old_record: GroupRecord) -> InstanceReport:
         """Promote the instance with the newest received position; return its report as primary.
 
         The reports are collected while the record is written as released. In a failover the report
@@ -264,7 +261,7 @@
         primaries = [report for report in reports if _is_new_primary(report, old_record)]
         return max(primaries, key=lambda report: report.term) if primaries else None
 
-    async def _request_promotion(self, failover: _Failover, candidate: str) -> bool:
+    async def _request_promotion(self, failover: ClaimedFailover, candidate: str) -> bool:
         """Request a promotion; return False when that instance cannot take over.
 
         Returns True also when the outcome is unknown.
@@ -275,7 +272,7 @@
             self._cluster_state.lease_clock() - failover.requested_at
             >= PROMOTION_REQUEST_WINDOW_S / 2
         ):
-            await self._write(failover, failover.record)
+            await self._writer.write(failover, failover.record)
         if self._cluster_state.lease_clock() - failover.requested_at >= PROMOTION_REQUEST_WINDOW_S:
             return False
         service = failover.record.service
@@ -284,13 +281,17 @@
                 service, candidate, failover.revision
             )
         except StoreUnavailableError as error:
-            self._log_failover(failover, "order unanswered", instance=candidate, why=str(error))
+            self._writer.log_failover(
+                failover, "order unanswered", instance=candidate, why=str(error)
+            )
             return True
-        self._log_failover(failover, "ordered" if accepted else "order refused", instance=candidate)
+        self._writer.log_failover(
+            failover, "ordered" if accepted else "order refused", instance=candidate
+        )
         return accepted
 
     async def _wait_for_promotion(
-        self, failover: _Failover, candidate: str, old_record: GroupRecord
+        self, failover: ClaimedFailover, candidate: str, old_record: GroupRecord
     ) -> InstanceReport | None:
         """Wait until the candidate is the primary; return its report, or None after the timeout."""
         deadline = self._cluster_state.now() + PROMOTION_EFFECT_TIMEOUT_S
@@ -345,82 +346,9 @@
             self._event_log.log_event(EventType.MOVE, service=service, outcome="no primary found")
             return
         primary = max(primaries, key=lambda report: report.term)
-        record = self._sign(
+        await self._writer.create(
             GroupRecord(service, GroupPhase.STABLE, primary.id, primary.term, "", "")
         )
-        revision = await self._records.create(group_record_name(service), dump_group_record(record))
-        self._apply_record(record, revision)
-
-    # The group record.
-
-    def _sign(self, record: GroupRecord) -> GroupRecord:
-        self._write_count += 1
-        return replace(
-            record,
-            holder=self._own_record.name,
-            incarnation=self._own_record.incarnation,
-            number=self._write_count,
-        )
-
-    async def _write(self, failover: _Failover, record: GroupRecord) -> None:
-        """Write the group record on condition that no other proxy has changed it.
-
-        Retries while the store is unavailable. Raises `FailoverSupersededError` when another proxy
-        has changed the record or this one is stopping.
-        """
-        signed = self._sign(record)
-        name = group_record_name(record.service)
-        while not self.is_stopped:
-            requested_at = self._cluster_state.lease_clock()
-            try:
-                revision = await self._records.replace(
-                    name, dump_group_record(signed), failover.revision
-                )
-            except StoreConflictError:
-                revision = await self._find_own_write(signed, failover.revision)
-            except StoreUnavailableError as error:
-                self._log_failover(failover, "record not written", why=str(error))
-                await sleep(self._reactor, RETRY_DELAY_S)
-                continue
-            failover.record, failover.revision, failover.requested_at = (
-                signed,
-                revision,
-                requested_at,
-            )
-            self._apply_record(signed, revision)
-            return
-        raise FailoverSupersededError("write record", record.service, "this proxy is stopping")
-
-    async def _find_own_write(self, signed: GroupRecord, previous_revision: int) -> int:
-        """Return the revision of a write whose response was lost.
-
-        Raises `FailoverSupersededError` when the stored record is not that write.
-        """
-        listing = await self._records.list()
-        for item in listing.items:
-            versioned_record = parse_group_record(item)
-            if (
-                versioned_record is not None
-                and versioned_record.record == signed
-                and versioned_record.revision > previous_revision
-            ):
-                return versioned_record.revision
-        raise FailoverSupersededError(
-            "write record", signed.service, "another proxy has written it"
-        )
-
-    def _apply_record(self, record: GroupRecord, revision: int) -> None:
-        versioned_record = VersionedGroupRecord(record, revision)
-        self._cluster_state.update_leases(self._cluster_state.leases.apply_change(versioned_record))
-
-    def _log_failover(self, failover: _Failover, outcome: str, **fields: object) -> None:
-        self._event_log.log_event(
-            EventType.MOVE,
-            service=failover.record.service,
-            revision=failover.revision,
-            outcome=outcome,
-            **fields,
-        )
 
 
 def _is_new_primary(report: InstanceReport, old_record: GroupRecord) -> bool:
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -19,7 +19,7 @@
 from orioleplank.gateway._failover import FailoverCoordinator
 from orioleplank.gateway._failure_detector import PING_INTERVAL_S, FailureDetector
 from orioleplank.gateway._fleet_membership import FleetMembership
-from orioleplank.gateway._forwarding_client import ForwardingClient, OwnerChannel
+from orioleplank.gateway._forwarding_client import ForwardingClient
 from orioleplank.gateway._forwarding_server import ForwardingServer
 from orioleplank.gateway._instance_connector import InstanceConnector
 from orioleplank.gateway._instance_prober import InstanceProber
@@ -28,6 +28,7 @@
 from orioleplank.gateway._loopback_channel import LoopbackChannelDialer
 from orioleplank.gateway._metrics import Metrics
 from orioleplank.gateway._notifier import sleep
+from orioleplank.gateway._owner_channel import OwnerChannel
 from orioleplank.gateway._peer_socket import PeerSocket
 from orioleplank.gateway._platform_watcher import PlatformWatcher
 from orioleplank.gateway._position_exchange import PositionExchange
@@ -339,7 +340,7 @@
         started_at = self.cluster_state.now()
         grace = self._settings.shutdown_grace
         self._event_log.log_event(EventType.STOPPING, sessions=len(self.sessions), grace=grace)
-        self._failovers.is_stopped = True
+        self._failovers.stop()
         self._run(self._fleet_membership.mark_stopping())
         await sleep(self._reactor, min(READINESS_NOTICE_S, grace * TRANSACTION_GRACE_FRACTION))
         self.sessions.close_when_idle()
--- a/orioleplank/gateway/_primary_monitor.py
+++ b/orioleplank/gateway/_primary_monitor.py
@@ -27,7 +27,8 @@
 from orioleplank.decision.membership import Fleet, ProxyRecord, rank_proxies
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
-from orioleplank.gateway._failover import RETRY_DELAY_S, FailoverCoordinator
+from orioleplank.gateway._failover import FailoverCoordinator
+from orioleplank.gateway._group_record_writer import RETRY_DELAY_S
 from orioleplank.gateway._instance_prober import InstanceProber
 from orioleplank.gateway._notifier import sleep
 from orioleplank.gateway._tunnel import build_tunnel_route
