--- a/orioleplank/platform/tests/test_main.py
+++ b/orioleplank/platform/tests/test_main.py
@@ -32,7 +32,6 @@
     "yaml",
 }
 # Largest number of modules that a start may import, the reactor and the standard library included.
-# The goal of a start within 0.2 s of processor time allows no more.
 MAX_IMPORTED_MODULES = 320
 # Prints the imported modules, and the data classes of the project: each takes long to build.
 LIST_IMPORTS = """
