Restores of the store are logged, with its era and with listings that are older than what is known

The client reads the header Store-Era of every response; a rise is event 1500 "restored", a listing below the known revision "older listing".

--- a/orioleplank/gateway/_fleet_membership.py
+++ b/orioleplank/gateway/_fleet_membership.py
@@ -198,9 +198,17 @@
             if (versioned_record := parse_group_record(item)) is not None
         ]
         # A view from another proxy that arrived in the meantime may be newer than this listing.
-        if listing.revision >= self._cluster_state.records_revision:
+        known_revision = self._cluster_state.records_revision
+        if listing.revision >= known_revision:
             self._cluster_state.records_revision = listing.revision
             self._apply_proxies(listing.items)
+        else:
+            self._event_log.log_event(
+                EventType.STORE,
+                outcome="older listing",
+                revision=listing.revision,
+                known=known_revision,
+            )
         self.apply_group_records(groups, requested_at)
         self._register_again_if_needed()
 
--- a/orioleplank/http/_client.py
+++ b/orioleplank/http/_client.py
@@ -28,13 +28,23 @@
     """
 
     def __init__(
-        self, reactor: Any, address: str, connect_timeout: float, max_idle_connections: int = 0
+        self,
+        reactor: Any,
+        address: str,
+        connect_timeout: float,
+        max_idle_connections: int = 0,
+        kept_headers: frozenset[str] = frozenset(),
     ) -> None:
+        """Create a client of the server at HOST:PORT.
+
+        `kept_headers` are the lower-case names of the headers that a `Response` shall contain.
+        """
         self._reactor = reactor
         self._address = address
         # In seconds.
         self._connect_timeout = connect_timeout
         self._max_idle_connections = max_idle_connections
+        self.kept_headers = kept_headers
         self._idle: list[_ClientConnection] = []
 
     def send(self, request: Request, timeout: float) -> Deferred[Response]:
@@ -93,6 +103,7 @@
         self._client = client
         self._pending: Deferred[Response] | None = None
         self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[str, str] = {}
         self._body: list[bytes] = []
         self._body_length = 0
 
@@ -100,7 +111,7 @@
         """Send an encoded request; return its response. Cancelling it closes the connection."""
         self._pending = Deferred(self._cancel)
         self._parser = httptools.HttpResponseParser(self)
-        self._body, self._body_length = [], 0
+        self._headers, self._body, self._body_length = {}, [], 0
         pending, transport = self._pending, self._transport
         if transport is None or not transport.connected:
             self._fail(connectionDone)
@@ -146,6 +157,12 @@
 
     # Methods called by the parser.
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header that the client was told to keep."""
+        text = name.decode("latin-1").lower()
+        if text in self._client.kept_headers:
+            self._headers[text] = value.decode("latin-1")
+
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
         self._body_length += len(body)
@@ -156,7 +173,9 @@
     def on_message_complete(self) -> None:
         """Return the response, and the connection to the client."""
         pending, self._pending = self._pending, None
-        response = Response(self._parser.get_status_code(), b"".join(self._body))
+        response = Response(
+            self._parser.get_status_code(), b"".join(self._body), headers=self._headers
+        )
         if self._parser.should_keep_alive():
             self._client._release(self)
         else:
--- a/orioleplank/http/_message.py
+++ b/orioleplank/http/_message.py
@@ -26,6 +26,8 @@
     body: bytes = b""
     # Not filled in by the client.
     content_type: str = "application/octet-stream"
+    # Filled in by the client, with the headers that it was told to keep, by lower-case name.
+    headers: Mapping[str, str] = {}
 
 
 def encode_request(request: Request, host: str, keep_alive: bool) -> bytes:
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -59,8 +59,12 @@
     def log_unreadable(kind: str, name: str) -> None:
         event_log.log_event(EventType.UNREADABLE, kind=kind, object=name)
 
+    def log_restore(previous: int, era: int) -> None:
+        event_log.log_event(EventType.STORE, outcome="restored", before=previous, era=era)
+
+    client = StoreClient(reactor, settings.store_address, count_call, log_restore)
     dependencies = GatewayDependencies(
-        PlatformStore(StoreClient(reactor, settings.store_address, count_call), log_unreadable),
+        PlatformStore(client, log_unreadable),
         InstanceDialer(reactor),
         PromotionClient(reactor, settings.promotion_service_address, settings.name),
         HttpViewFetcher(reactor),
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -27,6 +27,9 @@
 CONNECT_TIMEOUT_S = 1.0
 # Connections that are kept for further requests.
 MAX_IDLE_CONNECTIONS = 8
+# Header of each response that tells how often the store has come back from an older copy; in lower
+# case.
+ERA_HEADER = "store-era"
 # Path below which the store has all objects.
 ROOT_PATH = "/orioleplank/objects"
 # Kinds of objects, as named in the store's paths.
@@ -39,6 +42,8 @@
 Parser = Callable[[RawObject], "T | None"]
 # Called for each request with its method and its status code or the name of its error.
 CallListener = Callable[[str, str], None]
+# Called with the previous and the new era when the store has come back from an older copy.
+RestoreListener = Callable[[int, int], None]
 # Called with the kind and name of an object that cannot be parsed.
 UnreadableListener = Callable[[str, str], None]
 
@@ -46,10 +51,17 @@
 class StoreClient:
     """Sends requests to the store; shared by all kinds of objects."""
 
-    def __init__(self, reactor: Any, address: str, on_call: CallListener) -> None:
+    def __init__(
+        self, reactor: Any, address: str, on_call: CallListener, on_restored: RestoreListener
+    ) -> None:
         self._address = address
-        self._http = HttpClient(reactor, address, CONNECT_TIMEOUT_S, MAX_IDLE_CONNECTIONS)
+        self._http = HttpClient(
+            reactor, address, CONNECT_TIMEOUT_S, MAX_IDLE_CONNECTIONS, frozenset({ERA_HEADER})
+        )
         self._on_call = on_call
+        self._on_restored = on_restored
+        # The latest era that a response named; None before the first one.
+        self._era: int | None = None
 
     async def call(
         self, method: str, path: str, body: object = None, timeout: float = CALL_TIMEOUT_S
@@ -70,8 +82,19 @@
             self._on_call(method, error.detail)
             raise StoreUnavailableError(step, self._address, error.detail) from error
         self._on_call(method, str(response.status))
+        self._record_era(response.headers.get(ERA_HEADER, ""))
         return self._parse_response(step, response.status, response.body)
 
+    def _record_era(self, text: str) -> None:
+        """Report a restore of the store; a header that is missing or invalid is ignored."""
+        if not text.isdecimal():
+            return
+        previous, era = self._era, int(text)
+        if previous is None or era > previous:
+            self._era = era
+        if previous is not None and era > previous:
+            self._on_restored(previous, era)
+
     def _parse_response(self, step: str, code: int, text: bytes) -> Any:
         match code:
             case 200 | 201:
