--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -42,6 +43,8 @@
 
 # Time for which an instance still serves after it has announced that it is draining.
 DRAIN_PERIOD_S = 7.0
+# Time after which the store removes the entry of an instance that is dead.
+ENTRY_EXPIRY_S = 3.6
 QUOTES = "quotes"
 CATALOGUE = "catalogue"
 JOBS = "jobs"
@@ -269,13 +272,13 @@
     # Instances.
 
     def crash_instance(self, name: str) -> None:
-        """Crash an instance: its connections break, and its entry expires after 3.6 s."""
+        """Crash an instance: its connections break, and its entry expires."""
         member = self.group.members[name]
         member.alive = False
         member.generation += 1
         for node in self.proxies:
             node.dialer.break_connections(name)
-        self.simulator.call_later(3.6, lambda: self._expire_entry(name))
+        self.simulator.call_later(ENTRY_EXPIRY_S, lambda: self._expire_entry(name))
 
     def replace_primary(self, name: str, successor: str) -> None:
         """Replace the primary by an instance of another id with its log, role, term and address."""
@@ -323,6 +326,39 @@
         self.routes = replace(self.routes, version=version, routes=table)
         self.store.put("routes", "main", self.routes)
 
+    # Store.
+
+    def restore_store(
+        self, seconds: float, away_s: float = 1.0, rewrite_delay_s: float = 0.5
+    ) -> None:
+        """Make the store unavailable for `away_s`, then restore it from a copy.
+
+        The copy is `seconds` old when the store goes away. What the operator and the instances
+        wrote is written again `rewrite_delay_s` after the restore.
+        """
+        self.store.refused_proxies.add("*")
+
+        def come_back() -> None:
+            self.store.refused_proxies.discard("*")
+            self.store.restore(seconds + away_s)
+            self.simulator.call_later(rewrite_delay_s, self._write_again)
+
+        self.simulator.call_later(away_s, come_back)
+
+    def _write_again(self) -> None:
+        stored_routes = self.store.objects.get("routes", {}).get("main")
+        if stored_routes is None or stored_routes[1] != self.routes:
+            self.store.put("routes", "main", self.routes)
+        stored = self.store.objects.get("instances", {})
+        for name, member in self.group.members.items():
+            if member.alive and (name not in stored or stored[name][1] != member.directory_entry):
+                self.group.publish(name)
+        for name in list(stored):
+            if name not in self.group.members:
+                self.store.delete("instances", name)
+            elif not self.group.members[name].alive:
+                self.simulator.call_later(ENTRY_EXPIRY_S, partial(self._expire_entry, name))
+
     # Callers.
 
     def open_session(self, node: GatewayNode, database: str) -> SimulatedCaller:
--- a/orioleplank/tests/_simulated_store.py
+++ b/orioleplank/tests/_simulated_store.py
@@ -31,6 +31,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _Change:
+    # Virtual time of the change, in seconds.
+    written_at: float
     revision: int
     kind: str
     name: str
@@ -44,6 +46,8 @@
 
     simulator: Simulator
     revision: int = 1
+    # Rises by one with each restore.
+    era: int = 1
     objects: dict[str, dict[str, tuple[int, Any]]] = field(default_factory=dict)
     history: list[_Change] = field(default_factory=list)
     watchers: list[Callable[[], None]] = field(default_factory=list)
@@ -79,12 +83,30 @@
         self.revision += 1
         self._notify_watchers()
 
+    def restore(self, seconds: float) -> None:
+        """Come back from a copy that is `seconds` old; pending watches are never answered.
+
+        Later changes are lost, and their revisions are given out again.
+        """
+        copied_at = self.simulator.now - seconds
+        self.history = [change for change in self.history if change.written_at <= copied_at]
+        self.revision = max((change.revision for change in self.history), default=1)
+        self.era += 1
+        self.objects = {}
+        for change in self.history:
+            items = self.objects.setdefault(change.kind, {})
+            items.pop(change.name, None)
+            if change.item is not None:
+                items[change.name] = (change.revision, change.item)
+        self.oldest_revision = min(self.oldest_revision, self.revision)
+        self.watchers = []
+
     def refuses(self, proxy: str) -> bool:
         """Return whether calls of a proxy are refused now."""
         return "*" in self.refused_proxies or proxy in self.refused_proxies
 
     def _record_change(self, kind: str, name: str, item: Any) -> None:
-        self.history.append(_Change(self.revision, kind, name, item))
+        self.history.append(_Change(self.simulator.now, self.revision, kind, name, item))
         self._notify_watchers()
 
     def _notify_watchers(self) -> None:
@@ -129,7 +151,7 @@
             if store.refuses(self._node.name):
                 self._respond(result, StoreUnavailableError("watch", STORE_NODE, "refused"))
                 return
-            if revision < store.oldest_revision:
+            if not store.oldest_revision <= revision <= store.revision:
                 self._respond(result, WatchHistoryExpiredError("watch", STORE_NODE, "gone"))
                 return
             first_index = bisect_right(store.history, revision, key=lambda change: change.revision)
