Revisions of the store never go back: the era in the upper bits, the number in the lower

Class: a counter that an outside system may set back was used as a clock. The client now builds revisions of era and number, so every comparison in the gateway, the views between proxies and the fencing tokens order correctly; a watch or a condition of an earlier era ends at once, and never meets the same number again. Ruled out: an era beside each revision in every message, which leaves each comparison to get it right. Tests of platform/test_store.py failed before (no era in any revision).

--- a/orioleplank/gateway/_interfaces.py
+++ b/orioleplank/gateway/_interfaces.py
@@ -44,7 +44,11 @@
 
 
 class StoredRecord(Struct, frozen=True):
-    """An object of the kind that the proxies own in the store, with its uninterpreted content."""
+    """An object of the kind that the proxies own in the store, with its uninterpreted content.
+
+    All revisions are built by `orioleplank.decision.build_revision`. The ones of all objects that
+    are read in one era have this era, also those that were written before a restore of the store.
+    """
 
     name: str
     # The store's revision of the latest change.
@@ -96,7 +100,8 @@
     def replace(self, name: str, content: Mapping[str, object], revision: int) -> Awaitable[int]:
         """Replace an object that is at `revision`; return its new revision.
 
-        Raises `StoreConflictError` when it is at another revision or does not exist.
+        Raises `StoreConflictError` when it is at another revision or does not exist. A new revision
+        of a later era shows that the store was restored: the object replaced may be another one.
         """
 
     def remove(self, name: str, revision: int) -> Awaitable[None]:
--- a/orioleplank/platform/_objects.py
+++ b/orioleplank/platform/_objects.py
@@ -12,6 +12,7 @@
 import msgspec
 from msgspec import Struct
 
+from orioleplank.decision import build_revision
 from orioleplank.decision.instances import (
     DEFAULT_TRANSACTION_IDLE_S,
     Consistency,
@@ -37,21 +38,24 @@
     """An object as returned by the store, with its content not validated."""
 
     name: str
-    # Store revision of the last change of the object.
+    # Revision of the last change of the object, in the era in which it was read.
     revision: int
     # Content of the object; any JSON value.
     spec: object
 
     @classmethod
-    def parse(cls, value: object) -> RawObject | None:
-        """Parse an object; return `None` if it has no valid name or revision."""
+    def parse(cls, value: object, era: int) -> RawObject | None:
+        """Parse an object read in `era`; return `None` if it has no valid name or revision."""
         meta = value.get("meta") if isinstance(value, Mapping) else None
         if not isinstance(value, Mapping) or not isinstance(meta, Mapping):
             return None
         name, revision = meta.get("name"), meta.get("revision")
         if not isinstance(name, str) or not isinstance(revision, int):
             return None
-        return cls(name, revision, value.get("spec"))
+        try:
+            return cls(name, build_revision(era, revision), value.get("spec"))
+        except ValueError:
+            return None
 
 
 class _WireInstance(msgspec.Struct, frozen=True):
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -1,4 +1,8 @@
-"""Client of the platform's object store."""
+"""Client of the platform's object store.
+
+The store's own revisions go back when it is restored from an older copy. The client combines them
+with the store's era (`orioleplank.decision.build_revision`), and takes the era out again in calls.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +11,9 @@
 from typing import Any, Generic, TypeVar
 from urllib.parse import quote
 
+from msgspec import Struct
+
+from orioleplank.decision import build_revision, era_of, number_of
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.gateway import (
     Changes,
@@ -48,6 +55,15 @@
 UnreadableListener = Callable[[str, str], None]
 
 
+class StoreReply(Struct, frozen=True):
+    """A successful response of the store."""
+
+    # How often the store had come back from an older copy; 0 if it does not say.
+    era: int
+    # The parsed body.
+    body: Any
+
+
 class StoreClient:
     """Sends requests to the store; shared by all kinds of objects."""
 
@@ -63,10 +79,14 @@
         # The latest era that a response named; None before the first one.
         self._era: int | None = None
 
+    def is_outdated(self, revision: int) -> bool:
+        """Return whether the store has been restored since it gave out a revision."""
+        return self._era is not None and era_of(revision) < self._era
+
     async def call(
         self, method: str, path: str, body: object = None, timeout: float = CALL_TIMEOUT_S
-    ) -> Any:
-        """Send a request; return the parsed body of the response.
+    ) -> StoreReply:
+        """Send a request; return the response.
 
         `path` is relative to the root of all objects; `body` is sent as JSON. `timeout` is in
         seconds. Raises `StoreUnavailableError`, `StoreConflictError` or
@@ -82,18 +102,23 @@
             self._on_call(method, error.detail)
             raise StoreUnavailableError(step, self._address, error.detail) from error
         self._on_call(method, str(response.status))
-        self._record_era(response.headers.get(ERA_HEADER, ""))
-        return self._parse_response(step, response.status, response.body)
+        era = self._record_era(response.headers.get(ERA_HEADER, ""))
+        return StoreReply(era, self._parse_response(step, response.status, response.body))
+
+    def _record_era(self, text: str) -> int:
+        """Return the era of a response, and report a restore of the store.
 
-    def _record_era(self, text: str) -> None:
-        """Report a restore of the store; a header that is missing or invalid is ignored."""
+        A response without a valid header counts as one of the latest known era.
+        """
+        previous = self._era
         if not text.isdecimal():
-            return
-        previous, era = self._era, int(text)
+            return previous or 0
+        era = int(text)
         if previous is None or era > previous:
             self._era = era
         if previous is not None and era > previous:
             self._on_restored(previous, era)
+        return era
 
     def _parse_response(self, step: str, code: int, text: bytes) -> Any:
         match code:
@@ -135,12 +160,15 @@
         after, revision = "", 0
         while True:
             path = f"{self._kind}?after={quote(after)}" if after else self._kind
-            page = await self._client.call("GET", path)
+            reply = await self._client.call("GET", path)
+            page = reply.body
             try:
-                revision = revision or int(page["at"])
-                raw_objects = [RawObject.parse(item) for item in page["items"]]
+                revision = revision or build_revision(reply.era, int(page["at"]))
+                raw_objects = [RawObject.parse(item, reply.era) for item in page["items"]]
             except (KeyError, TypeError, ValueError) as error:
                 raise StoreUnavailableError("list objects", self._kind, "bad page") from error
+            if era_of(revision) != reply.era:
+                raise StoreUnavailableError("list objects", self._kind, "restored meanwhile")
             items += [item for raw in raw_objects if raw and (item := self._parse(raw)) is not None]
             if not page.get("hasMore") or not raw_objects:
                 return Listing(revision, tuple(items))
@@ -154,17 +182,22 @@
 
         Raises `StoreUnavailableError`, or `WatchHistoryExpiredError` if a new listing is required.
         """
-        path = f"{self._kind}?watch={revision}&waitMs={int(timeout * 1000)}"
-        response = await self._client.call("GET", path, timeout=timeout + CALL_TIMEOUT_S)
+        if self._client.is_outdated(revision):
+            raise WatchHistoryExpiredError("watch objects", self._kind, "the store was restored")
+        path = f"{self._kind}?watch={number_of(revision)}&waitMs={int(timeout * 1000)}"
+        reply = await self._client.call("GET", path, timeout=timeout + CALL_TIMEOUT_S)
+        if reply.era != era_of(revision):
+            raise WatchHistoryExpiredError("watch objects", self._kind, "the store was restored")
         try:
-            return Changes(int(response["at"]), self._parse_events(response.get("events", ())))
+            events = self._parse_events(reply.body.get("events", ()), reply.era)
+            return Changes(build_revision(reply.era, int(reply.body["at"])), events)
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             raise StoreUnavailableError("watch objects", self._kind, "bad events") from error
 
-    def _parse_events(self, events: Any) -> tuple[T | RemovedObject, ...]:
+    def _parse_events(self, events: Any, era: int) -> tuple[T | RemovedObject, ...]:
         items: list[T | RemovedObject] = []
         for event in events:
-            raw = RawObject.parse(event.get("object"))
+            raw = RawObject.parse(event.get("object"), era)
             if raw is None:
                 continue
             item = None if event.get("deleted") else self._parse(raw)
@@ -183,9 +216,12 @@
     async def replace(self, name: str, content: Mapping[str, object], revision: int) -> int:
         """Replace a record that is at `revision`; return its new revision.
 
-        Raises `StoreConflictError` if it is at another revision or does not exist.
+        Raises `StoreConflictError` if it is at another revision or does not exist. If the store is
+        restored before the call arrives, the condition may hold for another state of the record:
+        the new revision is then one of a later era.
         """
-        body = {"meta": {"name": name, "revision": revision}, "spec": dict(content)}
+        self._check_era(name, revision)
+        body = {"meta": {"name": name, "revision": number_of(revision)}, "spec": dict(content)}
         path = f"{self._kind}/{quote(name)}"
         return _parse_revision(await self._client.call("PUT", path, body))
 
@@ -194,19 +230,24 @@
 
         Does nothing if the record is at another revision or does not exist.
         """
-        path = f"{self._kind}/{quote(name)}?revision={revision}"
+        path = f"{self._kind}/{quote(name)}?revision={number_of(revision)}"
         try:
+            self._check_era(name, revision)
             await self._client.call("DELETE", path)
         except StoreConflictError:
             return
 
+    def _check_era(self, name: str, revision: int) -> None:
+        if self._client.is_outdated(revision):
+            raise StoreConflictError("write object", name, "the store was restored")
+
 
-def _parse_revision(response: Any) -> int:
+def _parse_revision(reply: StoreReply) -> int:
     """Return the revision of a written record.
 
     Raises `StoreUnavailableError` if the response contains none, although the write took effect.
     """
-    raw = RawObject.parse(response)
+    raw = RawObject.parse(reply.body, reply.era)
     if raw is None:
         raise StoreUnavailableError("write object", "", "the answer shows no object")
     return raw.revision
--- a/orioleplank/platform/tests/test_objects.py
+++ b/orioleplank/platform/tests/test_objects.py
@@ -49,7 +49,7 @@
 
     def test_object_without_name_or_revision_is_none(self) -> None:
         for value in (None, 7, {}, {"meta": 3}, {"meta": {"name": "x"}}):
-            self.assertIsNone(RawObject.parse(value))
+            self.assertIsNone(RawObject.parse(value, 1))
 
 
 class TestRoutes(testtools.TestCase):
--- a/orioleplank/platform/tests/test_store.py
+++ b/orioleplank/platform/tests/test_store.py
@@ -9,8 +9,17 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from orioleplank.gateway import StoreUnavailableError
-from orioleplank.platform._store import StoreClient
+from orioleplank.decision import build_revision
+from orioleplank.gateway import (
+    Changes,
+    Listing,
+    StoreConflictError,
+    StoredRecord,
+    StoreUnavailableError,
+    WatchHistoryExpiredError,
+)
+from orioleplank.platform._objects import parse_record
+from orioleplank.platform._store import StoreClient, StoreRecordCollection
 
 
 class _Transport(StringTransport):
@@ -54,6 +63,10 @@
             head += f"Store-Era: {era}\r\n"
         self._connections[-1].dataReceived(head.encode() + b"\r\n" + data)
 
+    def sent(self) -> str:
+        """Return what the client has sent on the newest connection."""
+        return str(self._connections[-1].transport.value().decode())
+
     def call(self, era: str | None, status: int = 200) -> None:
         """Send a request that is answered with this era; the response is not looked at."""
         request = Deferred.fromCoroutine(self.client.call("GET", "orioleplank"))
@@ -85,3 +98,76 @@
         self.call("3")
         self.call("4", status=503)
         self.assertEqual([(3, 4)], self.restores)
+
+
+def _stored(name: str, number: int) -> dict[str, object]:
+    return {"meta": {"name": name, "revision": number}, "spec": {"n": number}}
+
+
+class TestRevisions(StoreTestCase):
+    """Revisions of a later era are greater, whatever numbers the store gives out."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.records = StoreRecordCollection(
+            self.client, "orioleplank", parse_record, lambda kind, name: None
+        )
+        self.results: list[Any] = []
+
+    def start(self, call: Any) -> None:
+        """Start a call; its result or exception is appended to `results`."""
+        Deferred.fromCoroutine(call).addBoth(
+            lambda result: self.results.append(getattr(result, "value", result))
+        )
+
+    def test_listing_after_a_restore_has_greater_revisions(self) -> None:
+        for era, number in (("1", 90), ("2", 40)):
+            self.start(self.records.list())
+            self.respond({"items": [_stored("a", number)], "hasMore": False, "at": number}, era)
+        before, after = self.results
+        self.assertEqual(
+            Listing(build_revision(2, 40), (StoredRecord("a", build_revision(2, 40), {"n": 40}),)),
+            after,
+        )
+        self.assertGreater(after.revision, before.revision)
+
+    def test_listing_whose_pages_are_of_two_eras_fails(self) -> None:
+        self.start(self.records.list())
+        self.respond({"items": [_stored("a", 9)], "hasMore": True, "at": 9}, "1")
+        self.respond({"items": [_stored("b", 7)], "hasMore": False, "at": 9}, "2")
+        self.assertEqual([StoreUnavailableError], [type(result) for result in self.results])
+
+    def test_watch_continues_from_the_number_in_the_same_era(self) -> None:
+        self.start(self.records.watch(build_revision(3, 17), 2.0))
+        self.respond({"events": [], "at": 18}, "3")
+        self.assertIn("?watch=17&waitMs=2000 ", self.sent())
+        self.assertEqual([Changes(build_revision(3, 18), ())], self.results)
+
+    def test_watch_answered_in_a_later_era_has_expired(self) -> None:
+        self.start(self.records.watch(build_revision(3, 17), 2.0))
+        self.respond({"events": [{"object": _stored("a", 18), "deleted": False}], "at": 18}, "4")
+        self.assertEqual([WatchHistoryExpiredError], [type(result) for result in self.results])
+
+    def test_watch_from_an_earlier_era_has_expired_without_a_call(self) -> None:
+        self.call("4")
+        self.start(self.records.watch(build_revision(3, 17), 2.0))
+        self.assertEqual([WatchHistoryExpiredError], [type(result) for result in self.results])
+        self.assertNotIn("watch=", self.sent())
+
+    def test_condition_on_an_earlier_era_does_not_meet_the_same_number(self) -> None:
+        self.call("4")
+        self.start(self.records.replace("a", {}, build_revision(3, 17)))
+        self.assertEqual([StoreConflictError], [type(result) for result in self.results])
+        self.assertNotIn("PUT ", self.sent())
+
+    def test_record_of_an_earlier_era_is_not_removed_by_its_number(self) -> None:
+        self.call("4")
+        self.start(self.records.remove("a", build_revision(3, 17)))
+        self.assertEqual([None], self.results)
+        self.assertNotIn("DELETE ", self.sent())
+
+    def test_write_that_arrives_after_a_restore_shows_the_later_era(self) -> None:
+        self.start(self.records.replace("a", {}, build_revision(3, 17)))
+        self.respond(_stored("a", 12), "4")
+        self.assertIn('"revision": 17', self.sent())
+        self.assertEqual([build_revision(4, 12)], self.results)
--- a/orioleplank/tests/_simulated_store.py
+++ b/orioleplank/tests/_simulated_store.py
@@ -10,6 +10,7 @@
 
 from twisted.internet.defer import Deferred
 
+from orioleplank.decision import build_revision, era_of, number_of
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.gateway import (
     Changes,
@@ -131,7 +132,8 @@
         def read() -> Listing[T]:
             items = self._store.objects.get(self._kind, {})
             return Listing(
-                self._store.revision, tuple(self._to_result(n, *v) for n, v in items.items())
+                self._to_revision(self._store.revision),
+                tuple(self._to_result(n, *v) for n, v in items.items()),
             )
 
         return self._call(read)
@@ -151,16 +153,18 @@
             if store.refuses(self._node.name):
                 self._respond(result, StoreUnavailableError("watch", STORE_NODE, "refused"))
                 return
-            if not store.oldest_revision <= revision <= store.revision:
+            number = number_of(revision)
+            is_known = store.oldest_revision <= number <= store.revision
+            if not is_known or era_of(revision) != store.era:
                 self._respond(result, WatchHistoryExpiredError("watch", STORE_NODE, "gone"))
                 return
-            first_index = bisect_right(store.history, revision, key=lambda change: change.revision)
+            first_index = bisect_right(store.history, number, key=lambda change: change.revision)
             matching_changes = [
                 change for change in store.history[first_index:] if change.kind == self._kind
             ]
             if matching_changes or store.simulator.now >= end:
                 items = tuple(self._to_change_result(change) for change in matching_changes)
-                self._respond(result, Changes(store.revision, items))
+                self._respond(result, Changes(self._to_revision(store.revision), items))
             else:
                 store.watchers.append(check)
 
@@ -169,9 +173,12 @@
         self._fail_after(result, timeout + CALL_TIMEOUT_S)
         return result
 
-    def _to_result(self, name: str, revision: int, item: Any) -> Any:
+    def _to_result(self, name: str, number: int, item: Any) -> Any:
         return item
 
+    def _to_revision(self, number: int) -> int:
+        return build_revision(self._store.era, number)
+
     def _to_change_result(self, change: _Change) -> Any:
         if change.item is None:
             return RemovedObject(change.name)
@@ -237,7 +244,7 @@
         def write() -> int:
             if name in self._store.objects.get(self._kind, {}):
                 raise StoreConflictError("create", STORE_NODE, name)
-            return self._store.put(self._kind, name, dict(content))
+            return self._to_revision(self._store.put(self._kind, name, dict(content)))
 
         return self._call(write, is_change=True)
 
@@ -246,9 +253,9 @@
 
         def write() -> int:
             stored = self._store.objects.get(self._kind, {}).get(name)
-            if stored is None or stored[0] != revision:
+            if stored is None or stored[0] != number_of(revision):
                 raise StoreConflictError("replace", STORE_NODE, name)
-            return self._store.put(self._kind, name, dict(content))
+            return self._to_revision(self._store.put(self._kind, name, dict(content)))
 
         return self._call(write, is_change=True)
 
@@ -257,13 +264,13 @@
 
         def write() -> None:
             stored = self._store.objects.get(self._kind, {}).get(name)
-            if stored is not None and stored[0] == revision:
+            if stored is not None and stored[0] == number_of(revision):
                 self._store.delete(self._kind, name)
 
         return self._call(write, is_change=True)
 
-    def _to_result(self, name: str, revision: int, item: Any) -> StoredRecord:
-        return StoredRecord(name, revision, item)
+    def _to_result(self, name: str, number: int, item: Any) -> StoredRecord:
+        return StoredRecord(name, self._to_revision(number), item)
 
 
 class SimulatedStoreClient:
