A group record of the copy grants no lease; it is written again in the store's new era

After a restore a proxy that started took the old primary of the copy for the present one, while the others relied on its successor, and renewed their leases on a record that the store no longer had. Cause: a record was trusted because a linearizable read returned it; after a restore that shows what was true some seconds ago. A record now names the era in which it was written and is in force only there. Leases of the time before run on to their end, so that nothing stops. Who holds one knows that no other primary was promoted, and writes the record again; if nobody does, the group is claimed as for a failover: all release first, including promotions that they have requested, and tell the highest term they know; a primary that still leads stays. The expiry of leases counts by the record that is replaced, since the same primary may now be recorded twice. Ruled out: waiting for all leases after each restore (nine seconds without service whenever one proxy is silent); the highest known record alone (a record that nobody alive knows).

--- a/orioleplank/decision/group/__init__.py
+++ b/orioleplank/decision/group/__init__.py
@@ -1,16 +1,27 @@
 """Group records, leases on the primary of a group, and known positions of its log."""
 
+from orioleplank.decision.group._group_record import (
+    GroupPhase,
+    GroupRecord,
+    VersionedGroupRecord,
+)
 from orioleplank.decision.group._lease import (
     CLOCK_DRIFT_MARGIN_S,
     LEASE_DURATION_S,
-    GroupPhase,
-    GroupRecord,
     Lease,
     LeaseTable,
-    VersionedGroupRecord,
 )
 from orioleplank.decision.group._move_times import MoveStart, MoveTimes
 from orioleplank.decision.group._positions import ObservedPosition, PositionHistory
+from orioleplank.decision.group._record_state import (
+    PrimaryUnknown,
+    RecordInForce,
+    RecordLost,
+    RecordMissing,
+    RecordNotListed,
+    RecordState,
+    assess_record,
+)
 
 __all__ = [
     "CLOCK_DRIFT_MARGIN_S",
@@ -23,5 +34,12 @@
     "MoveTimes",
     "ObservedPosition",
     "PositionHistory",
+    "PrimaryUnknown",
+    "RecordInForce",
+    "RecordLost",
+    "RecordMissing",
+    "RecordNotListed",
+    "RecordState",
     "VersionedGroupRecord",
+    "assess_record",
 ]
--- a/orioleplank/decision/group/_lease.py
+++ b/orioleplank/decision/group/_lease.py
@@ -7,17 +7,23 @@
 read has expired. Therefore two proxies never rely on two different primaries at the same time,
 however long one of them was partitioned or suspended.
 
+A record that is not in force grants no lease, since the store has come back from an older copy. A
+lease from before stays valid until its end: whoever replaces the primary has to claim the group in
+the new era, and waits for these leases too.
+
 All times are in seconds on a clock that also advances while the machine is suspended.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping
-from enum import Enum, unique
 
 from msgspec import Struct, field
 from msgspec.structs import replace
 
+from orioleplank.decision._revision import era_of
+from orioleplank.decision.group._group_record import GroupPhase, VersionedGroupRecord
+
 # How long a lease is valid after the read: the usual length of a store outage, plus one renewal
 # (about every 1.2 s).
 LEASE_DURATION_S = 9.0
@@ -26,43 +32,6 @@
 CLOCK_DRIFT_MARGIN_S = 0.5
 
 
-@unique
-class GroupPhase(Enum):
-    """Whether a group has a primary that may be relied on."""
-
-    STABLE = "stable"
-    MOVING = "moving"
-
-
-class GroupRecord(Struct, frozen=True):
-    """The store's record of one group."""
-
-    service: str
-    phase: GroupPhase
-    # Id of the primary; of the old primary while the group is moving.
-    primary: str
-    # Term of the primary; 0 when it is not known.
-    term: int
-    # Name of the proxy that wrote the record.
-    holder: str
-    # Incarnation of that proxy.
-    incarnation: str
-    # Number of the change within that incarnation, so that a writer recognises its own changes.
-    number: int = 0
-    # True for a switchover: the old primary is still running.
-    planned: bool = False
-    # True once no proxy relies on the old primary, so that another instance may be promoted.
-    released: bool = False
-
-
-class VersionedGroupRecord(Struct, frozen=True):
-    """A group record together with its revision in the store."""
-
-    record: GroupRecord
-    # The store's revision of the last change of the record.
-    revision: int
-
-
 class Lease(Struct, frozen=True):
     """Permission to rely on a primary until `expires_at`."""
 
@@ -94,22 +63,37 @@
     # Leases under which running statements may still finish, by service: a switchover waits for
     # these statements.
     draining_leases: Mapping[str, Lease] = field(default_factory=dict)
+    # Newest era of the store of which a revision is known, and of which a listing is known.
+    era: int = 0
+    listed_era: int = 0
+    # Leases whose record is no longer in force, by service; they are not renewed.
+    earlier_leases: Mapping[str, Lease] = field(default_factory=dict)
+    # Newest records that were in force, by service.
+    last_in_force: Mapping[str, VersionedGroupRecord] = field(default_factory=dict)
 
     def apply_listing(
-        self, requested_at: float, records: Mapping[str, VersionedGroupRecord], registered: bool
+        self,
+        requested_at: float,
+        records: Mapping[str, VersionedGroupRecord],
+        registered: bool,
+        revision: int,
     ) -> LeaseTable:
-        """Return the table after a linearizable listing of all group records.
+        """Return the table after a linearizable listing of all group records at `revision`.
 
         `requested_at` is when the listing was requested, in seconds. The listing grants and renews
-        leases only if this proxy is `registered`.
+        leases only if this proxy is `registered`. A listing of an earlier era has no effect.
+        `records` may leave out those that have not changed since the latest listing of the era.
         """
-        table = self
+        era = era_of(revision)
+        if era < self.era:
+            return self
+        table = self._enter_era(era)
         for versioned in records.values():
             table = table.apply_change(versioned)
         granted_from = (
             max(requested_at, self.leases_start_at) if registered else self.leases_start_at
         )
-        return replace(table, leases_start_at=granted_from)
+        return replace(table, leases_start_at=granted_from, listed_era=era)
 
     def apply_change(self, versioned: VersionedGroupRecord) -> LeaseTable:
         """Return the table after a change of one record; an older revision is ignored.
@@ -119,45 +103,101 @@
         since the listing would contain it otherwise, and waits for all leases from listings
         requested before that write. This lease is one of them.
         """
-        service = versioned.record.service
-        current = self.group_records.get(service)
+        table, service = self._enter_era(versioned.era), versioned.record.service
+        current = table.group_records.get(service)
+        if versioned.era < table.era:
+            return table
         if current is not None and current.revision >= versioned.revision:
-            return self
-        draining_leases = {**self.draining_leases}
-        lease = self.lease(service)
-        if (
-            lease is not None
-            and versioned.record.phase is GroupPhase.MOVING
-            and versioned.record.planned
-        ):
-            draining_leases[service] = lease
-        elif versioned.record.phase is GroupPhase.STABLE or not versioned.record.planned:
-            draining_leases.pop(service, None)
+            return table
+        records = {**table.group_records, service: versioned}
+        if not versioned.is_in_force:
+            return replace(table._keep_lease(service), group_records=records)
         return replace(
-            self,
-            group_records={**self.group_records, service: versioned},
-            draining_leases=draining_leases,
+            table,
+            group_records=records,
+            draining_leases=table._find_draining_leases(versioned),
+            earlier_leases=table._find_earlier_leases(versioned),
+            last_in_force={**table.last_in_force, service: versioned},
         )
 
+    def _enter_era(self, era: int) -> LeaseTable:
+        """Return the table after the store was found to be in `era`; its records come later."""
+        if era <= self.era:
+            return self
+        table = self
+        for service in self.group_records:
+            table = table._keep_lease(service)
+        return replace(table, era=era)
+
+    def _keep_lease(self, service: str) -> LeaseTable:
+        """Return the table with the lease on a service, which nothing renews from now on."""
+        lease = self.lease(service)
+        if lease is None:
+            return self
+        return replace(self, earlier_leases={**self.earlier_leases, service: lease})
+
+    def _find_draining_leases(self, versioned: VersionedGroupRecord) -> Mapping[str, Lease]:
+        """Return the leases for running statements after a change of a record in force."""
+        record, leases = versioned.record, {**self.draining_leases}
+        lease = self.lease(record.service)
+        if lease is not None and record.phase is GroupPhase.MOVING and record.planned:
+            leases[record.service] = lease
+        elif record.phase is GroupPhase.STABLE or not record.planned:
+            leases.pop(record.service, None)
+        return leases
+
+    def _find_earlier_leases(self, versioned: VersionedGroupRecord) -> Mapping[str, Lease]:
+        """Return the leases of earlier eras after a change of a record in force.
+
+        One on the same primary stays for statements that are running under it.
+        """
+        record = versioned.record
+        lease = self.earlier_leases.get(record.service)
+        if lease is None:
+            return self.earlier_leases
+        match record.phase:
+            case GroupPhase.STABLE:
+                is_kept = lease.primary == record.primary
+            case GroupPhase.MOVING:
+                is_kept = record.planned
+        if is_kept:
+            return self.earlier_leases
+        return {name: kept for name, kept in self.earlier_leases.items() if name != record.service}
+
     def release_below(self, service: str, revision: int) -> LeaseTable:
         """Return the table with all leases of a service on lower revisions released."""
         min_revision = max(revision, self.min_revisions.get(service, 0))
         draining_leases = {
             name: lease for name, lease in self.draining_leases.items() if name != service
         }
+        earlier_leases = {
+            name: lease
+            for name, lease in self.earlier_leases.items()
+            if name != service or lease.revision >= min_revision
+        }
         return replace(
             self,
             min_revisions={**self.min_revisions, service: min_revision},
             draining_leases=draining_leases,
+            earlier_leases=earlier_leases,
         )
 
+    def is_in_force(self, service: str) -> bool:
+        """Return whether the known record of a service is in force in the store's present era."""
+        versioned = self.group_records.get(service)
+        return versioned is not None and versioned.is_in_force and versioned.era == self.era
+
     def lease(self, service: str) -> Lease | None:
         """Return the lease on the primary of a service, which may have expired.
 
         None when no stable record is known or the lease has been released.
         """
         versioned = self.group_records.get(service)
-        if versioned is None or versioned.record.phase is not GroupPhase.STABLE:
+        if versioned is None:
+            return None
+        if not self.is_in_force(service):
+            return self.earlier_leases.get(service)
+        if versioned.record.phase is not GroupPhase.STABLE:
             return None
         if versioned.revision < self.min_revisions.get(service, 0):
             return None
@@ -172,9 +212,20 @@
     def lease_at_revision(self, service: str, revision: int) -> Lease | None:
         """Return the lease based on `revision`, for statements that were started under it.
 
-        This includes a lease that a switchover is waiting for. None when there is no such lease.
+        This includes a lease that a switchover is waiting for, and one whose record is no longer in
+        force. None when there is no such lease.
         """
-        for lease in (self.lease(service), self.draining_leases.get(service)):
+        for lease in (
+            self.lease(service),
+            self.draining_leases.get(service),
+            self.earlier_leases.get(service),
+        ):
             if lease is not None and lease.revision == revision:
                 return lease
         return None
+
+    @property
+    def primaries(self) -> frozenset[str]:
+        """Ids of the instances that a record or a lease names as a primary."""
+        records = (versioned.record.primary for versioned in self.group_records.values())
+        return frozenset((*records, *(lease.primary for lease in self.earlier_leases.values())))
--- a/orioleplank/decision/group/_move_times.py
+++ b/orioleplank/decision/group/_move_times.py
@@ -12,19 +12,29 @@
 
 from msgspec import Struct, field
 
-from orioleplank.decision.group._lease import GroupPhase, GroupRecord
+from orioleplank.decision.group._group_record import GroupPhase, GroupRecord
 
 
 class MoveStart(Struct, frozen=True):
     """A replacement of a primary, and when it was first seen."""
 
-    # Id and term of the primary that is being replaced. No primary returns under the same id and
-    # term once another has been recorded, so the two identify the replacement.
+    # Id and term of the primary that is being replaced.
     primary: str
     term: int
+    # Revision of the record that is being replaced; the same primary may be recorded again under
+    # another one. The leases that have to end rest on this revision or on earlier ones.
+    replaces: int
     # In seconds of the lease clock.
     seen_at: float
 
+    def is_of(self, record: GroupRecord) -> bool:
+        """Return whether `record` belongs to this replacement."""
+        return (self.primary, self.term, self.replaces) == (
+            record.primary,
+            record.term,
+            record.replaces,
+        )
+
 
 class MoveTimes(Struct, frozen=True):
     """The replacements in progress that this proxy knows of, by service."""
@@ -37,9 +47,10 @@
         if record.phase is not GroupPhase.MOVING:
             return MoveTimes(others)
         known = self.starts.get(record.service)
-        if known is not None and (known.primary, known.term) == (record.primary, record.term):
+        if known is not None and known.is_of(record):
             return self
-        return MoveTimes({**others, record.service: MoveStart(record.primary, record.term, now)})
+        start = MoveStart(record.primary, record.term, record.replaces, now)
+        return MoveTimes({**others, record.service: start})
 
     def seen_at(self, record: GroupRecord) -> float | None:
         """Return when the replacement of the primary that `record` names was first seen.
@@ -47,6 +58,6 @@
         None if it is not known.
         """
         start = self.starts.get(record.service)
-        if start is None or (start.primary, start.term) != (record.primary, record.term):
+        if start is None or not start.is_of(record):
             return None
         return start.seen_at
--- a/orioleplank/decision/group/tests/test_move_times.py
+++ b/orioleplank/decision/group/tests/test_move_times.py
@@ -28,6 +28,12 @@
         self.assertIsNone(times.seen_at(MOVING))
         self.assertEqual(7.0, times.seen_at(next_move))
 
+    def test_second_replacement_of_the_same_primary_is_another_one(self) -> None:
+        """After a restore of the store the primary may have been recorded again in between."""
+        first, second = replace(MOVING, replaces=7), replace(MOVING, replaces=12)
+        times = MoveTimes().apply(first, 4.0).apply(second, 20.0)
+        self.assertEqual(20.0, times.seen_at(second))
+
     def test_services_are_independent(self) -> None:
         other = replace(MOVING, service="maps")
         times = MoveTimes().apply(MOVING, 4.0).apply(other, 5.0)
--- a/orioleplank/decision/membership/_peer_messages.py
+++ b/orioleplank/decision/membership/_peer_messages.py
@@ -24,12 +24,17 @@
 
 
 class Released(Struct, frozen=True):
-    """Confirms that a proxy has released all leases on record revisions below `revision`."""
+    """Confirms that a proxy has released all leases on record revisions below `revision`.
+
+    It has no promotion in progress either that it requested under a lower revision.
+    """
 
     sender: str
     incarnation: str
     service: str
     revision: int
+    # Highest term of a primary that the sender has known; 0 if it knows none.
+    term: int = 0
 
 
 class ReachAsked(Struct, frozen=True):
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -42,6 +42,8 @@
 # How long statements wait for the new primary once the group record says that the leases have been
 # released, which is written just before the promotion is requested.
 PROMOTION_WAIT_S = 2.0
+# How long statements wait after a restore of the store until the group record is in force again.
+RECORD_RECOVERY_TIMEOUT_S = 2.0
 
 
 class ClusterState:
@@ -72,6 +74,8 @@
         self.pools: dict[str, InstancePool] = {}
         # Statements and transactions in progress that rely on a service's primary, by service.
         self.primary_in_flight: Counter[str] = Counter()
+        # Promotions requested by this proxy that have not ended, by service.
+        self.promotions_in_flight: Counter[str] = Counter()
         # When each retired incarnation was first seen as retired, on the lease clock.
         self.retired_at: dict[str, float] = {}
         # When the replacement of each primary in progress was first seen, by service.
@@ -93,6 +97,8 @@
         self._event_log = event_log
         self._seconds_since_boot = seconds_since_boot
         self._started_at = float(reactor.seconds())
+        # When the store was first found restored, in seconds of the monotonic clock.
+        self._era_entered_at = float("-inf")
         # Stage of each failover in progress, by service: whether the leases have been released, and
         # when the stage began, in seconds of the monotonic clock.
         self._failover_stage_since: dict[str, tuple[bool, float]] = {}
@@ -303,9 +309,13 @@
     def update_leases(self, lease_table: LeaseTable) -> None:
         """Replace the lease table, and log the group records that changed."""
         previous, self.leases = self.leases, lease_table
+        if lease_table.era != previous.era:
+            self._era_entered_at = self.now()
         for service, versioned_record in lease_table.group_records.items():
-            if previous.group_records.get(service) != versioned_record:
-                self._log_group_record(versioned_record)
+            if previous.group_records.get(service) == versioned_record:
+                continue
+            self._log_group_record(versioned_record)
+            if versioned_record.is_in_force:
                 self._track_failover_stage(versioned_record)
                 self.move_times = self.move_times.apply(versioned_record.record, self.lease_clock())
                 self._clear_primary_role_denial(versioned_record)
@@ -334,6 +344,7 @@
             primary=record.primary,
             term=record.term,
             holder=record.holder,
+            in_force=versioned_record.is_in_force,
             revision=versioned_record.revision,
             lease_asked_at=round(self.leases.leases_start_at, 3),
         )
@@ -341,13 +352,16 @@
     def expects_primary(self, service: str) -> bool:
         """Return whether a primary is likely to become available within a statement's timeout.
 
-        This is the case while this process is starting, at the beginning of a failover, while
-        responsive proxies release their leases, and once a promotion has been requested. It is not
-        the case while the leases of unresponsive proxies have to expire.
+        This is the case while this process is starting, just after a restore of the store, at the
+        beginning of a failover, while responsive proxies release their leases, and once a promotion
+        has been requested. It is not the case while the leases of unresponsive proxies have to
+        expire.
         """
         versioned_record = self.leases.group_records.get(service)
         if self.is_starting:
             return True
+        if versioned_record is not None and not self.leases.is_in_force(service):
+            return self.now() - self._era_entered_at < RECORD_RECOVERY_TIMEOUT_S
         if versioned_record is None or versioned_record.record.phase is not GroupPhase.MOVING:
             return False
         stage_since = self._failover_stage_since.get(service, (False, 0.0))[1]
--- a/orioleplank/gateway/_failover.py
+++ b/orioleplank/gateway/_failover.py
@@ -20,15 +20,23 @@
     has_caught_up_replica,
     rank_promotion_candidates,
 )
-from orioleplank.decision.group import GroupPhase, GroupRecord, VersionedGroupRecord
+from orioleplank.decision.group import (
+    GroupPhase,
+    GroupRecord,
+    PrimaryUnknown,
+    RecordLost,
+    VersionedGroupRecord,
+)
 from orioleplank.decision.instances import DbRole
 from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.membership import ProxyRecord, ReleaseAsked
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._group_record_writer import (
+    NO_REVISION,
     RETRY_DELAY_S,
     ClaimedFailover,
+    FailoverSupersededError,
     GroupRecordWriter,
 )
 from orioleplank.gateway._instance_prober import InstanceProber
@@ -38,7 +46,7 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from orioleplank.gateway._lease_release import LeaseReleaseCoordinator
+from orioleplank.gateway._lease_release import CollectedReleases, LeaseReleaseCoordinator
 from orioleplank.gateway._notifier import ChangeNotifier, sleep
 from orioleplank.gateway._records import (
     parse_proxy_record,
@@ -126,6 +134,30 @@
                 return
         await self.fail_over(service, versioned_record, planned=True)
 
+    async def reinstate(self, lost: RecordLost) -> None:
+        """Write the record of a group again that was lost in a restore of the store.
+
+        No other primary was promoted before the restore, since this proxy held a lease after it.
+        None is promoted later unless the group is claimed, and then this write fails.
+        """
+        versioned = lost.versioned
+        service = versioned.record.service
+        record = GroupRecord(
+            service, GroupPhase.STABLE, lost.lease.primary, lost.lease.term, "", ""
+        )
+        failover = self._start_from(record, versioned)
+        await self._writer.write(failover, record)
+        self._writer.log_failover(failover, "reinstated", primary=record.primary, term=record.term)
+
+    async def recover(self, unknown: PrimaryUnknown) -> None:
+        """Find or promote the primary of a group whose record was lost with all leases."""
+        versioned = unknown.versioned
+        known = self._cluster_state.leases.last_in_force.get(versioned.record.service, versioned)
+        newest = max((versioned, known), key=lambda item: item.record.term)
+        record = replace(newest.record, keeps_primary=True)
+        failover = await self._claim(record, versioned, versioned.revision, planned=False)
+        await self._replace_primary(failover, record, self._cluster_state.lease_clock())
+
     async def fail_over(
         self, service: str, versioned_record: VersionedGroupRecord, planned: bool
     ) -> None:
@@ -138,10 +170,22 @@
         old_record = versioned_record.record
         is_early = self._cluster_state.mechanisms.is_on(Mechanism.EARLY_SUCCESSION)
         taken_over_at = self._cluster_state.move_times.seen_at(old_record) if is_early else None
-        failover = await self._claim(old_record, versioned_record.revision, planned)
+        is_taken_over = old_record.phase is GroupPhase.MOVING
+        replaces = old_record.replaces if is_taken_over else versioned_record.revision
+        failover = await self._claim(old_record, versioned_record, replaces, planned)
         move_started_at = (
             self._cluster_state.lease_clock() if taken_over_at is None else taken_over_at
         )
+        await self._replace_primary(failover, old_record, move_started_at)
+
+    async def _replace_primary(
+        self, failover: ClaimedFailover, old_record: GroupRecord, move_started_at: float
+    ) -> None:
+        """Collect the releases, promote an instance, and write the record of the new primary.
+
+        No lease rests on a read that was requested after `move_started_at`.
+        """
+        service, planned = old_record.service, failover.record.planned
         self._writer.log_failover(
             failover, "claimed", old_primary=old_record.primary, planned=planned
         )
@@ -150,27 +194,46 @@
         releases = Deferred.fromCoroutine(
             self._lease_releases.collect_releases(request, move_started_at, holders)
         )
-        expired_holders = await self._refresh_while_collecting(failover, releases)
+        collected = await self._refresh_while_collecting(failover, releases)
         self._writer.log_failover(
-            failover, "released", waited_out=[peer.name for peer in expired_holders]
+            failover, "released", waited_out=[peer.name for peer in collected.expired]
         )
+        if collected.highest_term > old_record.term:
+            old_record = replace(old_record, primary="", term=collected.highest_term)
         new_primary = await self._promote(failover, old_record)
-        stable_record = replace(
-            failover.record, phase=GroupPhase.STABLE, primary=new_primary.id, term=new_primary.term
+        await self._writer.write(
+            failover,
+            GroupRecord(service, GroupPhase.STABLE, new_primary.id, new_primary.term, "", ""),
         )
-        await self._writer.write(failover, stable_record)
         self._writer.log_failover(failover, "done", primary=new_primary.id, term=new_primary.term)
         await self._step_down(old_record.primary, new_primary)
-        await self._retire_expired_holders(expired_holders)
+        await self._retire_expired_holders(collected.expired)
 
     async def _claim(
-        self, old_record: GroupRecord, revision: int, planned: bool
+        self,
+        old_record: GroupRecord,
+        versioned: VersionedGroupRecord,
+        replaces: int,
+        planned: bool,
     ) -> ClaimedFailover:
-        record = replace(old_record, phase=GroupPhase.MOVING, planned=planned, released=False)
-        failover = ClaimedFailover(record, revision, self._cluster_state.lease_clock())
+        """Write that the primary of `old_record` is being replaced, over the stored `versioned`."""
+        record = replace(
+            old_record,
+            phase=GroupPhase.MOVING,
+            planned=planned,
+            released=False,
+            replaces=replaces,
+        )
+        failover = self._start_from(record, versioned)
         await self._writer.write(failover, record)
         return failover
 
+    def _start_from(self, record: GroupRecord, versioned: VersionedGroupRecord) -> ClaimedFailover:
+        """Return a claim that will replace a record; it is created if the store has lost it."""
+        is_stored = versioned.era == self._cluster_state.leases.era
+        revision = versioned.revision if is_stored else NO_REVISION
+        return ClaimedFailover(record, revision, self._cluster_state.lease_clock())
+
     async def _list_lease_holders(self, failover: ClaimedFailover) -> tuple[ProxyRecord, ...]:
         """Return the proxies that may hold a lease from before the failover.
 
@@ -186,12 +249,12 @@
             return tuple(record for record in found if record is not None)
 
     async def _refresh_while_collecting(
-        self, failover: ClaimedFailover, releases: Deferred[tuple[ProxyRecord, ...]]
-    ) -> tuple[ProxyRecord, ...]:
-        """Keep the claim until all leases are released; return the proxies whose leases expired."""
+        self, failover: ClaimedFailover, releases: Deferred[CollectedReleases]
+    ) -> CollectedReleases:
+        """Keep the claim until all leases are released or expired; return the result."""
         finished = ChangeNotifier(self._reactor)
 
-        def notify(result: tuple[ProxyRecord, ...]) -> tuple[ProxyRecord, ...]:
+        def notify(result: CollectedReleases) -> CollectedReleases:
             finished.notify_all()
             return result
 
@@ -256,7 +319,7 @@
         """Return the report of an instance that already is the new primary; None without one.
 
         A primary that was replaced by a new instance with the same log reports a new id and the
-        old term.
+        old term. So does one that may stay, under its own id.
         """
         primaries = [report for report in reports if _is_new_primary(report, old_record)]
         return max(primaries, key=lambda report: report.term) if primaries else None
@@ -266,6 +329,11 @@
 
         Returns True also when the outcome is unknown.
         """
+        service = failover.record.service
+        if failover.revision < self._cluster_state.leases.min_revisions.get(service, 0):
+            raise FailoverSupersededError(
+                "order promotion", service, "another proxy has claimed it"
+            )
         # The record is written again once half of the window has passed, because the window counts
         # from the latest write.
         if (
@@ -275,7 +343,8 @@
             await self._writer.write(failover, failover.record)
         if self._cluster_state.lease_clock() - failover.requested_at >= PROMOTION_REQUEST_WINDOW_S:
             return False
-        service = failover.record.service
+        in_flight = self._cluster_state.promotions_in_flight
+        in_flight[service] += 1
         try:
             accepted = await self._promotions.request_promotion(
                 service, candidate, failover.revision
@@ -285,6 +354,8 @@
                 failover, "order unanswered", instance=candidate, why=str(error)
             )
             return True
+        finally:
+            in_flight[service] -= 1
         self._writer.log_failover(
             failover, "ordered" if accepted else "order refused", instance=candidate
         )
@@ -354,6 +425,5 @@
 def _is_new_primary(report: InstanceReport, old_record: GroupRecord) -> bool:
     if report.role is not DbRole.PRIMARY:
         return False
-    return report.term > old_record.term or (
-        report.id != old_record.primary and report.term == old_record.term
-    )
+    may_have_same_term = report.id != old_record.primary or old_record.keeps_primary
+    return report.term > old_record.term or (may_have_same_term and report.term == old_record.term)
--- a/orioleplank/gateway/_fleet_membership.py
+++ b/orioleplank/gateway/_fleet_membership.py
@@ -209,7 +209,7 @@
                 revision=listing.revision,
                 known=known_revision,
             )
-        self.apply_group_records(groups, requested_at)
+        self.apply_group_records(groups, requested_at, listing.revision)
         self._register_again_if_needed()
 
     def _apply_proxies(self, items: Iterable[StoredRecord]) -> None:
@@ -226,7 +226,7 @@
         if view.versions.records >= self._cluster_state.records_revision:
             self._cluster_state.records_revision = view.versions.records
             self._merge_proxies(view)
-        self.apply_group_records(view.groups, requested_at)
+        self.apply_group_records(view.groups, requested_at, view.versions.records)
         self._register_again_if_needed()
 
     def _merge_proxies(self, view: StoreView) -> None:
@@ -247,16 +247,16 @@
         self._cluster_state.update_fleet(Fleet(proxies))
 
     def apply_group_records(
-        self, groups: Iterable[VersionedGroupRecord], requested_at: float
+        self, groups: Iterable[VersionedGroupRecord], requested_at: float, revision: int
     ) -> None:
-        """Apply group records and renew the leases as of `requested_at`.
+        """Apply group records at a revision, and renew the leases as of `requested_at`.
 
         The records must be at least as new as a listing requested at that time, which is on the
-        clock of leases.
+        clock of leases. Those that this proxy knows already may be left out.
         """
         records = {versioned_record.record.service: versioned_record for versioned_record in groups}
         lease_table = self._cluster_state.leases.apply_listing(
-            requested_at, records, self.is_registered
+            requested_at, records, self.is_registered, revision
         )
         self._cluster_state.update_leases(lease_table)
 
--- a/orioleplank/gateway/_group_record_writer.py
+++ b/orioleplank/gateway/_group_record_writer.py
@@ -22,10 +22,12 @@
 
 # Pause before a step that failed is retried.
 RETRY_DELAY_S = 0.2
+# Revision of a record that the store does not have yet.
+NO_REVISION = 0
 
 
 class FailoverSupersededError(OrioleplankError):
-    """Another proxy has taken the failover over, or this proxy is stopping."""
+    """Another proxy has taken the failover over, the claim was lost, or this proxy is stopping."""
 
 
 class ClaimedFailover(Struct):
@@ -33,7 +35,8 @@
 
     # As this proxy wrote it last.
     record: GroupRecord
-    # Store revision of the record, which is also the fencing token.
+    # Store revision of the record, which is also the fencing token; `NO_REVISION` if the record is
+    # to be created.
     revision: int
     # When the last write was requested, in seconds of the lease clock.
     requested_at: float
@@ -75,22 +78,20 @@
             holder=self._own_record.name,
             incarnation=self._own_record.incarnation,
             number=self._write_count,
+            era=self._cluster_state.leases.era,
         )
 
     async def write(self, failover: ClaimedFailover, record: GroupRecord) -> None:
         """Write the group record on condition that no other proxy has changed it.
 
         Retries while the store is unavailable. Raises `FailoverSupersededError` when another proxy
-        has changed the record or this one is stopping.
+        has changed the record, the store was restored, or this proxy is stopping.
         """
         signed = self._sign(record)
-        name = group_record_name(record.service)
         while not self.is_stopped:
             requested_at = self._cluster_state.lease_clock()
             try:
-                revision = await self._records.replace(
-                    name, dump_group_record(signed), failover.revision
-                )
+                revision = await self._store(signed, failover.revision)
             except StoreConflictError:
                 revision = await self._find_own_write(signed, failover.revision)
             except StoreUnavailableError as error:
@@ -103,9 +104,19 @@
                 requested_at,
             )
             self._apply_record(signed, revision)
+            if not VersionedGroupRecord(signed, revision).is_in_force:
+                raise FailoverSupersededError(
+                    "write record", record.service, "the store was restored meanwhile"
+                )
             return
         raise FailoverSupersededError("write record", record.service, "this proxy is stopping")
 
+    async def _store(self, signed: GroupRecord, revision: int) -> int:
+        name, content = group_record_name(signed.service), dump_group_record(signed)
+        if revision == NO_REVISION:
+            return await self._records.create(name, content)
+        return await self._records.replace(name, content, revision)
+
     async def _find_own_write(self, signed: GroupRecord, previous_revision: int) -> int:
         """Return the revision of a write whose response was lost.
 
@@ -117,6 +128,7 @@
             if (
                 versioned_record is not None
                 and versioned_record.record == signed
+                and versioned_record.is_in_force
                 and versioned_record.revision > previous_revision
             ):
                 return versioned_record.revision
--- a/orioleplank/gateway/_lease_release.py
+++ b/orioleplank/gateway/_lease_release.py
@@ -37,6 +37,15 @@
 RUNNING_WORK_CHECK_INTERVAL_S = 0.02
 
 
+class CollectedReleases(Struct, frozen=True):
+    """The result of the collection of all releases for one failover."""
+
+    # Proxies whose leases had to expire because they sent no release.
+    expired: tuple[ProxyRecord, ...]
+    # Highest term of a primary that one of the others has known; 0 if none has.
+    highest_term: int
+
+
 class _ReleaseCollection(Struct):
     """The releases received for one failover."""
 
@@ -44,6 +53,8 @@
     revision: int
     # Incarnations that have released their lease, by proxy; a proxy without a release has no entry.
     incarnations: dict[str, set[str]] = field(default_factory=dict)
+    # Highest term of a primary that a sender has known.
+    highest_term: int = 0
 
 
 class LeaseReleaseCoordinator:
@@ -75,9 +86,10 @@
             case ReleaseAsked(sender, service, revision, planned):
                 response = self._respond(sender, service, revision, planned)
                 Deferred.fromCoroutine(response).addErrback(self._log_failure)
-            case Released(sender, incarnation, service, revision):
+            case Released(sender, incarnation, service, revision, term):
                 collection = self._collections.get(service)
                 if collection is not None and revision >= collection.revision:
+                    collection.highest_term = max(collection.highest_term, term)
                     collection.incarnations.setdefault(sender, set()).add(incarnation)
                     self._received.notify_all()
 
@@ -109,7 +121,9 @@
     async def release(self, service: str, revision: int, planned: bool) -> None:
         """Release this proxy's lease that rests on a group record below `revision`.
 
-        In a planned switchover running work at the primary is first given a limited time to end.
+        In a planned switchover running work at the primary is first given a limited time to end. A
+        promotion that this proxy has requested under a lower revision has ended on return, and none
+        is requested later.
         """
         deadline = self._cluster_state.now() + RUNNING_WORK_TIMEOUT_S
         while (
@@ -128,19 +142,20 @@
                 revision=revision,
                 unfinished=self._cluster_state.primary_in_flight[service],
             )
+        while self._cluster_state.promotions_in_flight[service]:
+            await sleep(self._reactor, RUNNING_WORK_CHECK_INTERVAL_S)
 
     async def collect_releases(
         self,
         request: ReleaseAsked,
         move_started_at: float,
         holders: tuple[ProxyRecord, ...],
-    ) -> tuple[ProxyRecord, ...]:
+    ) -> CollectedReleases:
         """Wait until no proxy relies on the old primary any longer.
 
         `request` is sent to each holder until it has released its lease. No lease rests on a read
         that was requested after `move_started_at`, in seconds of the lease clock. `holders` are the
         proxies that the store listed after the record with the request's revision was written.
-        Returns those whose leases had to expire because they sent no release.
         """
         service, revision = request.service, request.revision
         collection = _ReleaseCollection(revision)
@@ -163,7 +178,15 @@
         await own_release
         if self._collections.get(service) is collection:
             del self._collections[service]
-        return tuple(holder for holder in holders if holder.name in expired)
+        return CollectedReleases(
+            tuple(holder for holder in holders if holder.name in expired),
+            max(collection.highest_term, self._highest_known_term(service)),
+        )
+
+    def _highest_known_term(self, service: str) -> int:
+        """Return the highest term of a primary that this proxy has known; 0 if it knows none."""
+        known = self._cluster_state.leases.last_in_force.get(service)
+        return known.record.term if known is not None else 0
 
     def _find_missing(
         self, collection: _ReleaseCollection, holders: tuple[ProxyRecord, ...]
@@ -202,7 +225,11 @@
         peer = self._cluster_state.fleet.proxies.get(sender)
         if peer is not None and self.socket is not None:
             message = Released(
-                self._own_record.name, self._own_record.incarnation, service, revision
+                self._own_record.name,
+                self._own_record.incarnation,
+                service,
+                revision,
+                self._highest_known_term(service),
             )
             self.socket.send(peer.address, message)
 
--- a/orioleplank/gateway/_platform_watcher.py
+++ b/orioleplank/gateway/_platform_watcher.py
@@ -78,13 +78,8 @@
         if self._unreachable_reason:
             return
         cluster_state = self._cluster_state
-        records = (
-            versioned_record.record
-            for versioned_record in cluster_state.leases.group_records.values()
-        )
-        primaries = frozenset(record.primary for record in records)
         directory = cluster_state.directory.expire(
-            cluster_state.now(), self._reachable_since, primaries
+            cluster_state.now(), self._reachable_since, cluster_state.leases.primaries
         )
         if directory is not cluster_state.directory:
             cluster_state.update_directory(directory)
--- a/orioleplank/gateway/_primary_monitor.py
+++ b/orioleplank/gateway/_primary_monitor.py
@@ -21,7 +21,16 @@
     assess_primary,
     choose_confirming_peers,
 )
-from orioleplank.decision.group import GroupPhase, GroupRecord, VersionedGroupRecord
+from orioleplank.decision.group import (
+    GroupPhase,
+    GroupRecord,
+    PrimaryUnknown,
+    RecordInForce,
+    RecordLost,
+    RecordMissing,
+    VersionedGroupRecord,
+    assess_record,
+)
 from orioleplank.decision.instances import InstanceEntry
 from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.membership import Fleet, ProxyRecord, rank_proxies
@@ -57,6 +66,9 @@
 # after `PROMOTION_REQUEST_WINDOW_S`, and aborts an unanswered one a second later (`CALL_TIMEOUT_S`
 # in `orioleplank.platform._promotions`).
 PROMOTION_TAKEOVER_TIMEOUT_S = 4.0
+# After a restore of the store, how long a proxy without a lease leaves it to those with one to
+# write a group record again: longer than it takes all of them to learn of the restore.
+RECORD_RECOVERY_DELAY_S = 1.5
 
 
 class _UnchangedAssessment(Struct, frozen=True):
@@ -132,16 +144,26 @@
                 self._check_service(service)
 
     def _check_service(self, service: str) -> None:
-        versioned_record = self._cluster_state.leases.group_records.get(service)
-        if versioned_record is None:
-            # Any text stands for a missing record: only the type of an assessment is compared.
-            if self._may_act(service, "absent"):
-                self._start_action(service, self._failovers.create_group_record(service))
-            return
-        if versioned_record.record.phase is GroupPhase.MOVING:
-            self._check_failover(service, versioned_record)
-            return
-        self._failover_revisions.pop(service, None)
+        cluster_state = self._cluster_state
+        match assess_record(cluster_state.leases, service, cluster_state.lease_clock()):
+            case RecordMissing() as state:
+                if self._may_act(service, state):
+                    self._start_action(service, self._failovers.create_group_record(service))
+            case RecordLost() as state:
+                if self._may_act(service, state):
+                    self._start_action(service, self._failovers.reinstate(state))
+            case PrimaryUnknown() as state:
+                delay_s = 0.0 if state.is_moving else RECORD_RECOVERY_DELAY_S
+                if self._may_act(service, state, delay_s):
+                    self._start_action(service, self._failovers.recover(state))
+            case RecordInForce(versioned_record):
+                if versioned_record.record.phase is GroupPhase.MOVING:
+                    self._check_failover(service, versioned_record)
+                else:
+                    self._failover_revisions.pop(service, None)
+                    self._check_primary(service, versioned_record)
+
+    def _check_primary(self, service: str, versioned_record: VersionedGroupRecord) -> None:
         match assess_primary(self._collect_health(versioned_record.record)):
             case PrimaryHealthy():
                 self._assessments.pop(service, None)
@@ -203,14 +225,14 @@
         holder = self._cluster_state.fleet.proxies.get(record.holder)
         return holder is not None and holder.incarnation != record.incarnation
 
-    def _may_act(self, service: str, assessment: object) -> bool:
-        """Return whether an assessment has been the same for the delay of this proxy's rank."""
+    def _may_act(self, service: str, assessment: object, delay_s: float = 0.0) -> bool:
+        """Return whether an assessment has been the same for `delay_s` and this proxy's delay."""
         now, kind = self._cluster_state.now(), type(assessment)
         latest = self._assessments.get(service)
         if latest is None or latest.kind is not kind:
             latest = _UnchangedAssessment(kind, now)
             self._assessments[service] = latest
-        return now - latest.unchanged_since >= self._rank(service) * RANK_DELAY_S
+        return now - latest.unchanged_since >= delay_s + self._rank(service) * RANK_DELAY_S
 
     def _rank(self, service: str) -> int:
         """Return this proxy's rank for a service; rank 0 acts first."""
--- a/orioleplank/gateway/_view_subscriber.py
+++ b/orioleplank/gateway/_view_subscriber.py
@@ -147,7 +147,9 @@
         if requested_at is not None:
             # This proxy knows everything that the source has read, so the source's latest listing
             # renews its leases too.
-            self._membership.apply_group_records((), requested_at - response.age)
+            self._membership.apply_group_records(
+                (), requested_at - response.age, response.versions.records
+            )
 
     def _avoid_source(self, reason: str) -> None:
         assert self._source is not None
--- a/orioleplank/tests/test_gateway.py
+++ b/orioleplank/tests/test_gateway.py
@@ -349,8 +349,8 @@
         self.assertEqual([], cluster.group.primary().log)
 
 
-async def _collect_no_releases(*_: object) -> tuple[()]:
-    return ()
+async def _collect_no_releases(*_: object) -> _lease_release.CollectedReleases:
+    return _lease_release.CollectedReleases((), 0)
 
 
 STORE_NODE_NAME = "store"
