Registrations survive a restore of the store: lost proxies are waited for, ended ones stay away

After a restore the listing shows the fleet of the copy. A proxy that had registered since was missing, so a failover did not wait for its lease; one that had left was back, so owners, sources and failovers counted on it for seconds; marks of stopping proxies were gone. A registration now names its era and each proxy writes its own again. Until then the others remember: registrations that the copy lacks count for as long as their leases may last, incarnations that ended do not come back and their records are removed, marks stay. That another incarnation is registered proves the end of the earlier one only within an era.

--- a/orioleplank/decision/membership/__init__.py
+++ b/orioleplank/decision/membership/__init__.py
@@ -6,6 +6,11 @@
     choose_ping_targets,
     rank_proxies,
 )
+from orioleplank.decision.membership._fleet_history import (
+    LOST_PROXY_TIMEOUT_S,
+    FleetHistory,
+    LostProxy,
+)
 from orioleplank.decision.membership._peer_messages import (
     PeerMessage,
     Ping,
@@ -25,6 +30,9 @@
 
 __all__ = [
     "Fleet",
+    "FleetHistory",
+    "LOST_PROXY_TIMEOUT_S",
+    "LostProxy",
     "PeerMessage",
     "Ping",
     "PingAsked",
--- a/orioleplank/decision/membership/_fleet.py
+++ b/orioleplank/decision/membership/_fleet.py
@@ -34,6 +34,8 @@
     retired: bool = False
     # True once it is stopping and no longer takes on tasks for the fleet.
     stopping: bool = False
+    # Era of the store in which the proxy registered.
+    era: int = 0
 
 
 class Fleet(Struct, frozen=True, dict=True):
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -6,10 +6,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
-from orioleplank.decision import Position
+from orioleplank.decision import Position, era_of
 from orioleplank.decision.group import (
     GroupPhase,
     Lease,
@@ -21,7 +21,13 @@
 )
 from orioleplank.decision.instances import InstanceDirectory, InstanceEntry, Route, RouteTable
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
-from orioleplank.decision.membership import Fleet, PrimaryPosition, ProxyRecord, ViewVersions
+from orioleplank.decision.membership import (
+    Fleet,
+    FleetHistory,
+    PrimaryPosition,
+    ProxyRecord,
+    ViewVersions,
+)
 from orioleplank.decision.routing import DirectPath
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._instance_connector import ConnectionLimit, Dial, InstanceConnector
@@ -71,6 +77,7 @@
         self.directory_revision = 0
         self.leases = LeaseTable()
         self.fleet = Fleet()
+        self.fleet_history = FleetHistory()
         self.pools: dict[str, InstancePool] = {}
         # Statements and transactions in progress that rely on a service's primary, by service.
         self.primary_in_flight: Counter[str] = Counter()
@@ -138,7 +145,14 @@
 
     # The fleet.
 
-    def update_fleet(self, fleet: Fleet) -> None:
+    def apply_proxy_records(self, listed: Mapping[str, ProxyRecord]) -> None:
+        """Apply all records of proxies, by name, as of `records_revision`."""
+        self.fleet_history, fleet = self.fleet_history.apply(
+            listed, self.fleet, era_of(self.records_revision), self.lease_clock()
+        )
+        self._update_fleet(fleet)
+
+    def _update_fleet(self, fleet: Fleet) -> None:
         """Replace the known fleet; an equal one has no effect."""
         if fleet == self.fleet:
             return
--- a/orioleplank/gateway/_failover.py
+++ b/orioleplank/gateway/_failover.py
@@ -15,6 +15,7 @@
 from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 
+from orioleplank.decision import era_of
 from orioleplank.decision.failover import (
     InstanceReport,
     has_caught_up_replica,
@@ -246,7 +247,9 @@
                 await sleep(self._reactor, RETRY_DELAY_S)
                 continue
             found = (parse_proxy_record(item) for item in listing.items)
-            return tuple(record for record in found if record is not None)
+            return self._cluster_state.fleet_history.find_lease_holders(
+                (record for record in found if record is not None), era_of(listing.revision)
+            )
 
     async def _refresh_while_collecting(
         self, failover: ClaimedFailover, releases: Deferred[CollectedReleases]
--- a/orioleplank/gateway/_fleet_membership.py
+++ b/orioleplank/gateway/_fleet_membership.py
@@ -9,8 +9,9 @@
 from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 
+from orioleplank.decision import era_of
 from orioleplank.decision.group import VersionedGroupRecord
-from orioleplank.decision.membership import Fleet, ProxyRecord
+from orioleplank.decision.membership import ProxyRecord
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._interfaces import (
@@ -93,11 +94,15 @@
 
     @property
     def is_registered(self) -> bool:
-        """True when the store lists this incarnation as registered and not retired."""
+        """True when the store lists this incarnation as registered and not retired.
+
+        A registration from before a restore of the store does not count.
+        """
         record = self._cluster_state.fleet.proxies.get(self._own_record.name)
         return (
             record is not None
             and record.incarnation == self._own_record.incarnation
+            and record.era == era_of(self._cluster_state.records_revision)
             and not record.retired
         )
 
@@ -167,23 +172,25 @@
         revision = self.proxy_revisions.get(self._own_record.name)
         if revision is None:
             return
-        try:
-            await self._records.remove(proxy_record_name(self._own_record.name), revision)
-        except STORE_ERRORS as error:
-            self._event_log.log_event(EventType.FLEET, outcome="not removed", why=str(error))
+        await self._remove_record(proxy_record_name(self._own_record.name), revision)
 
     async def _write_record(self, record: ProxyRecord) -> None:
-        name, content = proxy_record_name(record.name), dump_proxy_record(record)
-        revision = self.proxy_revisions.get(record.name)
+        """Write this proxy's record; raise one of `STORE_ERRORS` if it is not in force."""
+        name, revision = proxy_record_name(record.name), self.proxy_revisions.get(record.name)
         if revision is None:
             listing = await self._records.list()
             revisions = [item.revision for item in listing.items if item.name == name]
-            revision = revisions[0] if revisions else None
+            revision, era = revisions[0] if revisions else None, era_of(listing.revision)
+        else:
+            era = era_of(revision)
+        content = dump_proxy_record(replace(record, era=era))
         try:
             if revision is None:
                 new_revision = await self._records.create(name, content)
             else:
                 new_revision = await self._records.replace(name, content, revision)
+            if era_of(new_revision) != era:
+                raise StoreConflictError("register", name, "the store was restored meanwhile")
         except StoreConflictError:
             self.proxy_revisions.pop(record.name, None)
             raise
@@ -202,6 +209,7 @@
         if listing.revision >= known_revision:
             self._cluster_state.records_revision = listing.revision
             self._apply_proxies(listing.items)
+            self._remove_ended_records(listing.items)
         else:
             self._event_log.log_event(
                 EventType.STORE,
@@ -217,10 +225,25 @@
             (item.revision, record) for item in items if (record := parse_proxy_record(item))
         ]
         self.proxy_revisions = {record.name: revision for revision, record in proxy_records}
-        self._cluster_state.update_fleet(
-            Fleet({record.name: record for _, record in proxy_records})
+        self._cluster_state.apply_proxy_records(
+            {record.name: record for _, record in proxy_records}
         )
 
+    def _remove_ended_records(self, items: Iterable[StoredRecord]) -> None:
+        """Remove records of proxies that had left before a restore brought them back."""
+        history = self._cluster_state.fleet_history
+        for item in items:
+            record = parse_proxy_record(item)
+            if record is not None and history.has_ended(record, era_of(item.revision)):
+                removal = Deferred.fromCoroutine(self._remove_record(item.name, item.revision))
+                removal.addErrback(self._log_failure)
+
+    async def _remove_record(self, name: str, revision: int) -> None:
+        try:
+            await self._records.remove(name, revision)
+        except STORE_ERRORS as error:
+            self._event_log.log_event(EventType.FLEET, outcome="not removed", why=str(error))
+
     def apply_view(self, view: StoreView, requested_at: float) -> None:
         """Apply another proxy's view, based on a listing requested at `requested_at`."""
         if view.versions.records >= self._cluster_state.records_revision:
@@ -244,7 +267,7 @@
                 revisions[versioned_record.record.name] = versioned_record.revision
                 proxies[versioned_record.record.name] = versioned_record.record
         self.proxy_revisions = revisions
-        self._cluster_state.update_fleet(Fleet(proxies))
+        self._cluster_state.apply_proxy_records(proxies)
 
     def apply_group_records(
         self, groups: Iterable[VersionedGroupRecord], requested_at: float, revision: int
@@ -271,9 +294,14 @@
                 self._apply_removal(item.name, proxies)
             else:
                 self._apply_record(item, proxies)
-        self._cluster_state.update_fleet(Fleet(proxies))
+        self._cluster_state.apply_proxy_records(proxies)
         self._register_again_if_needed()
 
+    def expire_lost_proxies(self) -> None:
+        """Remove the proxies whose registration was lost long ago and that did not come back."""
+        if self._cluster_state.fleet_history.lost:
+            self._cluster_state.apply_proxy_records(self._cluster_state.fleet.proxies)
+
     def _apply_record(self, item: StoredRecord, proxies: dict[str, ProxyRecord]) -> None:
         """Apply a group record, or put a proxy record into `proxies`."""
         versioned_record = parse_group_record(item)
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -264,6 +264,7 @@
                 )
             case TimerTick("housekeeping"):
                 self._platform_watcher.expire_instances()
+                self._fleet_membership.expire_lost_proxies()
                 self.cluster_state.close_unused_connections()
                 if self._platform_watcher.is_store_unreachable:
                     self._view_subscriber.fetch_from_any_peer()
--- a/orioleplank/gateway/_lease_release.py
+++ b/orioleplank/gateway/_lease_release.py
@@ -217,8 +217,13 @@
         if incarnations:
             # A release by another incarnation shows that the previous one has ended on that VM.
             return True
+        # A registration of a later era of the store may be of a proxy that ran before as well.
         current = self._cluster_state.fleet.proxies.get(holder.name)
-        return current is not None and current.incarnation != holder.incarnation
+        return (
+            current is not None
+            and current.era == holder.era
+            and current.incarnation != holder.incarnation
+        )
 
     async def _respond(self, sender: str, service: str, revision: int, planned: bool) -> None:
         await self.release(service, revision, planned)
--- a/orioleplank/gateway/_primary_monitor.py
+++ b/orioleplank/gateway/_primary_monitor.py
@@ -223,7 +223,11 @@
         if record.holder == self._own_record.name:
             return True
         holder = self._cluster_state.fleet.proxies.get(record.holder)
-        return holder is not None and holder.incarnation != record.incarnation
+        return (
+            holder is not None
+            and holder.era == record.era
+            and holder.incarnation != record.incarnation
+        )
 
     def _may_act(self, service: str, assessment: object, delay_s: float = 0.0) -> bool:
         """Return whether an assessment has been the same for `delay_s` and this proxy's delay."""
