A draining instance is not ready again in the same life

After a restore the copy shows an instance as ready that had announced its end since, and proxies sent it new work until its own word came. An instance never takes its announcement back, so a ready entry of the same life ("born") is an older one.

--- a/orioleplank/decision/instances/_directory.py
+++ b/orioleplank/decision/instances/_directory.py
@@ -170,11 +170,19 @@
         return tracked.draining_since + drain_duration - DRAIN_CUTOFF_MARGIN_S
 
     def _track(self, entry: InstanceEntry, now: float) -> TrackedInstance:
-        if entry.state is not InstanceState.DRAINING:
-            return TrackedInstance(entry)
+        """Return an entry as tracked; a draining instance stays so until it is born again.
+
+        A ready entry of the same life is an older one, back after a restore of the store.
+        """
         previous = self.instances.get(entry.id)
         is_same_life = previous is not None and previous.entry.born == entry.born
         draining_since = previous.draining_since if previous and is_same_life else None
+        if entry.state is InstanceState.DRAINING:
+            return TrackedInstance(
+                entry, draining_since=now if draining_since is None else draining_since
+            )
+        if draining_since is None or not entry.born:
+            return TrackedInstance(entry)
         return TrackedInstance(
-            entry, draining_since=now if draining_since is None else draining_since
+            replace(entry, state=InstanceState.DRAINING), draining_since=draining_since
         )
--- a/orioleplank/decision/instances/tests/test_directory.py
+++ b/orioleplank/decision/instances/tests/test_directory.py
@@ -53,6 +53,16 @@
         directory = directory.upsert(replace(draining, born=2), 6.0)
         self.assertTrue(directory.accepts_work_as_primary("db-a", 7.0, 7.0))
 
+    def test_draining_instance_is_not_ready_again_in_the_same_life(self) -> None:
+        ready = replace(_entry("db-a"), born=1)
+        draining = replace(ready, state=InstanceState.DRAINING)
+        directory = InstanceDirectory().upsert(draining, 1.0).apply_listing([ready], 3.0)
+        self.assertFalse(directory.accepts_work("db-a"))
+        self.assertTrue(directory.accepts_work_as_primary("db-a", 4.5, 7.0))
+        self.assertFalse(directory.accepts_work_as_primary("db-a", 5.0, 7.0))
+        directory = directory.upsert(replace(ready, born=2), 6.0)
+        self.assertTrue(directory.accepts_work("db-a"))
+
 
 class TestRouteTable(testtools.TestCase):
     def test_newer_version_is_kept(self) -> None:
--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -302,6 +302,8 @@
         """Restart a crashed instance with its log, as a replica if another one is the primary."""
         member = self.group.members[name]
         member.alive = True
+        entry = member.directory_entry
+        member.directory_entry = replace(entry, born=entry.born + 1)
         primary = self.group.primary()
         if primary is not member:
             member.role = DbRole.REPLICA
--- a/orioleplank/tests/_simulated_instances.py
+++ b/orioleplank/tests/_simulated_instances.py
@@ -97,7 +97,7 @@
             member.role = role
             address = f"10.0.{number}.9:5432"
             member.directory_entry = InstanceEntry(
-                member.name, SERVICE, address, f"zone-{letter}", InstanceState.READY, role, 5
+                member.name, SERVICE, address, f"zone-{letter}", InstanceState.READY, role, 5, 1
             )
             self.members[member.name] = member
             simulator.nodes[member.name] = member
