Watches end as soon as any response shows that the store was restored

A watch that was waiting when the store was restored may never be answered; its reader then had the old configuration for up to 3.5 s, longer than it may take.

--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -8,10 +8,13 @@
 
 import json
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any, Generic, TypeVar
 from urllib.parse import quote
 
 from msgspec import Struct
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
 from orioleplank.decision import build_revision, era_of, number_of
 from orioleplank.decision.instances import InstanceEntry, RouteTable
@@ -26,7 +29,7 @@
     StoreUnavailableError,
     WatchHistoryExpiredError,
 )
-from orioleplank.http import HttpClient, NoResponseError, Request
+from orioleplank.http import HttpClient, NoResponseError, Request, Response
 from orioleplank.platform._objects import RawObject, parse_instance, parse_record, parse_routes
 
 # Timeout for a request: many times the response time of a slow store.
@@ -78,15 +81,38 @@
         self._on_restored = on_restored
         # The latest era that a response named; None before the first one.
         self._era: int | None = None
+        # Responses that watches wait for.
+        self._pending_watches: set[Deferred[Response]] = set()
 
     def is_outdated(self, revision: int) -> bool:
         """Return whether the store has been restored since it gave out a revision."""
         return self._era is not None and era_of(revision) < self._era
 
+    async def watch(self, path: str, revision: int, timeout: float) -> StoreReply:
+        """Send a request that continues a watch from `revision`; return the response.
+
+        Raises `StoreUnavailableError`, or `WatchHistoryExpiredError` also as soon as another
+        request shows that the store was restored: it may never answer a watch from before.
+        """
+        try:
+            if not self.is_outdated(revision):
+                reply = await self.call("GET", path, None, timeout, self._pending_watches)
+                if reply.era == era_of(revision):
+                    return reply
+        except StoreUnavailableError:
+            if not self.is_outdated(revision):
+                raise
+        raise WatchHistoryExpiredError("watch objects", self._address, "the store was restored")
+
     async def call(
-        self, method: str, path: str, body: object = None, timeout: float = CALL_TIMEOUT_S
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        timeout: float = CALL_TIMEOUT_S,
+        pending: set[Deferred[Response]] | None = None,
     ) -> StoreReply:
-        """Send a request; return the response.
+        """Send a request; return the response, which is in `pending` until it arrives.
 
         `path` is relative to the root of all objects; `body` is sent as JSON. `timeout` is in
         seconds. Raises `StoreUnavailableError`, `StoreConflictError` or
@@ -96,8 +122,12 @@
         headers = {"Content-Type": "application/json"} if body is not None else {}
         encoded_body = None if body is None else json.dumps(body).encode()
         request = Request(method, f"{ROOT_PATH}/{path}", headers, encoded_body)
+        awaited = self._http.send(request, timeout)
+        if pending is not None:
+            pending.add(awaited)
+            awaited.addBoth(partial(_discard, pending, awaited))
         try:
-            response = await self._http.send(request, timeout)
+            response = await awaited
         except NoResponseError as error:
             self._on_call(method, error.detail)
             raise StoreUnavailableError(step, self._address, error.detail) from error
@@ -118,6 +148,8 @@
             self._era = era
         if previous is not None and era > previous:
             self._on_restored(previous, era)
+            for watch in tuple(self._pending_watches):
+                watch.cancel()
         return era
 
     def _parse_response(self, step: str, code: int, text: bytes) -> Any:
@@ -182,12 +214,8 @@
 
         Raises `StoreUnavailableError`, or `WatchHistoryExpiredError` if a new listing is required.
         """
-        if self._client.is_outdated(revision):
-            raise WatchHistoryExpiredError("watch objects", self._kind, "the store was restored")
         path = f"{self._kind}?watch={number_of(revision)}&waitMs={int(timeout * 1000)}"
-        reply = await self._client.call("GET", path, timeout=timeout + CALL_TIMEOUT_S)
-        if reply.era != era_of(revision):
-            raise WatchHistoryExpiredError("watch objects", self._kind, "the store was restored")
+        reply = await self._client.watch(path, revision, timeout + CALL_TIMEOUT_S)
         try:
             events = self._parse_events(reply.body.get("events", ()), reply.era)
             return Changes(build_revision(reply.era, int(reply.body["at"])), events)
@@ -242,6 +270,13 @@
             raise StoreConflictError("write object", name, "the store was restored")
 
 
+def _discard(
+    pending: set[Deferred[Response]], awaited: Deferred[Response], result: Response | Failure
+) -> Response | Failure:
+    pending.discard(awaited)
+    return result
+
+
 def _parse_revision(reply: StoreReply) -> int:
     """Return the revision of a written record.
 
--- a/orioleplank/platform/tests/test_store.py
+++ b/orioleplank/platform/tests/test_store.py
@@ -50,7 +50,7 @@
         self._connections: list[Any] = []
 
     def respond(self, body: object, era: str | None = None, status: int = 200) -> None:
-        """Send a response on the oldest connection, which the client opens first if it has none."""
+        """Send a response on the newest connection."""
         for _, _, factory, *_ in self.reactor.tcpClients[len(self._connections) :]:
             protocol = factory.buildProtocol(None)
             build_transport: Any = _Transport
@@ -154,6 +154,16 @@
         self.assertEqual([WatchHistoryExpiredError], [type(result) for result in self.results])
         self.assertNotIn("watch=", self.sent())
 
+    def test_silent_watch_has_expired_once_another_request_shows_a_restore(self) -> None:
+        self.call("3")
+        self.start(self.records.watch(build_revision(3, 17), 2.0))
+        self.start(self.records.list())
+        self.assertEqual([], self.results)
+        self.respond({"items": [], "hasMore": False, "at": 9}, "4")
+        self.assertEqual(
+            [WatchHistoryExpiredError, Listing], [type(result) for result in self.results]
+        )
+
     def test_condition_on_an_earlier_era_does_not_meet_the_same_number(self) -> None:
         self.call("4")
         self.start(self.records.replace("a", {}, build_revision(3, 17)))
--- a/orioleplank/tests/_simulated_store.py
+++ b/orioleplank/tests/_simulated_store.py
@@ -116,11 +116,30 @@
             watcher()
 
 
+@dataclass(slots=True)
+class _KnownEra:
+    """The latest era that one proxy has seen, and its watches, which end when the era rises."""
+
+    era: int = 0
+    pending_watches: list[Deferred[Any]] = field(default_factory=list)
+
+    def observe(self, era: int) -> None:
+        """Take the era of a response."""
+        if era <= self.era:
+            return
+        self.era = era
+        watches, self.pending_watches = self.pending_watches, []
+        for watch in watches:
+            if not watch.called:
+                watch.errback(WatchHistoryExpiredError("watch", STORE_NODE, "restored"))
+
+
 class SimulatedCollection(Generic[T]):
     """The objects of one kind, as read and watched by one proxy."""
 
-    def __init__(self, store: SimulatedStore, node: Node, kind: str) -> None:
+    def __init__(self, store: SimulatedStore, node: Node, kind: str, known: _KnownEra) -> None:
         self._store = store
+        self._known = known
         self._node = node
         self._kind = kind
         # Responses to an earlier run of the proxy are dropped.
@@ -144,18 +163,21 @@
         Fails with StoreUnavailableError or WatchHistoryExpiredError.
         """
         store, result = self._store, Deferred[Any]()
+        self._known.pending_watches = [d for d in self._known.pending_watches if not d.called]
+        self._known.pending_watches.append(result)
         store.call_counts[self._node.name] += 1
         end = store.simulator.now + timeout
+        era = store.era
 
         def check() -> None:
-            if result.called:
+            if result.called or store.era != era:
                 return
             if store.refuses(self._node.name):
                 self._respond(result, StoreUnavailableError("watch", STORE_NODE, "refused"))
                 return
             number = number_of(revision)
             is_known = store.oldest_revision <= number <= store.revision
-            if not is_known or era_of(revision) != store.era:
+            if not is_known or era_of(revision) != era:
                 self._respond(result, WatchHistoryExpiredError("watch", STORE_NODE, "gone"))
                 return
             first_index = bisect_right(store.history, number, key=lambda change: change.revision)
@@ -211,9 +233,14 @@
         self._store.simulator.deliver(self._node.name, STORE_NODE, call)
 
     def _respond(self, result: Deferred[Any], response: Any) -> None:
+        era = self._store.era
+
         def arrive() -> None:
             if result.called or self._node.generation != self._generation:
                 return
+            self._known.observe(era)
+            if result.called:
+                return
             if isinstance(response, Exception):
                 result.errback(response)
             else:
@@ -277,8 +304,11 @@
     """The store's client of one proxy; implements the gateway's `Store`."""
 
     def __init__(self, store: SimulatedStore, node: Node) -> None:
-        self.routes: SimulatedCollection[RouteTable] = SimulatedCollection(store, node, "routes")
+        known = _KnownEra()
+        self.routes: SimulatedCollection[RouteTable] = SimulatedCollection(
+            store, node, "routes", known
+        )
         self.instances: SimulatedCollection[InstanceEntry] = SimulatedCollection(
-            store, node, "instances"
+            store, node, "instances", known
         )
-        self.records = SimulatedRecordCollection(store, node, "records")
+        self.records = SimulatedRecordCollection(store, node, "records", known)
