A proxy sees its own registration in the changes of the store, and registers once

A change with the revision that this proxy's own write had returned was passed over as known, although the fleet had not taken it in yet; the proxy found itself unregistered and wrote again, until its next listing.

--- a/orioleplank/gateway/_fleet_membership.py
+++ b/orioleplank/gateway/_fleet_membership.py
@@ -310,7 +310,7 @@
                 self._cluster_state.leases.apply_change(versioned_record)
             )
         record = parse_proxy_record(item)
-        if record is not None and item.revision > self.proxy_revisions.get(record.name, 0):
+        if record is not None and item.revision >= self.proxy_revisions.get(record.name, 0):
             self.proxy_revisions[record.name] = item.revision
             proxies[record.name] = record
 
--- a/orioleplank/tests/test_gateway_restore.py
+++ b/orioleplank/tests/test_gateway_restore.py
@@ -9,6 +9,7 @@
 from orioleplank.decision.group import LEASE_DURATION_S
 from orioleplank.decision.instances import InstanceState, Route
 from orioleplank.decision.session import Write
+from orioleplank.gateway import EventType
 from orioleplank.tests._audited_run import AuditedRun
 from orioleplank.tests._gateway_cluster import QUOTES, ROUTES, GatewayCluster, GatewayNode
 from orioleplank.tests._gateway_helpers import keep_writing, start_cluster
@@ -239,6 +240,19 @@
             self.assertEqual({n.name for n in cluster.proxies}, self._fleet(node))
         self.assert_served(cluster)
 
+    def test_registration_is_written_again_once(self) -> None:
+        cluster = start_cluster(proxies=6)
+        cluster.run_for(3.0)
+        cluster.restore_store(2.0, 0.5)
+        cluster.run_for(0.49)
+        written_before = {node.name: self._count_registrations(node) for node in cluster.proxies}
+        cluster.run_for(6.0)
+        for node in cluster.proxies:
+            self.assertEqual(1, self._count_registrations(node) - written_before[node.name])
+
+    def _count_registrations(self, node: GatewayNode) -> int:
+        return node.event_log.outcomes(EventType.FLEET).count("registered")
+
     def test_proxy_that_left_does_not_come_back(self) -> None:
         cluster = start_cluster(proxies=4)
         cluster.run_for(2.0)
