--- a/orioleplank/soak/_process_cluster.py
+++ b/orioleplank/soak/_process_cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -129,6 +130,22 @@
         self.routes = replace(self.routes, version=self.routes.version + 1)
         self._write_routes()
 
+    def restore_store(self, seconds: float, rewrite_delay_s: float) -> None:
+        """Restore the store from a copy that is `seconds` old.
+
+        The routes and the instances are written again `rewrite_delay_s` later.
+        """
+        self.store.restore(seconds)
+        self.simulator.call_later(rewrite_delay_s, self._write_again)
+
+    def _write_again(self) -> None:
+        self._write_routes()
+        for member in self.group.members.values():
+            if member.alive:
+                self.group.publish(member.name)
+            else:
+                self.simulator.call_later(ENTRY_EXPIRY_S, partial(self._expire_entry, member))
+
     # Instances.
 
     def crash_instance(self, member: SimulatedInstance) -> None:
--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -142,6 +142,7 @@
             "store-refuses": self._refuse_store_calls,
             "store-slow": self._delay_store_calls,
             "store-answers-lost": self._lose_store_answers,
+            "store-restored": self._restore_store,
             "store-history-gone": self.cluster.store.compact_history,
             "store-link-faulty": lambda: self._disturb_link(self._choose_store_link()),
             "instance-link-faulty": lambda: self._disturb_link(self._choose_instance_link()),
@@ -182,6 +183,16 @@
         self.cluster.store.loses_answers = True
         self._call_later(4.0, partial(setattr, self.cluster.store, "loses_answers", False))
 
+    def _restore_store(self) -> None:
+        self.cluster.store.refused_proxies.add("*")
+        lost_s, rewrite_delay_s = 8.0 * self.random.random(), 2.0 * self.random.random()
+
+        def come_back() -> None:
+            self.cluster.store.refused_proxies.discard("*")
+            self.cluster.restore_store(lost_s, rewrite_delay_s)
+
+        self._call_later(2.0 * self.random.random(), come_back)
+
     # Links.
 
     def _list_links(self) -> list[FaultyLink]:
--- a/orioleplank/soak/_store.py
+++ b/orioleplank/soak/_store.py
@@ -121,12 +121,14 @@
     def _watch(self, request: Request, kind: str, revision: int, wait_s: float) -> None:
         store, watch = self._store, {"open": True}
         request.notifyFinish().addBoth(lambda _: watch.update(open=False))
-        deadline = store.simulator.now + wait_s
+        deadline, era = store.simulator.now + wait_s, store.era
 
         def poll() -> None:
             if not watch["open"]:
                 return
-            if store.refuses("") or revision < store.oldest_revision:
+            if store.era != era:
+                return
+            if store.refuses("") or not store.oldest_revision <= revision <= store.revision:
                 watch["open"] = False
                 self._send(request, 503 if store.refuses("") else 410, {})
                 return
@@ -152,6 +154,7 @@
         if not request.channel:
             return
         request.setResponseCode(code)
+        request.setHeader("Store-Era", str(self._store.era))
         request.write(json.dumps(body).encode())
         request.finish()
 
--- a/orioleplank/tests/_random_faults.py
+++ b/orioleplank/tests/_random_faults.py
@@ -16,6 +16,8 @@
 START_S = 3.0
 FAULTS_S = 40.0
 RECOVERY_S = 25.0
+# How often a restore of the store is among the faults to choose from; each other one is there once.
+RESTORE_WEIGHT = 6
 
 
 class RandomFaultRun(AuditedRun[GatewayCluster]):
@@ -28,7 +30,10 @@
         callers: int = 10,
         connection_limit: int = 30,
         mechanisms: MechanismSwitches = ALL_ON,
+        with_restores: bool = False,
     ) -> None:
+        """Build the cluster; only `with_restores` the store also comes back from older copies."""
+        self._with_restores = with_restores
         cluster = GatewayCluster(seed, proxies, connection_limit, mechanisms)
         super().__init__(cluster, Random(seed), callers)
 
@@ -73,6 +78,8 @@
             self._fill_instance,
             self._change_routes,
         )
+        if self._with_restores:
+            faults += (self._restore_store,) * RESTORE_WEIGHT + (self._delay_store_changes,)
         fault_at = 1.0
         while fault_at < FAULTS_S - 6.0:
             self.cluster.simulator.call_later(fault_at, self.random.choice(faults))
@@ -83,6 +90,7 @@
         cluster.simulator.heal()
         cluster.store.refused_proxies.clear()
         cluster.store.loses_answers, cluster.store.slowness = False, 0.0
+        cluster.store.change_delay = 0.0
         for member in list(cluster.group.members.values()):
             member.is_full = member.drops_entries = member.loses_answers = False
             member.lag = 0.003
@@ -185,6 +193,15 @@
         self.cluster.store.slowness = 0.4
         self._schedule(4.0, partial(setattr, self.cluster.store, "slowness", 0.0))
 
+    def _restore_store(self) -> None:
+        self.cluster.restore_store(
+            9.0 * self.random.random(), 2.5 * self.random.random(), 2.0 * self.random.random()
+        )
+
+    def _delay_store_changes(self) -> None:
+        self.cluster.store.change_delay = 1.0 + 4.0 * self.random.random()
+        self._schedule(1.5, partial(setattr, self.cluster.store, "change_delay", 0.0))
+
     def _compact_store_history(self) -> None:
         self.cluster.store.compact_history()
 
--- a/orioleplank/tests/_simulated_store.py
+++ b/orioleplank/tests/_simulated_store.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any, Generic, TypeVar
 
 from twisted.internet.defer import Deferred
@@ -58,6 +59,8 @@
     refused_proxies: set[str] = field(default_factory=set)
     # True while changes are applied, but their responses are lost.
     loses_answers: bool = False
+    # Seconds after which changes are applied, without a response; 0 when they are applied at once.
+    change_delay: float = 0.0
     # Seconds added to the delay of each response.
     slowness: float = 0.0
     # Further seconds of delay of responses about a kind, by kind.
@@ -218,10 +221,10 @@
             if store.refuses(self._node.name):
                 self._respond(result, StoreUnavailableError("call", STORE_NODE, "refused"))
                 return
-            try:
-                response = operation()
-            except StoreConflictError as error:
-                response = error
+            if is_change and store.change_delay:
+                store.simulator.call_later(store.change_delay, partial(_attempt, operation))
+                return
+            response = _attempt(operation)
             if not (is_change and store.loses_answers):
                 self._respond(result, response)
 
@@ -262,6 +265,14 @@
         simulator.call_later(seconds, lambda: simulator.call_on_node(self._node, expire))
 
 
+def _attempt(operation: Callable[[], Any]) -> Any:
+    """Return the result of an operation, or the conflict that it raises."""
+    try:
+        return operation()
+    except StoreConflictError as error:
+        return error
+
+
 class SimulatedRecordCollection(SimulatedCollection[StoredRecord]):
     """The proxies' own records in the store, which proxies create, replace and remove."""
 
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -18,6 +18,8 @@
 SEEDS = range(20261204, 20261212)
 # Runs with fewer than two connections per proxy, so that connection owners forward statements.
 OWNER_SEEDS = range(20261204, 20261208)
+# Runs in which the store also comes back from older copies.
+RESTORE_SEEDS = range(20261204, 20261212)
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -35,6 +37,13 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_restores_of_the_store(self) -> None:
+        for seed in RESTORE_SEEDS:
+            with self.subTest(seed=seed):
+                audit = RandomFaultRun(seed, with_restores=True).run()
+                self.assertEqual([], audit.violations[:5])
+                self.assertGreater(audit.answered, 300)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
