Pings carry the configuration's version; whoever has an older one fetches the newer

A proxy that starts after a restore, before the operator has written its changes again, served the older configuration of the copy beside peers with the newer, although callers had been confirmed the change. test_started_proxy_gets_the_newer_configuration_from_its_peers failed before.

--- a/orioleplank/decision/membership/_peer_messages.py
+++ b/orioleplank/decision/membership/_peer_messages.py
@@ -63,6 +63,8 @@
     sender: str
     # Name of the proxy to which the `Pong` is sent; for an indirect probe not the sender.
     asker: str
+    # Version of the route table that the sender has; 0 when it is not stated.
+    routes: int = 0
 
 
 class PingAsked(Struct, frozen=True):
--- a/orioleplank/gateway/_failure_detector.py
+++ b/orioleplank/gateway/_failure_detector.py
@@ -76,7 +76,7 @@
     def handle_message(self, message: PeerMessage) -> None:
         """Answer a ping, send a requested indirect probe, or record a pong."""
         match message:
-            case Ping(sender, requester):
+            case Ping(sender, requester, _):
                 self._record_message(sender)
                 self._send(requester, Pong(self._own_record.name, self._own_record.incarnation))
             case PingAsked(sender, target):
@@ -119,7 +119,8 @@
             self._is_writing = False
 
     def _ping(self, record: ProxyRecord, active: Sequence[ProxyRecord]) -> None:
-        self._send(record.name, Ping(self._own_record.name, self._own_record.name))
+        routes = self._cluster_state.routes.version
+        self._send(record.name, Ping(self._own_record.name, self._own_record.name, routes))
         if self._unanswered[record.incarnation] <= INDIRECT_PROBE_AFTER_PINGS:
             return
         if not self._cluster_state.mechanisms.is_on(Mechanism.INDIRECT_PINGS):
--- a/orioleplank/gateway/_view_subscriber.py
+++ b/orioleplank/gateway/_view_subscriber.py
@@ -14,6 +14,7 @@
 from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.membership import (
     PeerMessage,
+    Ping,
     ProxyRecord,
     ViewAsked,
     ViewTold,
@@ -100,11 +101,19 @@
         self._update_gate()
 
     def handle_message(self, message: PeerMessage) -> None:
-        """Handle the source's response to a poll, or its notice that its view has changed."""
+        """Handle the source's response to a poll, or its notice that its view has changed.
+
+        A proxy that has a newer configuration is asked for it: after a restore the store may have
+        an older one than this proxy's peers, until the operator writes it again.
+        """
         match message:
             case ViewTold(sender) if self._source is not None and sender == self._source.name:
                 self._handle_response(message, self._source)
                 self._update_gate()
+            case Ping(sender, _, routes) if routes > self._cluster_state.routes.version:
+                peer = self._cluster_state.fleet.proxies.get(sender)
+                if peer is not None and not self._is_fetching:
+                    self._fetch_from(peer)
 
     def _choose_source(self) -> None:
         previous_name = self._source.name if self._source else ""
--- a/orioleplank/tests/test_gateway_restore.py
+++ b/orioleplank/tests/test_gateway_restore.py
@@ -326,6 +326,22 @@
             for node in cluster.proxies:
                 self.assertIsNotNone(node.gateway.cluster_state.route("added"), node.name)
 
+    def test_started_proxy_gets_the_newer_configuration_from_its_peers(self) -> None:
+        for proxies in (3, 6):
+            with self.subTest(proxies=proxies):
+                cluster = start_cluster(proxies=proxies)
+                cluster.run_for(3.0)
+                cluster.change_routes(*ROUTES, Route("added", ROUTES[0].consistency, SERVICE, 1.0))
+                cluster.run_for(1.0)
+                cluster.restore_store(3.0, 0.5, rewrite_delay_s=10.0)
+                cluster.run_for(1.0)
+                for node in cluster.proxies[: proxies - 1]:
+                    cluster.kill_proxy(node)
+                    cluster.start_proxy(node)
+                cluster.run_for(CONFIGURATION_DEADLINE_S)
+                for node in cluster.proxies:
+                    self.assertIsNotNone(node.gateway.cluster_state.route("added"), node.name)
+
     def test_draining_instance_of_the_copy_gets_no_new_work(self) -> None:
         cluster = start_cluster()
         cluster.run_for(3.0)
