--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -9,14 +9,12 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from orioleplank.decision import Position, era_of
+from orioleplank.decision import era_of
 from orioleplank.decision.group import (
     GroupPhase,
     Lease,
     LeaseTable,
     MoveTimes,
-    ObservedPosition,
-    PositionHistory,
     VersionedGroupRecord,
 )
 from orioleplank.decision.instances import InstanceDirectory, InstanceEntry, Route, RouteTable
@@ -24,7 +22,6 @@
 from orioleplank.decision.membership import (
     Fleet,
     FleetHistory,
-    PrimaryPosition,
     ProxyRecord,
     ViewVersions,
 )
@@ -34,6 +31,7 @@
 from orioleplank.gateway._interfaces import TunnelRoute
 from orioleplank.gateway._notifier import ChangeNotifier
 from orioleplank.gateway._pool import InstancePool
+from orioleplank.gateway._position_tracker import PositionTracker
 
 # A connection that is held for other proxies is closed after it has been idle for this long.
 UNUSED_CONNECTION_TIMEOUT_S = 3.0
@@ -87,8 +85,7 @@
         self.retired_at: dict[str, float] = {}
         # When the replacement of each primary in progress was first seen, by service.
         self.move_times = MoveTimes()
-        # When a read last required a log position of a service, by service, on the monotonic clock.
-        self.position_required_at: dict[str, float] = {}
+        self.positions = PositionTracker(self.lease, self.now)
         # Notified whenever the cluster state changes.
         self.changed = ChangeNotifier(reactor)
         # Called with the id of an instance that did not respond.
@@ -109,9 +106,6 @@
         # Stage of each failover in progress, by service: whether the leases have been released, and
         # when the stage began, in seconds of the monotonic clock.
         self._failover_stage_since: dict[str, tuple[bool, float]] = {}
-        # Positions of the primary's log, by service, with the revision of the lease under which
-        # they were observed.
-        self._positions: dict[str, tuple[int, PositionHistory]] = {}
 
     @property
     def versions(self) -> ViewVersions:
@@ -384,52 +378,6 @@
         )
         return self.now() - stage_since < timeout_s
 
-    # Positions.
-
-    def record_position(
-        self, lease: Lease, service: str, requested_at: float, position: Position
-    ) -> None:
-        """Add the log position in a primary's response to a request sent at `requested_at`.
-
-        `requested_at` is on the lease clock; the position is ignored unless the lease was valid
-        then.
-        """
-        if lease.is_valid_at(requested_at):
-            self._position_history(lease, service).add(requested_at, position)
-
-    def record_peer_position(self, peer_position: PrimaryPosition, requested_at: float) -> None:
-        """Add a position from another proxy, dated `requested_at` on the lease clock.
-
-        It is ignored unless this proxy's lease has the same revision.
-        """
-        lease = self.lease(peer_position.service)
-        if lease is not None and lease.revision == peer_position.revision:
-            self.record_position(lease, peer_position.service, requested_at, peer_position.position)
-
-    def newest_position(self, service: str) -> ObservedPosition | None:
-        """Return the newest known position of the current primary; None when none is known."""
-        lease = self.lease(service)
-        return self._position_history(lease, service).newest if lease else None
-
-    def find_min_position(self, service: str, cutoff: float) -> Position | None:
-        """Return a log position that includes every commit acknowledged before `cutoff`.
-
-        `cutoff` is on the lease clock. None when no such position is known. The call also records
-        that a position of the service was required, which lets this proxy ask its peers for one.
-        """
-        self.position_required_at[service] = self.now()
-        lease = self.lease(service)
-        return (
-            self._position_history(lease, service).lowest_position_since(cutoff) if lease else None
-        )
-
-    def _position_history(self, lease: Lease, service: str) -> PositionHistory:
-        revision, history = self._positions.get(service, (0, PositionHistory()))
-        if revision != lease.revision:
-            history = PositionHistory()
-            self._positions[service] = (lease.revision, history)
-        return history
-
 
 def _is_different_incarnation(previous: InstanceEntry, current: InstanceEntry) -> bool:
     if previous.address != current.address or previous.service != current.service:
--- a/orioleplank/gateway/_failover.py
+++ b/orioleplank/gateway/_failover.py
@@ -18,8 +18,6 @@
 from orioleplank.decision import era_of
 from orioleplank.decision.failover import (
     InstanceReport,
-    has_caught_up_replica,
-    rank_promotion_candidates,
 )
 from orioleplank.decision.group import (
     GroupPhase,
@@ -37,7 +35,6 @@
     NO_REVISION,
     RETRY_DELAY_S,
     ClaimedFailover,
-    FailoverSupersededError,
     GroupRecordWriter,
 )
 from orioleplank.gateway._instance_prober import InstanceProber
@@ -49,23 +46,11 @@
 )
 from orioleplank.gateway._lease_release import CollectedReleases, LeaseReleaseCoordinator
 from orioleplank.gateway._notifier import ChangeNotifier, sleep
+from orioleplank.gateway._promotion import InstancePromoter
 from orioleplank.gateway._records import (
     parse_proxy_record,
 )
 
-# A promotion is requested only within this time after the group record was written.
-PROMOTION_REQUEST_WINDOW_S = 2.0
-# Time for a promotion to take effect before another one is requested.
-PROMOTION_EFFECT_TIMEOUT_S = 3.0
-# Interval of the probes of the instance that is being promoted.
-PROMOTION_EFFECT_CHECK_INTERVAL_S = 0.05
-# How long a switchover waits for a replica that has received the whole log.
-CATCH_UP_TIMEOUT_S = 1.5
-# Interval at which the received positions of the replicas are read during that wait.
-CATCH_UP_CHECK_INTERVAL_S = 0.02
-# Interval at which the record of a running failover is rewritten, so that no other proxy takes the
-# failover over.
-RECORD_REFRESH_INTERVAL_S = 0.5
 # Pause before a postponed switchover is tried again.
 SWITCHOVER_POSTPONEMENT_S = 0.5
 # Names of unresponsive proxies in one log line.
@@ -94,11 +79,11 @@
         self._cluster_state = cluster_state
         self._event_log = event_log
         self._records = records
-        self._promotions = promotions
         self._prober = prober
         self._lease_releases = lease_releases
         self._own_record = own_record
         self._writer = GroupRecordWriter(reactor, cluster_state, event_log, records, own_record)
+        self._promoter = InstancePromoter(reactor, cluster_state, promotions, prober, self._writer)
 
     @property
     def is_stopped(self) -> bool:
@@ -201,7 +186,7 @@
         )
         if collected.highest_term > old_record.term:
             old_record = replace(old_record, primary="", term=collected.highest_term)
-        new_primary = await self._promote(failover, old_record)
+        new_primary = await self._promoter.promote(failover, old_record)
         await self._writer.write(
             failover,
             GroupRecord(service, GroupPhase.STABLE, new_primary.id, new_primary.term, "", ""),
@@ -263,121 +248,11 @@
 
         releases.addBoth(notify)
         while not releases.called:
-            await finished.wait(self._time_until_refresh(failover))
+            await finished.wait(self._writer.time_until_refresh(failover))
             if not releases.called:
-                await self._refresh_if_due(failover)
+                await self._writer.refresh_if_due(failover)
         return await releases
 
-    def _time_until_refresh(self, failover: ClaimedFailover) -> float:
-        """Return the seconds after which the record has to be written again."""
-        refresh_at = failover.requested_at + RECORD_REFRESH_INTERVAL_S
-        return refresh_at - self._cluster_state.lease_clock()
-
-    async def _refresh_if_due(self, failover: ClaimedFailover) -> None:
-        """Write the record again if its latest write is too long ago."""
-        if self._time_until_refresh(failover) <= 0:
-            await self._writer.write(failover, failover.record)
-
-    async def _mark_released(self, failover: ClaimedFailover) -> None:
-        """Record that no proxy relies on the old primary; must precede the first promotion."""
-        await self._writer.write(failover, replace(failover.record, released=True))
-
-    async def _promote(self, failover: ClaimedFailover, old_record: GroupRecord) -> InstanceReport:
-        """Promote the instance with the newest received position; return its report as primary.
-
-        The reports are collected while the record is written as released. In a failover the report
-        of the old primary is not awaited.
-        """
-        catch_up_deadline = self._cluster_state.now() + CATCH_UP_TIMEOUT_S
-        awaits_all = failover.record.planned or not self._cluster_state.mechanisms.is_on(
-            Mechanism.UNAWAITED_REPORT
-        )
-        unawaited = "" if awaits_all else old_record.primary
-        marking: Deferred[None] | None = Deferred.fromCoroutine(self._mark_released(failover))
-        while True:
-            entries = self._cluster_state.directory.entries_of_service(failover.record.service)
-            reports = await self._prober.collect_reports(entries, unawaited)
-            if marking is not None:
-                await marking
-                marking = None
-            await self._refresh_if_due(failover)
-            new_primary = self._find_new_primary(reports, old_record)
-            if new_primary is not None:
-                return new_primary
-            may_wait = failover.record.planned and self._cluster_state.now() < catch_up_deadline
-            if may_wait and not has_caught_up_replica(reports, old_record.primary):
-                await sleep(self._reactor, CATCH_UP_CHECK_INTERVAL_S)
-                continue
-            for candidate in rank_promotion_candidates(reports, old_record.primary):
-                if await self._request_promotion(failover, candidate):
-                    report = await self._wait_for_promotion(failover, candidate, old_record)
-                    if report is not None:
-                        return report
-                    break
-            await sleep(self._reactor, RETRY_DELAY_S)
-
-    def _find_new_primary(
-        self, reports: tuple[InstanceReport, ...], old_record: GroupRecord
-    ) -> InstanceReport | None:
-        """Return the report of an instance that already is the new primary; None without one.
-
-        A primary that was replaced by a new instance with the same log reports a new id and the
-        old term. So does one that may stay, under its own id.
-        """
-        primaries = [report for report in reports if _is_new_primary(report, old_record)]
-        return max(primaries, key=lambda report: report.term) if primaries else None
-
-    async def _request_promotion(self, failover: ClaimedFailover, candidate: str) -> bool:
-        """Request a promotion; return False when that instance cannot take over.
-
-        Returns True also when the outcome is unknown.
-        """
-        service = failover.record.service
-        if failover.revision < self._cluster_state.leases.min_revisions.get(service, 0):
-            raise FailoverSupersededError(
-                "order promotion", service, "another proxy has claimed it"
-            )
-        # The record is written again once half of the window has passed, because the window counts
-        # from the latest write.
-        if (
-            self._cluster_state.lease_clock() - failover.requested_at
-            >= PROMOTION_REQUEST_WINDOW_S / 2
-        ):
-            await self._writer.write(failover, failover.record)
-        if self._cluster_state.lease_clock() - failover.requested_at >= PROMOTION_REQUEST_WINDOW_S:
-            return False
-        in_flight = self._cluster_state.promotions_in_flight
-        in_flight[service] += 1
-        try:
-            accepted = await self._promotions.request_promotion(
-                service, candidate, failover.revision
-            )
-        except StoreUnavailableError as error:
-            self._writer.log_failover(
-                failover, "order unanswered", instance=candidate, why=str(error)
-            )
-            return True
-        finally:
-            in_flight[service] -= 1
-        self._writer.log_failover(
-            failover, "ordered" if accepted else "order refused", instance=candidate
-        )
-        return accepted
-
-    async def _wait_for_promotion(
-        self, failover: ClaimedFailover, candidate: str, old_record: GroupRecord
-    ) -> InstanceReport | None:
-        """Wait until the candidate is the primary; return its report, or None after the timeout."""
-        deadline = self._cluster_state.now() + PROMOTION_EFFECT_TIMEOUT_S
-        while self._cluster_state.now() < deadline:
-            pool = self._cluster_state.pools.get(candidate)
-            report = await self._prober.probe(pool) if pool is not None else None
-            if report is not None and _is_new_primary(report, old_record):
-                return report
-            await self._refresh_if_due(failover)
-            await sleep(self._reactor, PROMOTION_EFFECT_CHECK_INTERVAL_S)
-        return None
-
     async def _step_down(self, old_primary: str, new_primary: InstanceReport) -> None:
         pool = self._cluster_state.pools.get(old_primary)
         if pool is None or old_primary == new_primary.id:
@@ -423,10 +298,3 @@
         await self._writer.create(
             GroupRecord(service, GroupPhase.STABLE, primary.id, primary.term, "", "")
         )
-
-
-def _is_new_primary(report: InstanceReport, old_record: GroupRecord) -> bool:
-    if report.role is not DbRole.PRIMARY:
-        return False
-    may_have_same_term = report.id != old_record.primary or old_record.keeps_primary
-    return report.term > old_record.term or (may_have_same_term and report.term == old_record.term)
--- a/orioleplank/gateway/_group_record_writer.py
+++ b/orioleplank/gateway/_group_record_writer.py
@@ -22,6 +22,9 @@
 
 # Pause before a step that failed is retried.
 RETRY_DELAY_S = 0.2
+# Interval at which the record of a running failover is rewritten, so that no other proxy takes the
+# failover over.
+RECORD_REFRESH_INTERVAL_S = 0.5
 # Revision of a record that the store does not have yet.
 NO_REVISION = 0
 
@@ -111,6 +114,16 @@
             return
         raise FailoverSupersededError("write record", record.service, "this proxy is stopping")
 
+    def time_until_refresh(self, failover: ClaimedFailover) -> float:
+        """Return the seconds after which the record has to be written again."""
+        refresh_at = failover.requested_at + RECORD_REFRESH_INTERVAL_S
+        return refresh_at - self._cluster_state.lease_clock()
+
+    async def refresh_if_due(self, failover: ClaimedFailover) -> None:
+        """Write the record again if its latest write is too long ago."""
+        if self.time_until_refresh(failover) <= 0:
+            await self.write(failover, failover.record)
+
     async def _store(self, signed: GroupRecord, revision: int) -> int:
         name, content = group_record_name(signed.service), dump_group_record(signed)
         if revision == NO_REVISION:
@@ -141,6 +154,7 @@
         self._cluster_state.update_leases(self._cluster_state.leases.apply_change(versioned_record))
 
     def log_failover(self, failover: ClaimedFailover, outcome: str, **fields: object) -> None:
+        """Log a step of a failover."""
         self._event_log.log_event(
             EventType.MOVE,
             service=failover.record.service,
--- a/orioleplank/gateway/_position_exchange.py
+++ b/orioleplank/gateway/_position_exchange.py
@@ -72,13 +72,13 @@
                 self._answer(sender, number, services)
             case PositionsTold(_, number, positions) if number in self._request_times:
                 for position in positions:
-                    self._cluster_state.record_peer_position(
+                    self._cluster_state.positions.record_from_peer(
                         position, self._request_times[number] - position.age
                     )
 
     def _find_stale_services(self) -> tuple[str, ...]:
         cluster_state, now = self._cluster_state, self._cluster_state.now()
-        required_at = {**self._required_by_peers, **cluster_state.position_required_at}
+        required_at = {**self._required_by_peers, **cluster_state.positions.required_at}
         names = sorted(
             name
             for name, last_required_at in required_at.items()
@@ -88,7 +88,7 @@
         return tuple(stale)[:MAX_SERVICES_PER_REQUEST]
 
     def _age(self, service: str) -> float:
-        known = self._cluster_state.newest_position(service)
+        known = self._cluster_state.positions.newest(service)
         return self._cluster_state.lease_clock() - known.observed_at if known else float("inf")
 
     def _answer(self, sender: str, number: int, services: tuple[str, ...]) -> None:
@@ -106,7 +106,7 @@
             self.socket.send(peer.address, PositionsTold(self._own_name, number, positions))
 
     def _build_peer_position(self, service: str) -> PrimaryPosition | None:
-        known, lease = self._cluster_state.newest_position(service), self._cluster_state.lease(
+        known, lease = self._cluster_state.positions.newest(service), self._cluster_state.lease(
             service
         )
         age = self._age(service)
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -213,7 +213,7 @@
         route, session_position = request.route, request.session.position
         if route.consistency is Consistency.PRIMARY:
             return None
-        min_position = self.cluster_state.find_min_position(
+        min_position = self.cluster_state.positions.find_minimum(
             route.service, self._oldest_acceptable_time(request)
         )
         if (
@@ -382,7 +382,7 @@
         """Record the log position of a reply if the instance is the primary."""
         lease = self.cluster_state.lease(request.route.service)
         if lease is not None and lease.primary == instance and reply.position is not None:
-            self.cluster_state.record_position(
+            self.cluster_state.positions.record(
                 lease, request.route.service, sent_at, reply.position
             )
 
--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -399,6 +399,16 @@
 
     # Results.
 
+    def valid_primaries(self) -> dict[str, str]:
+        """Return the primary on which each running proxy may rely now, by proxy."""
+        primaries = {}
+        for node in self.proxies:
+            cluster_state = node.gateway.cluster_state
+            lease = cluster_state.leases.lease(SERVICE)
+            if node.alive and lease is not None and lease.is_valid_at(cluster_state.lease_clock()):
+                primaries[node.name] = lease.primary
+        return primaries
+
     def promoted_terms(self) -> list[int]:
         """Return the terms that promotions began, in ascending order."""
         return sorted(term for term in self.group.term_started_at if term > 1)
--- a/orioleplank/tests/_random_faults.py
+++ b/orioleplank/tests/_random_faults.py
@@ -16,6 +16,7 @@
 START_S = 3.0
 FAULTS_S = 40.0
 RECOVERY_S = 25.0
+LEASE_CHECK_INTERVAL_S = 0.02
 # How often a restore of the store is among the faults to choose from; each other one is there once.
 RESTORE_WEIGHT = 6
 
@@ -43,6 +44,7 @@
         for caller in self.callers:
             caller.send_next()
         self._plan_faults()
+        self._check_leases()
         self.cluster.run_for(FAULTS_S)
         self._end_faults()
         self.cluster.run_for(RECOVERY_S)
@@ -53,6 +55,13 @@
         self.check_invariants()
         return self.audit
 
+    def _check_leases(self) -> None:
+        """Check now and at intervals that no two proxies rely on different primaries."""
+        primaries = self.cluster.valid_primaries()
+        if len(set(primaries.values())) > 1:
+            self.audit.add_violation(f"at {self.cluster.simulator.now}: primaries {primaries}")
+        self.cluster.simulator.call_later(LEASE_CHECK_INTERVAL_S, self._check_leases)
+
     # Faults.
 
     def _plan_faults(self) -> None:
--- a/orioleplank/tests/test_gateway_feed.py
+++ b/orioleplank/tests/test_gateway_feed.py
@@ -208,7 +208,8 @@
         lease = cluster_state.lease("books")
         assert lease is not None
         report = PrimaryPosition("books", lease.revision + 1, 0.1, Position(1, 99))
-        cluster_state.record_peer_position(report, cluster.simulator.now)
+        cluster_state.positions.record_from_peer(report, cluster.simulator.now)
         self.assertNotEqual(
-            Position(1, 99), cluster_state.find_min_position("books", cluster.simulator.now - 1.0)
+            Position(1, 99),
+            cluster_state.positions.find_minimum("books", cluster.simulator.now - 1.0),
         )
--- a/orioleplank/tests/test_gateway_restore.py
+++ b/orioleplank/tests/test_gateway_restore.py
@@ -29,17 +29,6 @@
     cluster.restart_instance(old_primary.name)
 
 
-def _valid_primaries(cluster: GatewayCluster) -> dict[str, str]:
-    """Return the primary on which each running proxy may rely now."""
-    primaries = {}
-    for node in cluster.proxies:
-        state = node.gateway.cluster_state
-        lease = state.leases.lease(SERVICE)
-        if node.alive and lease is not None and lease.is_valid_at(state.lease_clock()):
-            primaries[node.name] = lease.primary
-    return primaries
-
-
 class RestoreTestCase(testtools.TestCase):
     """Helpers of the tests of this module."""
 
@@ -48,7 +37,7 @@
         end = cluster.simulator.now + seconds
         while cluster.simulator.now < end:
             cluster.run_for(LEASE_CHECK_INTERVAL_S)
-            primaries = _valid_primaries(cluster)
+            primaries = cluster.valid_primaries()
             self.assertLessEqual(
                 len(set(primaries.values())), 1, f"at {cluster.simulator.now}: {primaries}"
             )
