--- a/orioleplank/decision/group/_lease.py
+++ b/orioleplank/decision/group/_lease.py
@@ -124,10 +124,9 @@
         """Return the table after the store was found to be in `era`; its records come later."""
         if era <= self.era:
             return self
-        table = self
-        for service in self.group_records:
-            table = table._keep_lease(service)
-        return replace(table, era=era)
+        leases = ((service, self.lease(service)) for service in self.group_records)
+        kept = {service: lease for service, lease in leases if lease is not None}
+        return replace(self, era=era, earlier_leases=kept)
 
     def _keep_lease(self, service: str) -> LeaseTable:
         """Return the table with the lease on a service, which nothing renews from now on."""
