--- a/orioleplank/gateway/_failover.py
+++ b/orioleplank/gateway/_failover.py
@@ -172,9 +172,8 @@
         No lease rests on a read that was requested after `move_started_at`.
         """
         service, planned = old_record.service, failover.record.planned
-        self._writer.log_failover(
-            failover, "claimed", old_primary=old_record.primary, planned=planned
-        )
+        old_primary = old_record.primary
+        self._writer.log_failover(failover, "claimed", old_primary=old_primary, planned=planned)
         holders = await self._list_lease_holders(failover)
         request = ReleaseAsked(self._own_record.name, service, failover.revision, planned)
         releases = Deferred.fromCoroutine(
@@ -192,7 +191,7 @@
             GroupRecord(service, GroupPhase.STABLE, new_primary.id, new_primary.term, "", ""),
         )
         self._writer.log_failover(failover, "done", primary=new_primary.id, term=new_primary.term)
-        await self._step_down(old_record.primary, new_primary)
+        await self._step_down(old_primary, new_primary)
         await self._retire_expired_holders(collected.expired)
 
     async def _claim(
--- a/orioleplank/gateway/_promotion.py
+++ b/orioleplank/gateway/_promotion.py
@@ -63,12 +63,12 @@
         """Promote the instance with the newest received position; return its report as primary.
 
         The reports are collected while the record is written as released. In a failover the report
-        of the old primary is not awaited.
+        of the old primary is not awaited, unless it may stay.
         """
         catch_up_deadline = self._cluster_state.now() + CATCH_UP_TIMEOUT_S
-        awaits_all = failover.record.planned or not self._cluster_state.mechanisms.is_on(
-            Mechanism.UNAWAITED_REPORT
-        )
+        may_skip_report = self._cluster_state.mechanisms.is_on(Mechanism.UNAWAITED_REPORT)
+        record = failover.record
+        awaits_all = record.planned or record.keeps_primary or not may_skip_report
         unawaited = "" if awaits_all else old_record.primary
         marking: Deferred[None] | None = Deferred.fromCoroutine(self._mark_released(failover))
         while True:
--- a/orioleplank/tests/test_gateway_restore.py
+++ b/orioleplank/tests/test_gateway_restore.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from random import Random
+from unittest import mock
 
 import testtools
 
+from orioleplank.decision.failover import InstanceReport
 from orioleplank.decision.group import LEASE_DURATION_S
-from orioleplank.decision.instances import InstanceState, Route
+from orioleplank.decision.instances import InstanceEntry, InstanceState, Route
 from orioleplank.decision.session import Write
 from orioleplank.gateway import EventType
+from orioleplank.gateway._instance_prober import InstanceProber
 from orioleplank.tests._audited_run import AuditedRun
 from orioleplank.tests._gateway_cluster import QUOTES, ROUTES, GatewayCluster, GatewayNode
 from orioleplank.tests._gateway_helpers import keep_writing, start_cluster
@@ -143,6 +147,28 @@
         self.assertEqual([2], cluster.promoted_terms())
         self.assert_served(cluster)
 
+    def test_report_of_a_primary_that_may_stay_is_awaited(self) -> None:
+        collect_reports = InstanceProber.collect_reports
+
+        async def leave_out_unawaited(
+            prober: InstanceProber, entries: Iterable[InstanceEntry], unawaited: str = ""
+        ) -> tuple[InstanceReport, ...]:
+            reports = await collect_reports(prober, entries, unawaited)
+            return tuple(report for report in reports if report.id != unawaited)
+
+        cluster = start_cluster()
+        cluster.run_for(3.0)
+        for node in cluster.proxies:
+            cluster.kill_proxy(node)
+        cluster.restore_store(2.0, 0.5)
+        cluster.run_for(1.0)
+        with mock.patch.object(InstanceProber, "collect_reports", leave_out_unawaited):
+            for node in cluster.proxies:
+                cluster.start_proxy(node)
+            self.run_checking_leases(cluster, 8.0)
+        self.assertEqual([], cluster.promoted_terms())
+        self.assert_served(cluster)
+
 
 class TestEveryMoment(RestoreTestCase):
     """A restore at each step of a failover, a switchover and a start."""
