--- a/orioleplank/cli/_logs.py
+++ b/orioleplank/cli/_logs.py
@@ -96,8 +96,8 @@
     request: LogLine
     # For each event type and instance, the proxy's last line before the request.
     last_known: tuple[LogLine, ...]
-    # State changes on all proxies that concern the request's service or instance, within
-    # `CONTEXT_WINDOW_S` before and after it.
+    # State changes on all proxies that concern the request's service or instance, or all requests,
+    # within `CONTEXT_WINDOW_S` before and after it.
     nearby: tuple[LogLine, ...]
 
 
@@ -133,10 +133,17 @@
     subjects = _get_subjects(request)
     for line in logs.lines:
         is_near = abs(line.time - request.time) <= CONTEXT_WINDOW_S
-        if is_near and line.event not in REQUEST_EVENTS and _get_subjects(line) & subjects:
+        if not is_near or line.event in REQUEST_EVENTS:
+            continue
+        if _get_subjects(line) & subjects or _concerns_all(line):
             yield line
 
 
+def _concerns_all(line: LogLine) -> bool:
+    """Return whether a line concerns every request: the store has lost what was written."""
+    return line.event == EventType.STORE.value and line.fields.get("outcome") == "restored"
+
+
 def _get_subjects(line: LogLine) -> set[object]:
     """Return the service and instances that a line concerns."""
     values = (line.fields.get(key) for key in ("service", "instance", "primary"))
