--- a/review/standin/__init__.py
+++ b/review/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the instances and the clients."""
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -28,6 +28,8 @@
 # Time that a process has to become ready, in seconds.
 READY_TIMEOUT_S = 15.0
 HEARTBEAT_MS = 1200
+# Longest run of a scenario, in seconds.
+RUN_LIMIT_S = 110.0
 
 
 class CannotRunError(Exception):
@@ -197,6 +199,16 @@
         if self._writer is not None:
             self._writer.close()
 
+    async def wait_for_close(self, seconds: float) -> bool:
+        """Wait while no request is outstanding; return True if the proxy closes the session."""
+        assert self._reader is not None
+        try:
+            return not await asyncio.wait_for(self._reader.read(1), seconds)
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
     async def query(self, text: str, timeout: float = 12.0) -> Reply:
         """Send a request and wait for its reply."""
         assert self._reader is not None and self._writer is not None
@@ -250,6 +262,8 @@
         self.proxies: list[Proxy] = []
         # Texts of all requests that clients have sent, by id.
         self.requests: dict[str, str] = {}
+        # Ids of all requests that an instance has run.
+        self.run_ids: set[str] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._config: dict[str, Any] = {}
 
@@ -294,6 +308,7 @@
             await group.listen(instance)
             self.publish(instance)
         group.on_change = self.publish
+        group.on_run = self._note_run
         self.put_config(1, sync)
         for number, zone in enumerate(proxies):
             proxy = Proxy(self, number, zone)
@@ -306,6 +321,11 @@
             await proxy.wait_until_ready()
         return group
 
+    def _note_run(self, instance: Instance, request: str, text: str) -> None:
+        if request != "-":
+            self.run_ids.add(request)
+            self.log(f"{instance.id} runs {request} {text}")
+
     async def before_start(self) -> None:
         """Prepare links before the proxies start."""
 
@@ -399,22 +419,22 @@
     """Run a scenario, with its disruption unless TROUBLE is 0; exit with 0, 1 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
-    async def run() -> list[str]:
+    async def run() -> None:
         deployment = Deployment(case)
         try:
-            found = await scenario(deployment, trouble)
+            found = await asyncio.wait_for(scenario(deployment, trouble), RUN_LIMIT_S)
             for text in found:
                 deployment.log(f"BROKEN {text}")
+                print(text)
             deployment.log("the rule was broken" if found else "the rule held")
-            return found
-        finally:
-            deployment.stop()
-
-    try:
-        found = asyncio.run(asyncio.wait_for(run(), 115.0))
-    except Exception as error:
-        print(f"the case could not run: {error!r}", file=sys.stderr)
-        sys.exit(2)
-    for text in found:
-        print(text)
-    sys.exit(1 if found else 0)
+            code = 1 if found else 0
+        except Exception as error:
+            deployment.log(f"the case could not run: {error!r}")
+            print(f"the case could not run: {error!r}", file=sys.stderr)
+            code = 2
+        deployment.stop()
+        sys.stdout.flush()
+        # Connections of the stand-ins may still be open; they need no orderly end.
+        os._exit(code)
+
+    asyncio.run(run())
--- a/review/standin/instances.py
+++ b/review/standin/instances.py
@@ -87,6 +87,8 @@
         self.on_promoted: Callable[[Instance], None] = lambda instance: None
         # Called with instance, request and position when a commit is in the log.
         self.on_commit: Callable[[Instance, Entry], None] = lambda instance, entry: None
+        # Called with instance, request id and text when an instance runs a request.
+        self.on_run: Callable[[Instance, str, str], None] = lambda instance, request, text: None
         # Pairs of instance ids that do not reach each other.
         self.cut_pairs: set[frozenset[str]] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -105,8 +107,7 @@
 
     async def commit(self, instance: Instance, request: str, writes: Any) -> Entry:
         """Append a commit at a primary, and return it once enough replicas have received it."""
-        term, number = instance.position
-        entry = Entry(instance.term, number + 1, request, tuple(writes))
+        entry = Entry(instance.term, instance.position[1] + 1, request, tuple(writes))
         instance.log.append(entry)
         self._log(f"{instance.id} committed {request} at {entry.term}.{entry.number}")
         self.on_commit(instance, entry)
@@ -255,7 +256,7 @@
 
     async def _start(self, rest: str) -> bool:
         names = rest.split(" ")
-        wrong = names[0] != self._group.service or len(names) > 2 and names[2] != self._instance.id
+        wrong = names[0] != self._group.service or names[2:] not in ([], [self._instance.id])
         full = len(self._instance.writers) > self._group.max_connections
         if wrong or full:
             self._send(f"ERROR {'WRONGNODE' if wrong else 'CONNLIMIT'} {self._instance.id}")
@@ -334,10 +335,11 @@
         if self._state == "E":
             self._fail("MALFORMED")
             return
-        writes = verb == "WRITE" or verb == "COMMIT" and bool(self._writes)
-        if instance.role != "primary" and (writes or self._state == "T" and self._plain):
+        writes = verb == "WRITE" or (verb == "COMMIT" and bool(self._writes))
+        if instance.role != "primary" and (writes or (self._state == "T" and self._plain)):
             self._fail("READONLY")
             return
+        self._group.on_run(instance, request, f"{verb} {rest}")
         await asyncio.sleep(instance.work_s)
         signature = f"{instance.term}.{instance.id}.{request}"
         if verb == "READ":
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -110,7 +110,7 @@
         self.era += 1
         self._log(f"store restored: copy {seconds} s old, era {self.era}")
 
-    async def handle(self, method: str, target: str, _: dict[str, str], body: bytes) -> Any:
+    async def handle(self, method: str, target: str, headers: dict[str, str], body: bytes) -> Any:
         """Answer one call."""
         if self.is_down:
             return None
