--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -334,15 +334,16 @@
         holder = headers.get("x-orioleplank-lease-holder", "")
         token = int(headers.get("x-orioleplank-fencing-token", "0"))
         code = self.group.order(holder, token, data["id"])
-        await self.after_order()
+        if code == 200:
+            await self.group.on_order(holder)
         return code, {}, b"{}"
 
-    async def after_order(self) -> None:
-        """Called when an order was accepted."""
-
     def publish(self, instance: Instance) -> None:
         """Write the entry of an instance to the store, if the store is there."""
-        if self.store.is_down or not instance.alive:
+        if self.store.is_down:
+            return
+        if not instance.alive:
+            self.store.delete("servers", instance.id)
             return
         entry = {
             "service": self.service,
--- a/review/standin/instances.py
+++ b/review/standin/instances.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass, field
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 # One way between two instances, in seconds.
 NETWORK_S = 0.008
 # After this time an old primary that reaches the new one becomes a replica, in seconds.
 FOLLOW_S = 1.0
+# An entry in the store lapses this long after its instance has crashed, in seconds.
+EXPIRY_S = 3.6
 LINE_LIMIT = 1 << 21
 
 
+async def _ignore_order(holder: str) -> None:
+    """Do nothing after an order."""
+
+
 @dataclass(frozen=True)
 class Entry:
     """One commit in a log."""
@@ -83,6 +90,8 @@
         self.orders: list[tuple[str, int, str]] = []
         # Called with each instance that says something new of itself.
         self.on_change: Callable[[Instance], None] = lambda instance: None
+        # Called with the holder when an order was accepted.
+        self.on_order: Callable[[str], Awaitable[None]] = _ignore_order
         # Called with the instance when a promotion takes effect.
         self.on_promoted: Callable[[Instance], None] = lambda instance: None
         # Called with instance, request and position when a commit is in the log.
@@ -91,6 +100,7 @@
         self.on_run: Callable[[Instance, str, str], None] = lambda instance, request, text: None
         # Pairs of instance ids that do not reach each other.
         self.cut_pairs: set[frozenset[str]] = set()
+        self._servers: dict[str, asyncio.Server] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def run(self, coroutine: Any) -> None:
@@ -195,9 +205,16 @@
         """Crash an instance: its connections are reset."""
         self._log(f"{instance.id} crashes at {instance.position_text}")
         instance.alive = False
+        self.run(self._expire(instance))
         for writer in list(instance.writers):
             writer.transport.abort()
 
+    async def _expire(self, instance: Instance) -> None:
+        """Let the entry lapse after three heartbeat intervals of silence."""
+        await asyncio.sleep(EXPIRY_S)
+        if not instance.alive:
+            self.on_change(instance)
+
     def restart(self, instance: Instance) -> None:
         """Start a crashed instance again, with its log; a replica if another one leads."""
         instance.alive = True
@@ -208,10 +225,27 @@
         self._log(f"{instance.id} starts again as {instance.role} at {instance.position_text}")
         self.on_change(instance)
 
+    async def restart_as_new(self, crashed: Instance) -> Instance:
+        """Start a crashed instance again under a new id, with its log and at its address."""
+        new = replace(crashed, id=f"i-{random.getrandbits(36):09x}", alive=True, running=0)
+        new.born, new.writers, new.log = crashed.born + 1000, set(), list(crashed.log)
+        del self.instances[crashed.id]
+        self.instances[new.id] = new
+        self._servers[crashed.id].close()
+        if self.leader is crashed:
+            self.leader = new
+        else:
+            new.role = "replica"
+            self.catch_up(new)
+        await self.listen(new)
+        self._log(f"{crashed.id} starts again as {new.id}, a {new.role} at {new.position_text}")
+        self.on_change(new)
+        return new
+
     # The line protocol.
 
     async def listen(self, instance: Instance) -> None:
-        """Serve an instance's connections on a free port."""
+        """Serve an instance's connections, on a free port if it has none."""
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             if not instance.alive:
@@ -226,7 +260,10 @@
                 instance.writers.discard(writer)
                 writer.close()
 
-        server = await asyncio.start_server(serve, instance.host, 0, limit=LINE_LIMIT)
+        server = await asyncio.start_server(
+            serve, instance.host, instance.port, limit=LINE_LIMIT, reuse_address=True
+        )
+        self._servers[instance.id] = server
         instance.port = server.sockets[0].getsockname()[1]
 
 
