--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Two primaries: a proxy takes a failover over while the order of the one before is under way."""
+"""A proxy that is stopped in turn with others of its zone cuts requests that it has passed on."""
 
 from __future__ import annotations
 
@@ -9,119 +9,146 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from review.standin.deployment import Client, Deployment, Proxy, build_instances, run_case
-from review.standin.instances import Entry, Instance
-
-# Seven proxies and the time of a promotion as in the site.
+from review.standin.deployment import (
+    GRACE_S,
+    Client,
+    Deployment,
+    Proxy,
+    Reply,
+    build_instances,
+    run_case,
+)
+from review.standin.ingress import Ingress
+
+# Seven proxies as in the site; three of them are stopped and started in turn (share 0.43).
 ZONE_OF_EACH_PROXY = ("akl-a", "akl-a", "akl-a", "wlg-a", "wlg-a", "chc-a", "chc-a")
-PROMOTE_S = 1.0
-# The primary is down for this long (the site: up to 7 s).
-CRASH_S = 1.0
-# The proxy that gave the order is killed this long after it, and started again after a short delay.
-KILL_AFTER_ORDER_S = 0.05
-RESTART_S = 0.2
-WRITE_INTERVAL_S = 0.03
+# The machines get SIGTERM one at a time, each this much later than the one before.
+GAP_S = 1.3
+RESTART_S = 0.9
+# Clients of the zone: sessions of one operation, and long sessions that are mostly idle.
+SHORT_SESSIONS_PER_S = 75.0
+LONG_SESSIONS = 24
+LONG_SESSION_PAUSE_S = 1.5
+RUN_S = 16.0
 
 
 @dataclass(frozen=True)
-class Commit:
-    """A commit at an instance, with its time."""
+class Sent:
+    """A request with its reply and the proxy that took it."""
 
-    at: float
-    instance: Instance
-    entry: Entry
+    proxy: Proxy
+    reply: Reply
 
 
 async def scenario(deployment: Deployment, trouble: bool) -> list[str]:
-    """Crash the primary, and kill the proxy that orders the promotion right after its order."""
+    """Stop and start the three proxies of one zone in turn while clients read."""
     instances = build_instances(deployment.subnet)
-    primary = instances[0]
-    commits: dict[str, Commit] = {}
-    acknowledged: dict[str, Proxy] = {}
-    promotions: list[tuple[float, Instance]] = []
-    group = await deployment.start(instances, proxies=ZONE_OF_EACH_PROXY)
-    group.promote_s = PROMOTE_S
-    group.on_commit = lambda item, entry: commits.__setitem__(
-        entry.request, Commit(time.monotonic(), item, entry)
-    )
-    group.on_promoted = lambda item: promotions.append((time.monotonic(), item))
-    killed: list[Proxy] = []
-
-    async def kill_holder(holder: str) -> None:
-        if trouble and not killed:
-            proxy = next(item for item in deployment.proxies if item.name == holder)
-            killed.append(proxy)
-            deployment.run(kill_and_start(proxy))
-
-    group.on_order = kill_holder
-    await asyncio.sleep(4.0)
-    end = time.monotonic() + 12.0
-    tasks = [
-        deployment.run(write(deployment, proxy, acknowledged, end)) for proxy in deployment.proxies
-    ]
-    await asyncio.sleep(2.0)
-    group.crash(primary)
-    await asyncio.sleep(CRASH_S)
-    await group.restart_as_new(primary)
+    for instance in instances:
+        instance.work_s = 0.055
+    await deployment.start(instances, proxies=ZONE_OF_EACH_PROXY)
+    zone = [proxy for proxy in deployment.proxies if proxy.zone == "akl-a"]
+    ingress = Ingress(deployment, zone)
+    deployment.run(ingress.run())
+    await asyncio.sleep(3.0)
+    sent: list[Sent] = []
+    end = time.monotonic() + RUN_S
+    tasks = [deployment.run(open_short_sessions(deployment, ingress, sent, end))]
+    for number in range(LONG_SESSIONS):
+        tasks.append(deployment.run(hold_long_session(deployment, ingress, number, sent, end)))
+    await asyncio.sleep(3.0)
+    stopped_at: dict[str, float] = {}
+    if trouble:
+        for proxy in zone:
+            stopped_at[proxy.name] = time.monotonic()
+            tasks.append(deployment.run(stop_and_start(deployment, proxy)))
+            await asyncio.sleep(GAP_S)
     await asyncio.gather(*tasks)
-    return judge(commits, acknowledged, promotions, killed)
-
-
-def judge(
-    commits: dict[str, Commit],
-    acknowledged: dict[str, Proxy],
-    promotions: list[tuple[float, Instance]],
-    killed: list[Proxy],
-) -> list[str]:
-    """Return the writes that an old primary committed after a promotion, if acknowledged."""
-    found = []
-    for promoted_at, promoted in promotions:
-        late = [
-            request
-            for request, commit in commits.items()
-            if commit.at > promoted_at
-            and commit.entry.term < promoted.term
-            and request in acknowledged
-            and acknowledged[request] not in killed
-        ]
-        if late:
-            first = commits[late[0]]
-            found.append(
-                f"ONE: {len(late)} writes were committed at {first.instance.id} in term "
-                f"{first.entry.term} after {promoted.id} had taken over in term {promoted.term}, "
-                f"and acknowledged; the first is {late[0]}, {first.at - promoted_at:.3f} s after"
-            )
-    return found
-
-
-async def kill_and_start(proxy: Proxy) -> None:
-    """Kill a process, and start it again after a short delay."""
-    await asyncio.sleep(KILL_AFTER_ORDER_S)
-    proxy.signal(signal.SIGKILL)
-    assert proxy.process is not None
-    proxy.process.wait()
+    run_ids = deployment.run_ids
+    return [text for item in sent if (text := judge(item, stopped_at, run_ids)) is not None]
+
+
+def judge(sent: Sent, stopped_at: dict[str, float], run_ids: set[str]) -> str | None:
+    """Return how a request breaks the rule, or None."""
+    reply, stop = sent.reply, stopped_at.get(sent.proxy.name)
+    if reply.ok or reply.code or stop is None:
+        return None
+    if not stop <= reply.replied_at <= stop + GRACE_S + 1.0:
+        return None
+    if reply.request not in run_ids:
+        # It may not have been read.
+        return None
+    if reply.sent_at <= stop + 3.0 and reply.replied_at >= stop + GRACE_S * 5 / 6:
+        return None
+    return (
+        f"LOST: {sent.proxy.name} took {reply.request} {reply.sent_at - stop:.2f} s after its "
+        f"SIGTERM, an instance ran it, and the connection ended without an answer "
+        f"{reply.replied_at - reply.sent_at:.3f} s later"
+    )
+
+
+async def stop_and_start(deployment: Deployment, proxy: Proxy) -> None:
+    """Stop a process as the platform does, and start it again."""
+    proxy.signal(signal.SIGTERM)
+    process = proxy.process
+    assert process is not None
+    end = time.monotonic() + GRACE_S
+    while process.poll() is None and time.monotonic() < end:
+        await asyncio.sleep(0.01)
+    if process.poll() is None:
+        proxy.signal(signal.SIGKILL)
+        process.wait()
+    deployment.log(f"{proxy.name} has ended with {process.returncode}")
     await asyncio.sleep(RESTART_S)
     proxy.start()
 
 
-async def write(
-    deployment: Deployment, proxy: Proxy, acknowledged: dict[str, Proxy], end: float
+async def open_short_sessions(
+    deployment: Deployment, ingress: Ingress, sent: list[Sent], end: float
+) -> None:
+    """Open a session for each operation."""
+    tasks = []
+    while time.monotonic() < end:
+        tasks.append(deployment.run(read_once(deployment, ingress, sent)))
+        await asyncio.sleep(random.expovariate(SHORT_SESSIONS_PER_S))
+    await asyncio.gather(*tasks)
+
+
+async def read_once(deployment: Deployment, ingress: Ingress, sent: list[Sent]) -> None:
+    """Read one item in a session of its own, with two retries."""
+    number = random.randrange(1 << 30)
+    for attempt in range(3):
+        proxy = ingress.choose(number, attempt)
+        client = Client(deployment, proxy, "looks")
+        if await client.open():
+            reply = await client.query(f"READ q{random.randrange(1000)}")
+            sent.append(Sent(proxy, reply))
+            client.close()
+            if reply.ok:
+                return
+        await asyncio.sleep(0.05)
+
+
+async def hold_long_session(
+    deployment: Deployment, ingress: Ingress, number: int, sent: list[Sent], end: float
 ) -> None:
-    """Write through one proxy, and note what is acknowledged."""
-    client = Client(deployment, proxy, "saves")
-    is_open = await client.open()
+    """Keep a session that is mostly idle, and open it again after a close."""
+    attempt = 0
     while time.monotonic() < end:
-        if not is_open:
-            client = Client(deployment, proxy, "saves")
-            is_open = await client.open()
-            await asyncio.sleep(0.1)
+        proxy = ingress.choose(number, attempt)
+        client = Client(deployment, proxy, "looks")
+        if not await client.open():
+            attempt += 1
+            await asyncio.sleep(0.05)
             continue
-        item = f"q{random.randrange(1000)}"
-        reply = await client.query(f"WRITE {item} v{random.getrandbits(40):x}")
-        if reply.ok:
-            acknowledged[reply.request] = proxy
-        is_open = reply.state == "I"
-        await asyncio.sleep(WRITE_INTERVAL_S)
+        while time.monotonic() < end:
+            pause = random.expovariate(1 / LONG_SESSION_PAUSE_S)
+            if await client.wait_for_close(min(pause, end - time.monotonic())):
+                break
+            reply = await client.query(f"READ q{random.randrange(1000)}")
+            sent.append(Sent(proxy, reply))
+            if not reply.ok:
+                break
+        client.close()
 
 
 if __name__ == "__main__":
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -209,10 +209,10 @@
         except OSError:
             return True
 
-    async def query(self, text: str, timeout: float = 12.0) -> Reply:
+    async def query(self, text: str, timeout: float = 12.0, request: str = "") -> Reply:
         """Send a request and wait for its reply."""
         assert self._reader is not None and self._writer is not None
-        request = f"{random.getrandbits(64):016x}"
+        request = request or f"{random.getrandbits(64):016x}"
         self._deployment.requests[request] = text
         sent_at = time.monotonic()
         self._deployment.log(f"client to {self._proxy.name}: {request} {text}")
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -5,11 +5,14 @@
 import asyncio
 import copy
 import json
+import random
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
 
+# A connection on which an answer is lost stays open this long, in seconds.
+SILENCE_S = 10.0
 ROOT = "/orioleplank/objects/"
 # A handler gets the method, the target, the headers and the body, and returns code, headers, body.
 Answer = tuple[int, dict[str, str], bytes]
@@ -66,8 +69,11 @@
         self._changed = asyncio.Condition()
         # True while the store is away: it closes each connection without an answer.
         self.is_down = False
-        # Called before a write is done, with kind, name and spec; may wait or fail it with None.
-        self.on_write: Callable[[str, str, Any], Awaitable[bool]] | None = None
+        # Share of the writes whose answer is lost, and whether they are done seconds later.
+        self.lose = 0.0
+        self.late = False
+        # Seconds that each answer takes longer.
+        self.delay = 0.0
 
     def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         """Write an object as the operator or an instance does."""
@@ -125,9 +131,14 @@
         else:
             data = json.loads(body) if body else {}
             target_name = unquote(name) or data["meta"]["name"]
-            if self.on_write and not await self.on_write(kind, target_name, data.get("spec")):
-                return None
+            is_lost = random.random() < self.lose
+            if is_lost and self.late:
+                await asyncio.sleep(random.uniform(1.0, 6.0))
             code, content = self._write(method, kind, target_name, data, query)
+            if is_lost:
+                await asyncio.sleep(SILENCE_S)
+                return None
+        await asyncio.sleep(self.delay)
         if self.is_down or (method == "GET" and self.era != era):
             return None
         return code, {"Store-Era": str(self.era)}, json.dumps(content).encode()
