--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,7 +19,7 @@
 CRASH_S = 1.0
 # The proxy that gave the order is killed this long after it, and started again after a short delay.
 KILL_AFTER_ORDER_S = 0.05
-RESTART_S = 0.2
+RESTART_S = 0.1
 WRITE_INTERVAL_S = 0.03
 
 
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -258,6 +258,8 @@
         self.service = service
         self.internal_port = self.free_internal_port()
         self.cloud_address = ""
+        # Connections that an instance accepts.
+        self.max_connections = 33
         self.store = Store(self.log)
         self.proxies: list[Proxy] = []
         # Texts of all requests that clients have sent, by id.
@@ -307,6 +309,7 @@
         for instance in instances:
             await group.listen(instance)
             self.publish(instance)
+        group.max_connections = self.max_connections
         group.on_change = self.publish
         group.on_run = self._note_run
         self.put_config(1, sync)
@@ -373,7 +376,7 @@
                 base = {"name": f"r-{name}", "host": name, "pathPrefix": "/", "priority": 2}
                 base |= {"targetLatencyMs": 500, "service": self.service, "maxAttempts": 2}
                 listed.append(base | fields)
-        service = {"name": self.service, "healthPath": "/health", "maxConns": 33}
+        service = {"name": self.service, "healthPath": "/health", "maxConns": self.max_connections}
         service |= {"protocol": "h1", "tls": False, "syncReplicas": sync}
         limits = {"headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000}
         self._config = {"version": version, "routes": listed, "services": [service]}
--- a/review/standin/instances.py
+++ b/review/standin/instances.py
@@ -378,6 +378,8 @@
             return
         self._group.on_run(instance, request, f"{verb} {rest}")
         await asyncio.sleep(instance.work_s)
+        if not instance.alive:
+            return
         signature = f"{instance.term}.{instance.id}.{request}"
         if verb == "READ":
             self._end(f"DATAROW {instance.read(rest)}", f"COMPLETE {signature}")
