--- a/review/4/case.py
+++ b/review/4/case.py
@@ -26,7 +26,9 @@
 GAP_S = 1.3
 RESTART_S = 0.9
 # Clients of the zone: sessions of one operation, and long sessions that are mostly idle.
-SHORT_SESSIONS_PER_S = 75.0
+SHORT_SESSIONS_PER_S = 120.0
+# Share of the sessions of one operation that write.
+WRITE_SHARE = 0.25
 LONG_SESSIONS = 24
 LONG_SESSION_PAUSE_S = 1.5
 RUN_S = 16.0
@@ -64,10 +66,14 @@
             await asyncio.sleep(GAP_S)
     await asyncio.gather(*tasks)
     run_ids = deployment.run_ids
-    return [text for item in sent if (text := judge(item, stopped_at, run_ids)) is not None]
+    texts = deployment.requests
+    found = (judge(item, stopped_at, run_ids, texts) for item in sent)
+    return [text for text in found if text is not None]
 
 
-def judge(sent: Sent, stopped_at: dict[str, float], run_ids: set[str]) -> str | None:
+def judge(
+    sent: Sent, stopped_at: dict[str, float], run_ids: set[str], texts: dict[str, str]
+) -> str | None:
     """Return how a request breaks the rule, or None."""
     reply, stop = sent.reply, stopped_at.get(sent.proxy.name)
     if reply.ok or reply.code or stop is None:
@@ -79,9 +85,10 @@
         return None
     if reply.sent_at <= stop + 3.0 and reply.replied_at >= stop + GRACE_S * 5 / 6:
         return None
+    text = texts[reply.request].partition(" ")[0]
     return (
-        f"LOST: {sent.proxy.name} took {reply.request} {reply.sent_at - stop:.2f} s after its "
-        f"SIGTERM, an instance ran it, and the connection ended without an answer "
+        f"LOST: {sent.proxy.name} took {reply.request} ({text}) {reply.sent_at - stop:.2f} s after "
+        f"its SIGTERM, an instance ran it, and the connection ended without an answer "
         f"{reply.replied_at - reply.sent_at:.3f} s later"
     )
 
@@ -108,22 +115,24 @@
     """Open a session for each operation."""
     tasks = []
     while time.monotonic() < end:
-        tasks.append(deployment.run(read_once(deployment, ingress, sent)))
+        tasks.append(deployment.run(operate_once(deployment, ingress, sent)))
         await asyncio.sleep(random.expovariate(SHORT_SESSIONS_PER_S))
     await asyncio.gather(*tasks)
 
 
-async def read_once(deployment: Deployment, ingress: Ingress, sent: list[Sent]) -> None:
-    """Read one item in a session of its own, with two retries."""
+async def operate_once(deployment: Deployment, ingress: Ingress, sent: list[Sent]) -> None:
+    """Read or write one item in a session of its own; only a read is retried."""
     number = random.randrange(1 << 30)
+    writes = random.random() < WRITE_SHARE
+    item = f"q{random.randrange(1000)}"
     for attempt in range(3):
         proxy = ingress.choose(number, attempt)
-        client = Client(deployment, proxy, "looks")
+        client = Client(deployment, proxy, "saves" if writes else "looks")
         if await client.open():
-            reply = await client.query(f"READ q{random.randrange(1000)}")
+            reply = await client.query(f"WRITE {item} v{number}" if writes else f"READ {item}")
             sent.append(Sent(proxy, reply))
             client.close()
-            if reply.ok:
+            if reply.ok or writes:
                 return
         await asyncio.sleep(0.05)
 
