--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -67,6 +67,8 @@
         self.ip = f"{deployment.subnet}.{10 + number}"
         self.front, self.ready, self.control = deployment.free_ports(3)
         self.process: subprocess.Popen[bytes] | None = None
+        # All processes that were started, the present one last.
+        self.started: list[subprocess.Popen[bytes]] = []
         # Address of the store as this proxy knows it; a link may stand between.
         self.store_address = ""
 
@@ -136,6 +138,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.started.append(self.process)
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
@@ -394,11 +397,11 @@
 
     def stop(self) -> None:
         """End all processes that were started."""
-        for proxy in self.proxies:
-            if proxy.process is not None and proxy.process.poll() is None:
-                proxy.process.send_signal(signal.SIGCONT)
-                proxy.process.kill()
-                proxy.process.wait()
+        for process in [process for proxy in self.proxies for process in proxy.started]:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
         for proxy in self.proxies:
             for event in proxy.events("move", "group", "lease", "suspicion", "stopping"):
                 shown = {key: event[key] for key in event if key not in ("time", "event")}
