--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 import time
@@ -126,4 +127,6 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, scenario)
+    # With TROUBLE=0 the disruption is left out.
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    run_case(Path(__file__).parent / "record.txt", trouble, scenario)
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -251,8 +251,8 @@
 class Deployment:
     """The stand-ins and the proxies of one run."""
 
-    def __init__(self, case: Path, service: str = "quotebook7f") -> None:
-        self._record = (case / "record.txt").open("w")
+    def __init__(self, record: Path, service: str = "quotebook7f") -> None:
+        self._record = record.open("w")
         self._started_at = time.monotonic()
         self.subnet = f"127.{random.randrange(20, 220)}.{random.randrange(1, 250)}"
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -422,12 +422,16 @@
     ]
 
 
-def run_case(case: Path, scenario: Callable[[Deployment, bool], Awaitable[list[str]]]) -> None:
-    """Run a scenario, with its disruption unless TROUBLE is 0; exit with 0, 1 or 2."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def run_case(
+    record: Path, trouble: bool, scenario: Callable[[Deployment, bool], Awaitable[list[str]]]
+) -> None:
+    """Run a scenario, with its disruption if `trouble`; exit with 0, 1 or 2.
+
+    `record` receives what was sent, answered and run.
+    """
 
     async def run() -> None:
-        deployment = Deployment(case)
+        deployment = Deployment(record)
         try:
             found = await asyncio.wait_for(scenario(deployment, trouble), RUN_LIMIT_S)
             for text in found:
