A proxy that is stopping takes no request that it could not finish

Cause: nothing compared the time that a request may take with the time that the process has left; the wait for work ended at 0.9 of the grace period.

Change: decision/admission/_shutdown_schedule.py gives a shutdown its phases. After the load balancer has noticed it, a session or request is accepted only if its route's whole timeout ends before the end of work, and no transaction begins; anything else is refused at once as not run. No attempt waits past the end of work, and what is unanswered then is answered: in doubt if it was sent.

Ruled out: requests in progress that are not waited for (the cut ones were all sent in the last 100 ms), replies lost at the end of the process.

--- a/orioleplank/decision/admission/__init__.py
+++ b/orioleplank/decision/admission/__init__.py
@@ -1,4 +1,4 @@
-"""Admission control: whether a statement may queue for a connection or is refused at once."""
+"""Admission control: whether a statement may queue or start, or is refused at once."""
 
 from orioleplank.decision.admission._queue_admission import (
     AdmissionDecision,
@@ -9,12 +9,14 @@
     find_expiring_waiters,
     update_mean_hold_time,
 )
+from orioleplank.decision.admission._shutdown_schedule import ShutdownSchedule
 
 __all__ = [
     "AdmissionDecision",
     "AdmissionRefused",
     "Admitted",
     "QueueLoad",
+    "ShutdownSchedule",
     "decide_admission",
     "find_expiring_waiters",
     "update_mean_hold_time",
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from orioleplank.decision import era_of
+from orioleplank.decision.admission import ShutdownSchedule
 from orioleplank.decision.group import (
     GroupPhase,
     Lease,
@@ -86,6 +87,8 @@
         # When the replacement of each primary in progress was first seen, by service.
         self.move_times = MoveTimes()
         self.positions = PositionTracker(self.lease, self.now)
+        # None until this proxy shuts down.
+        self.shutdown: ShutdownSchedule | None = None
         # Notified whenever the cluster state changes.
         self.changed = ChangeNotifier(reactor)
         # Called with the id of an instance that did not respond.
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -35,6 +35,7 @@
 from orioleplank.gateway._primary_monitor import PRIMARY_CHECK_INTERVAL_S, PrimaryMonitor
 from orioleplank.gateway._session_table import SessionTable
 from orioleplank.gateway._settings import GatewaySettings
+from orioleplank.gateway._shutdown import GracefulShutdown
 from orioleplank.gateway._statements import StatementExecutor
 from orioleplank.gateway._store_read_gate import StoreReadGate
 from orioleplank.gateway._store_view import StoreView, ViewFetcher
@@ -43,15 +44,6 @@
 from orioleplank.gateway._view_subscriber import VIEW_POLL_INTERVAL_S, ViewSubscriber
 from orioleplank.kernel import Kernel, Service, Timer, TimerTick
 
-# Time for the load balancer to notice that the proxy is not ready: two of its readiness checks and
-# a margin.
-READINESS_NOTICE_S = 2.3
-# Fraction of the shutdown grace period for which open transactions may continue.
-TRANSACTION_GRACE_FRACTION = 0.5
-# Fraction of the shutdown grace period after which the proxy stops waiting for work in progress.
-WORK_GRACE_FRACTION = 0.9
-# Interval of the checks whether all work has ended.
-SHUTDOWN_CHECK_INTERVAL_S = 0.05
 HOUSEKEEPING_INTERVAL_S = 0.5
 # Pause before a background loop that raised an exception is restarted.
 LOOP_RESTART_DELAY_S = 1.0
@@ -179,6 +171,9 @@
             settings.peer_address, loopback_dialer, reactor.seconds
         )
         self.sessions = SessionTable(self.cluster_state, statements, event_log, self.metrics)
+        self._shutdown = GracefulShutdown(
+            reactor, self.cluster_state, self.sessions, self.forwarding_server
+        )
         self._own_record = own_record
 
     @property
@@ -311,44 +306,20 @@
 
     # Shutdown.
 
-    @property
-    def _has_work(self) -> bool:
-        """True while sessions are open or forwarded statements of other proxies are running."""
-        return bool(len(self.sessions) or self.forwarding_server.in_flight)
-
-    async def _wait_for_work_to_end(self, started_at: float) -> None:
-        """Return once no work is in progress, or when the grace period is nearly over.
-
-        `started_at` is the start of the grace period. Transactions that are still open after
-        `TRANSACTION_GRACE_FRACTION` of it are aborted.
-        """
-        grace = self._settings.shutdown_grace
-        while (
-            self._has_work and self.cluster_state.now() < started_at + grace * WORK_GRACE_FRACTION
-        ):
-            if self.cluster_state.now() >= started_at + grace * TRANSACTION_GRACE_FRACTION:
-                self.sessions.abort_transactions()
-            await sleep(self._reactor, SHUTDOWN_CHECK_INTERVAL_S)
-
     async def shut_down(self) -> None:
         """Stop gracefully within the grace period.
 
-        Running requests are answered, idle sessions are closed, and the proxy is deregistered.
+        Every request that was read is answered, sessions are closed, and the proxy is deregistered.
         """
         if self._is_stopping:
             return
         self._is_stopping = True
-        started_at = self.cluster_state.now()
         grace = self._settings.shutdown_grace
+        schedule = self._shutdown.begin(grace)
         self._event_log.log_event(EventType.STOPPING, sessions=len(self.sessions), grace=grace)
         self._failovers.stop()
         self._run(self._fleet_membership.mark_stopping())
-        await sleep(self._reactor, min(READINESS_NOTICE_S, grace * TRANSACTION_GRACE_FRACTION))
-        self.sessions.close_when_idle()
-        await self._wait_for_work_to_end(started_at)
-        self.stop_accepting()
-        # Sessions that were accepted just before the port was closed are served too.
-        await self._wait_for_work_to_end(started_at)
+        await self._shutdown.end_work(schedule, lambda: self.stop_accepting())
         self._event_log.log_event(EventType.STOPPED, sessions=len(self.sessions))
         # If the store does not respond within 0.3 s, the proxy stops without having removed its
         # record.
--- a/orioleplank/gateway/_instance_executor.py
+++ b/orioleplank/gateway/_instance_executor.py
@@ -68,8 +68,11 @@
         self.zone = zone
 
     def remaining_time(self, request: Request) -> float:
-        """Return the seconds until the deadline of a request."""
-        return request.deadline - self.cluster_state.now()
+        """Return the seconds until the deadline of a request, or until all work has to end."""
+        shutdown, deadline = self.cluster_state.shutdown, request.deadline
+        if shutdown is not None:
+            deadline = min(deadline, shutdown.work_ends_at)
+        return deadline - self.cluster_state.now()
 
     async def with_timeout(self, deferred: Deferred[T], seconds: float) -> T:
         """Wait for a result for at most `seconds`; raise Twisted's `TimeoutError` on expiry."""
--- a/orioleplank/gateway/_session_table.py
+++ b/orioleplank/gateway/_session_table.py
@@ -12,7 +12,7 @@
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._interfaces import CallerLink
 from orioleplank.gateway._metrics import Metrics
-from orioleplank.gateway._sessions import SessionDependencies, SessionTask
+from orioleplank.gateway._sessions import SHUTDOWN_REASON, SessionDependencies, SessionTask
 from orioleplank.gateway._statements import StatementExecutor
 from orioleplank.gateway._transactions import TransactionExecutor
 
@@ -74,9 +74,14 @@
         cluster_state = self._dependencies.cluster_state
         if cluster_state.routes.version == 0:
             return Failure(FailureCode.BUSY, "program start: no configuration is known yet")
-        if cluster_state.route(database) is None:
+        route, shutdown = cluster_state.route(database), cluster_state.shutdown
+        if route is None:
             detail = f"program find route: no route is called {database[:60]}"
             return Failure(FailureCode.UNKNOWN_DATABASE, detail)
+        if shutdown is not None and not shutdown.accepts_request(
+            cluster_state.now(), route.timeout
+        ):
+            return Failure(FailureCode.BUSY, f"program open session: {SHUTDOWN_REASON}")
         return None
 
     async def _accept_when_configured(
@@ -117,6 +122,11 @@
         for task in list(self._tasks):
             task.abort_transaction()
 
+    def end_all(self) -> None:
+        """Answer all unanswered requests at once, and close all sessions."""
+        for task in list(self._tasks):
+            task.end()
+
     def _handle_idle_session(self, task: SessionTask) -> None:
         if self._is_stopping and task.is_idle:
             task.close()
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -41,6 +41,8 @@
 from orioleplank.gateway._statements import StatementExecutor
 from orioleplank.gateway._transactions import Transaction, TransactionExecutor
 
+# Why a request is refused while the proxy shuts down.
+SHUTDOWN_REASON = "this proxy is stopping; use another connection"
 # Number of pending requests of one session from which on reading from its caller is paused.
 MAX_PENDING_REQUESTS = 4
 
@@ -76,6 +78,8 @@
         self._dependencies = dependencies
         self._session = Session(database)
         self._pending_requests: deque[_PendingRequest] = deque()
+        # The request that is in progress.
+        self._current_request: _PendingRequest | None = None
         self._transaction: Transaction | None = None
         self._transaction_route: Route | None = None
         self._last_active_at = dependencies.cluster_state.now()
@@ -116,6 +120,21 @@
         """Close the connection to the caller."""
         self._link.close()
 
+    def end(self) -> None:
+        """Answer all unanswered requests at once, and close the connection to the caller.
+
+        The one in progress may have run; the others have not.
+        """
+        current, self._has_ended = self._current_request, True
+        if current is not None:
+            self._link.reply(
+                self._refuse(current, refuse(FailureCode.IN_DOUBT, "shut down", SHUTDOWN_REASON))
+            )
+        while self._pending_requests:
+            refusal = refuse(FailureCode.BUSY, "shut down", SHUTDOWN_REASON)
+            self._link.reply(self._refuse(self._pending_requests.popleft(), refusal))
+        self._link.close()
+
     @property
     def _was_rolled_back(self) -> bool:
         """True when the transaction was rolled back and the caller has not been informed yet."""
@@ -158,8 +177,9 @@
     async def _process_requests(self) -> None:
         self._is_running = True
         while self._pending_requests:
-            pending = self._pending_requests.popleft()
+            pending = self._current_request = self._pending_requests.popleft()
             reply = await self._handle_request(pending)
+            self._current_request = None
             self._last_active_at = self._dependencies.cluster_state.now()
             if self._has_ended:
                 break
@@ -210,9 +230,13 @@
             self._session = self._session.with_phase(SessionPhase.FAILED)
             detail = "a transaction is open already"
             return self._refuse(pending, refuse(FailureCode.MALFORMED, "begin", detail))
-        route = self._dependencies.cluster_state.route(self._session.database)
+        cluster_state = self._dependencies.cluster_state
+        route = cluster_state.route(self._session.database)
         if route is None:
             return self._refuse(pending, self._route_refusal())
+        shutdown = cluster_state.shutdown
+        if shutdown is not None and not shutdown.accepts_transaction(cluster_state.now()):
+            return self._refuse(pending, refuse(FailureCode.BUSY, "begin", SHUTDOWN_REASON))
         self._transaction = Transaction(read_only, pending.received_at)
         self._transaction_route = route
         self._session = self._session.with_phase(SessionPhase.IN_TRANSACTION)
@@ -255,9 +279,15 @@
             )
         if self._transaction is not None:
             return await self._run_in_transaction(pending, self._transaction, resolved)
-        route = self._dependencies.cluster_state.route(self._session.database)
+        cluster_state = self._dependencies.cluster_state
+        route = cluster_state.route(self._session.database)
         if route is None:
             return self._refuse(pending, self._route_refusal())
+        shutdown = cluster_state.shutdown
+        if shutdown is not None and not shutdown.accepts_request(
+            cluster_state.now(), route.timeout
+        ):
+            return self._refuse(pending, refuse(FailureCode.BUSY, "admit", SHUTDOWN_REASON))
         request = self._build_request(pending, route)
         statements = self._dependencies.statements
         run = statements.run_write if is_write(resolved) else statements.run_read
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -20,6 +20,9 @@
 OWNER_SEEDS = range(20261204, 20261208)
 # Runs in which the store also comes back from older copies.
 RESTORE_SEEDS = range(20261204, 20261212)
+# Runs in which proxies are also shut down, with more callers, so that some are always served.
+STOP_SEEDS = range(20261205, 20261208)
+STOP_CALLERS = 40
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -44,6 +47,13 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_shutdowns(self) -> None:
+        for seed in STOP_SEEDS:
+            with self.subTest(seed=seed):
+                audit = RandomFaultRun(seed, callers=STOP_CALLERS, with_stops=True).run()
+                self.assertEqual([], audit.violations[:5])
+                self.assertGreater(audit.answered, 300)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
