A second stop signal leaves a shutdown its grace period

Cause: Gateway.shut_down returned at once while a shutdown was in progress, and its caller then stops the reactor.

Change: a further call returns when the first one does. The random runs stop proxies that are stopping already.

Measured: TestRepeatedSignal fails without the change (both calls had ended after half a second).

--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from msgspec import Struct
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredLock
 
 from orioleplank.decision.membership import PeerMessage, ProxyRecord, ViewVersions
 from orioleplank.gateway._channels import CHANNEL_PORT_OFFSET, ChannelDialer, ChannelFactory
@@ -84,6 +84,8 @@
         self._event_log = event_log
         self._random = random or Random()
         self._is_stopping = False
+        # Held until the shutdown has ended.
+        self._shutdown_lock = DeferredLock()
         self._was_ready = False
         # Closes the listening port for callers; called once during shutdown, after work has ended.
         self.stop_accepting: Callable[[], object] = lambda: None
@@ -310,7 +312,11 @@
         """Stop gracefully within the grace period.
 
         Every request that was read is answered, sessions are closed, and the proxy is deregistered.
+        A further call changes nothing and returns when the first one does.
         """
+        await self._shutdown_lock.run(lambda: Deferred.fromCoroutine(self._shut_down_once()))
+
+    async def _shut_down_once(self) -> None:
         if self._is_stopping:
             return
         self._is_stopping = True
--- a/orioleplank/tests/_random_faults.py
+++ b/orioleplank/tests/_random_faults.py
@@ -219,7 +219,7 @@
             self._schedule(number * gap_s, partial(self._stop_proxy, node))
 
     def _stop_proxy(self, node: GatewayNode) -> None:
-        if not node.alive or node.paused or not node.gateway.is_ready:
+        if not node.alive or node.paused:
             return
         generation = node.generation
         self._stopping.add(node.name)
--- a/orioleplank/tests/test_gateway_shutdown.py
+++ b/orioleplank/tests/test_gateway_shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import partial
 
 import testtools
 from msgspec.structs import replace
@@ -164,6 +165,29 @@
         self.assertEqual({None}, codes)
 
 
+def _append(names: list[str], name: str, _: object) -> None:
+    names.append(name)
+
+
+class TestRepeatedSignal(testtools.TestCase):
+    # A second stop signal ended the process at once and cut its requests.
+    def test_second_shutdown_leaves_the_first_its_grace_period(self) -> None:
+        cluster = start_cluster()
+        proxy = cluster.proxies[0]
+        caller = cluster.open_session(proxy, QUOTES)
+        cluster.send_and_wait(caller, Begin(False))
+        ended: list[str] = []
+        for name in ("first", "second"):
+            shutdown = Deferred.fromCoroutine(proxy.gateway.shut_down())
+            shutdown.addCallback(partial(_append, ended, name))
+            cluster.run_for(0.5)
+        self.assertEqual([], ended)
+        self.assertIsNone(cluster.send_and_wait(caller, Write("q1 oak")).failure)
+        self.assertIsNone(cluster.send_and_wait(caller, Commit()).failure)
+        cluster.run_for(GRACE_S)
+        self.assertEqual(["first", "second"], sorted(ended))
+
+
 class TestStopping(testtools.TestCase):
     def test_shutdown_finishes_open_transactions_and_closes_idle_sessions(self) -> None:
         cluster = start_cluster()
