Only an instance that holds all acknowledged commits is promoted

Cause: one in two places. The setting was decoded and never read; a promotion took the best of the instances that happened to report, draining ones last.

Change: with n confirmations a commit is in some reported log unless n replicas or more have not reported (decision/failover/_promotion_safety.py). Nothing is promoted until then, and the newest reported log goes first. The group record names the replicas by address, the setting, and a position that an instance must have reached (decision/group/_sync_replication.py); it is brought up to date while the primary leads. A service that waits refuses writes at once and names whom it waits for; an operator ends the wait with a newer configuration without confirmations. A switchover is put off before any lease is released. Without syncReplicas nothing changes and no record is written.

Ruled out: outdated reports (a replica's log only grows until a promotion).

--- a/orioleplank/decision/failover/__init__.py
+++ b/orioleplank/decision/failover/__init__.py
@@ -15,6 +15,12 @@
     has_caught_up_replica,
     rank_promotion_candidates,
 )
+from orioleplank.decision.failover._promotion_safety import (
+    PromotionSafe,
+    PromotionSafety,
+    PromotionUnsafe,
+    select_candidates,
+)
 
 __all__ = [
     "InstanceReport",
@@ -24,8 +30,12 @@
     "PrimaryHealthy",
     "PrimaryLeaving",
     "PrimarySuspected",
+    "PromotionSafe",
+    "PromotionSafety",
+    "PromotionUnsafe",
     "assess_primary",
     "choose_confirming_peers",
     "has_caught_up_replica",
     "rank_promotion_candidates",
+    "select_candidates",
 ]
--- a/orioleplank/decision/failover/_promotion.py
+++ b/orioleplank/decision/failover/_promotion.py
@@ -21,6 +21,8 @@
     draining: bool = False
     # Number of statements that it currently runs.
     running_statements: int = 0
+    # Its address as listed, HOST:PORT; empty when not known.
+    address: str = ""
 
 
 def rank_promotion_candidates(
--- a/orioleplank/decision/group/__init__.py
+++ b/orioleplank/decision/group/__init__.py
@@ -22,6 +22,7 @@
     RecordState,
     assess_record,
 )
+from orioleplank.decision.group._sync_replication import SyncReplication
 
 __all__ = [
     "CLOCK_DRIFT_MARGIN_S",
@@ -40,6 +41,7 @@
     "RecordMissing",
     "RecordNotListed",
     "RecordState",
+    "SyncReplication",
     "VersionedGroupRecord",
     "assess_record",
 ]
--- a/orioleplank/decision/group/_group_record.py
+++ b/orioleplank/decision/group/_group_record.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from orioleplank.decision._revision import era_of
+from orioleplank.decision.group._sync_replication import SyncReplication
 
 
 @unique
@@ -47,6 +48,11 @@
     replaces: int = 0
     # While the group is moving: True if the old primary may stay, because only its record was lost.
     keeps_primary: bool = False
+    # Where the acknowledged commits are.
+    sync: SyncReplication = SyncReplication()
+    # While the group is moving: addresses of the replicas without whose reports no instance can be
+    # promoted safely; empty if there is one that can.
+    awaited: tuple[str, ...] = ()
 
 
 class VersionedGroupRecord(Struct, frozen=True):
--- a/orioleplank/decision/group/_lease.py
+++ b/orioleplank/decision/group/_lease.py
@@ -22,7 +22,11 @@
 from msgspec.structs import replace
 
 from orioleplank.decision._revision import era_of
-from orioleplank.decision.group._group_record import GroupPhase, VersionedGroupRecord
+from orioleplank.decision.group._group_record import (
+    GroupPhase,
+    GroupRecord,
+    VersionedGroupRecord,
+)
 
 # How long a lease is valid after the read: the usual length of a store outage, plus one renewal
 # (about every 1.2 s).
@@ -66,7 +70,8 @@
     # Newest era of the store of which a revision is known, and of which a listing is known.
     era: int = 0
     listed_era: int = 0
-    # Leases whose record is no longer in force, by service; they are not renewed.
+    # Leases whose record is no longer in force or was written again, by service; they are not
+    # renewed.
     earlier_leases: Mapping[str, Lease] = field(default_factory=dict)
     # Newest records that were in force, by service.
     last_in_force: Mapping[str, VersionedGroupRecord] = field(default_factory=dict)
@@ -151,6 +156,9 @@
         One on the same primary stays for statements that are running under it.
         """
         record = versioned.record
+        rewritten = self._find_rewritten_lease(record)
+        if rewritten is not None:
+            return {**self.earlier_leases, record.service: rewritten}
         lease = self.earlier_leases.get(record.service)
         if lease is None:
             return self.earlier_leases
@@ -163,6 +171,17 @@
             return self.earlier_leases
         return {name: kept for name, kept in self.earlier_leases.items() if name != record.service}
 
+    def _find_rewritten_lease(self, record: GroupRecord) -> Lease | None:
+        """Return the lease on the known record if `record` names the same primary once more.
+
+        Statements that are running under it may finish.
+        """
+        current = self.group_records.get(record.service)
+        if current is None or current.record.phase is not GroupPhase.STABLE:
+            return None
+        is_same = (current.record.primary, current.record.term) == (record.primary, record.term)
+        return self.lease(record.service) if is_same and record.phase is GroupPhase.STABLE else None
+
     def release_below(self, service: str, revision: int) -> LeaseTable:
         """Return the table with all leases of a service on lower revisions released."""
         min_revision = max(revision, self.min_revisions.get(service, 0))
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -366,7 +366,7 @@
         This is the case while this process is starting, just after a restore of the store, at the
         beginning of a failover, while responsive proxies release their leases, and once a promotion
         has been requested. It is not the case while the leases of unresponsive proxies have to
-        expire.
+        expire, or while no instance can be promoted without the loss of acknowledged commits.
         """
         versioned_record = self.leases.group_records.get(service)
         if self.is_starting:
@@ -375,6 +375,8 @@
             return self.now() - self._era_entered_at < RECORD_RECOVERY_TIMEOUT_S
         if versioned_record is None or versioned_record.record.phase is not GroupPhase.MOVING:
             return False
+        if versioned_record.record.awaited:
+            return False
         stage_since = self._failover_stage_since.get(service, (False, 0.0))[1]
         timeout_s = (
             PROMOTION_WAIT_S if versioned_record.record.released else LEASE_RELEASE_TIMEOUT_S
--- a/orioleplank/gateway/_failover.py
+++ b/orioleplank/gateway/_failover.py
@@ -16,14 +16,13 @@
 from twisted.internet.defer import Deferred
 
 from orioleplank.decision import era_of
-from orioleplank.decision.failover import (
-    InstanceReport,
-)
+from orioleplank.decision.failover import InstanceReport, PromotionUnsafe
 from orioleplank.decision.group import (
     GroupPhase,
     GroupRecord,
     PrimaryUnknown,
     RecordLost,
+    SyncReplication,
     VersionedGroupRecord,
 )
 from orioleplank.decision.instances import DbRole
@@ -47,9 +46,8 @@
 from orioleplank.gateway._lease_release import CollectedReleases, LeaseReleaseCoordinator
 from orioleplank.gateway._notifier import ChangeNotifier, sleep
 from orioleplank.gateway._promotion import InstancePromoter
-from orioleplank.gateway._records import (
-    parse_proxy_record,
-)
+from orioleplank.gateway._records import parse_proxy_record
+from orioleplank.gateway._sync_replication import SyncReplicationKeeper
 
 # Pause before a postponed switchover is tried again.
 SWITCHOVER_POSTPONEMENT_S = 0.5
@@ -83,7 +81,12 @@
         self._lease_releases = lease_releases
         self._own_record = own_record
         self._writer = GroupRecordWriter(reactor, cluster_state, event_log, records, own_record)
-        self._promoter = InstancePromoter(reactor, cluster_state, promotions, prober, self._writer)
+        self.sync_keeper = SyncReplicationKeeper(
+            reactor, cluster_state, event_log, prober, self._writer
+        )
+        self._promoter = InstancePromoter(
+            reactor, cluster_state, promotions, prober, self._writer, self.sync_keeper
+        )
 
     @property
     def is_stopped(self) -> bool:
@@ -106,7 +109,8 @@
             primary, SWITCHOVER_POSTPONEMENT_S
         ):
             unresponsive = await self._lease_releases.find_unresponsive_proxies()
-            if unresponsive and self._cluster_state.drains_for_at_least(
+            awaited = await self._find_awaited_replicas(versioned_record.record)
+            if (unresponsive or awaited) and self._cluster_state.drains_for_at_least(
                 primary, SWITCHOVER_POSTPONEMENT_S
             ):
                 self._event_log.log_event(
@@ -115,11 +119,25 @@
                     revision=versioned_record.revision,
                     outcome="put off",
                     silent=unresponsive[:MAX_LOGGED_PROXIES],
+                    awaited=awaited,
                 )
                 await sleep(self._reactor, SWITCHOVER_POSTPONEMENT_S)
                 return
         await self.fail_over(service, versioned_record, planned=True)
 
+    async def _find_awaited_replicas(self, record: GroupRecord) -> tuple[str, ...]:
+        """Return the replicas without which the primary cannot be replaced safely now."""
+        if self.sync_keeper.required_confirmations(record) == 0:
+            return ()
+        reports = await self._prober.collect_reports(
+            self._cluster_state.directory.entries_of_service(record.service)
+        )
+        match self._promoter.assess_safety(record, record.primary, reports):
+            case PromotionUnsafe(awaited):
+                return awaited or (record.primary,)
+            case _:
+                return ()
+
     async def reinstate(self, lost: RecordLost) -> None:
         """Write the record of a group again that was lost in a restore of the store.
 
@@ -128,8 +146,15 @@
         """
         versioned = lost.versioned
         service = versioned.record.service
+        known = self._cluster_state.leases.last_in_force.get(service, versioned)
         record = GroupRecord(
-            service, GroupPhase.STABLE, lost.lease.primary, lost.lease.term, "", ""
+            service,
+            GroupPhase.STABLE,
+            lost.lease.primary,
+            lost.lease.term,
+            "",
+            "",
+            sync=known.record.sync,
         )
         failover = self._start_from(record, versioned)
         await self._writer.write(failover, record)
@@ -186,10 +211,11 @@
         if collected.highest_term > old_record.term:
             old_record = replace(old_record, primary="", term=collected.highest_term)
         new_primary = await self._promoter.promote(failover, old_record)
-        await self._writer.write(
-            failover,
-            GroupRecord(service, GroupPhase.STABLE, new_primary.id, new_primary.term, "", ""),
+        sync = self.sync_keeper.begin_term(failover.record.sync, service, new_primary)
+        record = GroupRecord(
+            service, GroupPhase.STABLE, new_primary.id, new_primary.term, "", "", sync=sync
         )
+        await self._writer.write(failover, record)
         self._writer.log_failover(failover, "done", primary=new_primary.id, term=new_primary.term)
         await self._step_down(old_primary, new_primary)
         await self._retire_expired_holders(collected.expired)
@@ -202,8 +228,11 @@
         planned: bool,
     ) -> ClaimedFailover:
         """Write that the primary of `old_record` is being replaced, over the stored `versioned`."""
+        is_taken_over = old_record.phase is GroupPhase.MOVING
+        sync = old_record.sync if is_taken_over else self.sync_keeper.stamp(old_record.sync)
         record = replace(
             old_record,
+            sync=sync,
             phase=GroupPhase.MOVING,
             planned=planned,
             released=False,
@@ -294,6 +323,7 @@
             self._event_log.log_event(EventType.MOVE, service=service, outcome="no primary found")
             return
         primary = max(primaries, key=lambda report: report.term)
+        sync = self.sync_keeper.begin_term(SyncReplication(), service, primary)
         await self._writer.create(
-            GroupRecord(service, GroupPhase.STABLE, primary.id, primary.term, "", "")
+            GroupRecord(service, GroupPhase.STABLE, primary.id, primary.term, "", "", sync=sync)
         )
--- a/orioleplank/gateway/_instance_prober.py
+++ b/orioleplank/gateway/_instance_prober.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
@@ -89,7 +90,7 @@
             return None
         pool.record_reply()
         pool.release(connection)
-        return report
+        return replace(report, address=pool.entry.address)
 
     async def collect_reports(
         self, entries: Iterable[InstanceEntry], unawaited: str = ""
@@ -111,15 +112,7 @@
         report = await self.probe(pool) if pool is not None else None
         if report is None:
             return None
-        is_draining = entry.state is InstanceState.DRAINING
-        return InstanceReport(
-            report.id,
-            report.role,
-            report.term,
-            report.received_position,
-            is_draining,
-            report.running_statements,
-        )
+        return replace(report, draining=entry.state is InstanceState.DRAINING)
 
     async def step_down(self, pool: InstancePool, term: int) -> bool:
         """Request that an old primary becomes a replica.
--- a/orioleplank/gateway/_primary_monitor.py
+++ b/orioleplank/gateway/_primary_monitor.py
@@ -165,8 +165,14 @@
 
     def _check_primary(self, service: str, versioned_record: VersionedGroupRecord) -> None:
         match assess_primary(self._collect_health(versioned_record.record)):
-            case PrimaryHealthy():
+            case PrimaryHealthy() if not self._failovers.sync_keeper.is_outdated(
+                versioned_record.record
+            ):
                 self._assessments.pop(service, None)
+            case PrimaryHealthy() as assessment:
+                if self._may_act(service, assessment):
+                    update = self._failovers.sync_keeper.update(versioned_record)
+                    self._start_action(service, update)
             case PrimarySuspected() if self._is_monitored_by_owners(
                 versioned_record.record.primary
             ):
--- a/orioleplank/gateway/_promotion.py
+++ b/orioleplank/gateway/_promotion.py
@@ -9,8 +9,11 @@
 
 from orioleplank.decision.failover import (
     InstanceReport,
+    PromotionSafe,
+    PromotionSafety,
+    PromotionUnsafe,
     has_caught_up_replica,
-    rank_promotion_candidates,
+    select_candidates,
 )
 from orioleplank.decision.group import GroupRecord
 from orioleplank.decision.instances import DbRole
@@ -25,6 +28,7 @@
 from orioleplank.gateway._instance_prober import InstanceProber
 from orioleplank.gateway._interfaces import PromotionService, StoreUnavailableError
 from orioleplank.gateway._notifier import sleep
+from orioleplank.gateway._sync_replication import SyncReplicationKeeper
 
 # A promotion is requested only within this time after the group record was written.
 PROMOTION_REQUEST_WINDOW_S = 2.0
@@ -48,12 +52,14 @@
         promotions: PromotionService,
         prober: InstanceProber,
         writer: GroupRecordWriter,
+        sync_keeper: SyncReplicationKeeper,
     ) -> None:
         self._reactor = reactor
         self._cluster_state = cluster_state
         self._promotions = promotions
         self._prober = prober
         self._writer = writer
+        self._sync_keeper = sync_keeper
 
     async def _mark_released(self, failover: ClaimedFailover) -> None:
         """Record that no proxy relies on the old primary; must precede the first promotion."""
@@ -62,6 +68,8 @@
     async def promote(self, failover: ClaimedFailover, old_record: GroupRecord) -> InstanceReport:
         """Promote the instance with the newest received position; return its report as primary.
 
+        With synchronous replication it waits for an instance that holds all acknowledged commits.
+
         The reports are collected while the record is written as released. In a failover the report
         of the old primary is not awaited, unless it may stay.
         """
@@ -71,6 +79,7 @@
         awaits_all = record.planned or record.keeps_primary or not may_skip_report
         unawaited = "" if awaits_all else old_record.primary
         marking: Deferred[None] | None = Deferred.fromCoroutine(self._mark_released(failover))
+        has_requested = False
         while True:
             entries = self._cluster_state.directory.entries_of_service(failover.record.service)
             reports = await self._prober.collect_reports(entries, unawaited)
@@ -85,7 +94,16 @@
             if may_wait and not has_caught_up_replica(reports, old_record.primary):
                 await sleep(self._reactor, CATCH_UP_CHECK_INTERVAL_S)
                 continue
-            for candidate in rank_promotion_candidates(reports, old_record.primary):
+            safety = self.assess_safety(failover.record, old_record.primary, reports)
+            await self._record_awaited(failover, old_record.primary, safety)
+            if isinstance(safety, PromotionUnsafe):
+                unawaited = ""
+                kept = _find_old_primary(reports, old_record)
+                if kept is not None and not (record.planned or has_requested):
+                    return kept
+            candidates = safety.candidates if isinstance(safety, PromotionSafe) else ()
+            for candidate in candidates:
+                has_requested = True
                 if await self._request_promotion(failover, candidate):
                     report = await self._wait_for_promotion(failover, candidate, old_record)
                     if report is not None:
@@ -93,6 +111,37 @@
                     break
             await sleep(self._reactor, RETRY_DELAY_S)
 
+    def assess_safety(
+        self, record: GroupRecord, old_primary: str, reports: tuple[InstanceReport, ...]
+    ) -> PromotionSafety:
+        """Return which reporting instances hold all acknowledged commits of a group."""
+        return select_candidates(
+            reports,
+            old_primary,
+            self._sync_keeper.required_confirmations(record),
+            record.sync,
+            self._sync_keeper.list_replicas(record.service, old_primary),
+        )
+
+    async def _record_awaited(
+        self, failover: ClaimedFailover, old_primary: str, safety: PromotionSafety
+    ) -> None:
+        """Write and log which reports a promotion waits for, when this has changed."""
+        awaited: tuple[str, ...] = ()
+        if isinstance(safety, PromotionUnsafe):
+            awaited = (*safety.awaited, old_primary)
+        if awaited == failover.record.awaited:
+            return
+        if isinstance(safety, PromotionUnsafe):
+            self._writer.log_failover(
+                failover,
+                "no safe instance",
+                awaited=awaited,
+                best=str(safety.best),
+                base=str(failover.record.sync.base),
+            )
+        await self._writer.write(failover, replace(failover.record, awaited=awaited))
+
     def _find_new_primary(
         self, reports: tuple[InstanceReport, ...], old_record: GroupRecord
     ) -> InstanceReport | None:
@@ -156,6 +205,22 @@
         return None
 
 
+def _find_old_primary(
+    reports: tuple[InstanceReport, ...], old_record: GroupRecord
+) -> InstanceReport | None:
+    """Return the report of the old primary if it still leads its term; None otherwise.
+
+    Where no instance can be promoted safely, it may go on if no promotion was requested.
+    """
+    leading = (
+        report
+        for report in reports
+        if report.role is DbRole.PRIMARY
+        and (report.id, report.term) == (old_record.primary, old_record.term)
+    )
+    return next(leading, None)
+
+
 def _is_new_primary(report: InstanceReport, old_record: GroupRecord) -> bool:
     if report.role is not DbRole.PRIMARY:
         return False
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -160,12 +160,19 @@
         """Return why no work can be sent to the primary now."""
         lease = self.cluster_state.lease(request.route.service)
         if lease is None:
-            return "no primary is in force for the service"
+            return self._explain_no_lease(request.route.service)
         remaining = lease.expires_at - self.cluster_state.lease_clock()
         if remaining <= 0:
             return f"the lease on primary {lease.primary} ended {-remaining:.1f} s ago"
         return f"primary {lease.primary} does not answer here, or is leaving"
 
+    def _explain_no_lease(self, service: str) -> str:
+        versioned = self.cluster_state.leases.group_records.get(service)
+        if versioned is not None and versioned.record.awaited:
+            awaited = ", ".join(versioned.record.awaited)
+            return f"acknowledged commits may only be at {awaited}, which do not answer"
+        return "no primary is in force for the service"
+
     def _accepts_work(self, instance: str, primary: str) -> bool:
         if instance not in self.cluster_state.pools:
             return False
--- a/orioleplank/tests/_audited_run.py
+++ b/orioleplank/tests/_audited_run.py
@@ -243,6 +243,7 @@
         self._last_number = 0
         cluster.group.on_execute = self._check_run
         cluster.group.on_commit = self._check_commit
+        cluster.group.on_promoted = self._check_promotion
         self.callers = [AuditedCaller(self, number) for number in range(callers)]
 
     def next_number(self) -> int:
@@ -298,6 +299,16 @@
             if member.term < newest_term:
                 self.audit.committed_in_old_term.add(value)
 
+    def _check_promotion(self, member: SimulatedInstance) -> None:
+        """Check that no acknowledged commit is lost, where replicas confirm commits."""
+        if not self.cluster.group.sync_replicas:
+            return
+        held = {value for entry in member.log for _, value in entry.writes}
+        # A transaction that writes an item twice commits the second value only.
+        committed = self.audit.acknowledged.keys() & self.audit.commit_counts.keys()
+        for value in committed - held:
+            self.audit.add_violation(f"{member.name} was promoted without {value}")
+
     def check_invariants(self) -> None:
         """Check commits against replies, and the order and the holders of fencing tokens."""
         for value, count in self.audit.commit_counts.items():
--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -181,6 +181,7 @@
         proxies: int = 3,
         connection_limit: int = 30,
         mechanisms: MechanismSwitches = ALL_ON,
+        sync_replicas: int = 0,
     ) -> None:
         self.mechanisms = mechanisms
         self.simulator = Simulator(seed)
@@ -188,10 +189,11 @@
         self.simulator.nodes[STORE_NODE] = Node(STORE_NODE)
         self.store = SimulatedStore(self.simulator)
         self.group = SimulatedGroup(self.simulator, self._publish)
+        self.group.sync_replicas = sync_replicas
         self.routes = RouteTable(
             1,
             {route.database: route for route in ROUTES},
-            {SERVICE: ServiceLimits(connection_limit)},
+            {SERVICE: ServiceLimits(connection_limit, sync_replicas)},
             3.0,
         )
         self.store.put("routes", "main", self.routes)
@@ -328,6 +330,15 @@
         self.routes = replace(self.routes, version=version, routes=table)
         self.store.put("routes", "main", self.routes)
 
+    def change_sync_replicas(self, sync_replicas: int) -> None:
+        """Publish a configuration with this setting, which the instances follow at once."""
+        limits = replace(self.routes.services[SERVICE], sync_replicas=sync_replicas)
+        self.routes = replace(
+            self.routes, version=self.routes.version + 1, services={SERVICE: limits}
+        )
+        self.group.sync_replicas = sync_replicas
+        self.store.put("routes", "main", self.routes)
+
     # Store.
 
     def restore_store(
--- a/orioleplank/tests/_random_faults.py
+++ b/orioleplank/tests/_random_faults.py
@@ -23,6 +23,8 @@
 RESTORE_WEIGHT = 6
 # The same for shutdowns of proxies.
 STOP_WEIGHT = 6
+# The same for each fault that only groups with synchronous replication have.
+SYNC_WEIGHT = 4
 # Share of the new sessions that go to proxies that are shutting down, while there are any.
 STOPPING_PROXY_SHARE = 0.9
 # Longest pause between the shutdowns of two proxies, in seconds.
@@ -43,17 +45,19 @@
         mechanisms: MechanismSwitches = ALL_ON,
         with_restores: bool = False,
         with_stops: bool = False,
+        sync_replicas: int = 0,
     ) -> None:
         """Build the cluster.
 
-        Only `with_restores` the store also comes back from older copies, and only `with_stops`
-        proxies are also shut down gracefully.
+        Only `with_restores` the store also comes back from older copies, only `with_stops` proxies
+        are also shut down gracefully, and only with `sync_replicas` replicas also drain, and crash
+        together with the primary while the other replica receives nothing.
         """
         self._with_restores = with_restores
         self._with_stops = with_stops
         # Names of the proxies that are shutting down.
         self._stopping: set[str] = set()
-        cluster = GatewayCluster(seed, proxies, connection_limit, mechanisms)
+        cluster = GatewayCluster(seed, proxies, connection_limit, mechanisms, sync_replicas)
         super().__init__(cluster, Random(seed), callers)
 
     def run(self) -> Audit:
@@ -114,6 +118,8 @@
         )
         if self._with_restores:
             faults += (self._restore_store,) * RESTORE_WEIGHT + (self._delay_store_changes,)
+        if self.cluster.group.sync_replicas:
+            faults += (self._drain_replica, self._crash_near_deaf_replica) * SYNC_WEIGHT
         if self._with_stops:
             faults += (self._stop_proxies,) * STOP_WEIGHT
         fault_at = 1.0
@@ -307,6 +313,39 @@
         self.cluster.drain_instance(primary.name)
         self._schedule(7.0, partial(self._crash_drained, primary))
 
+    def _drain_replica(self) -> None:
+        member = self._random_member(DbRole.REPLICA)
+        if member is not None:
+            self.cluster.drain_instance(member.name)
+            self._schedule(7.0, partial(self._crash_drained, member))
+
+    def _crash_near_deaf_replica(self) -> None:
+        """Crash the primary, and crash or drain a replica, while the other receives nothing."""
+        members = self.cluster.group.members.values()
+        replicas = [m for m in members if m.alive and m.role is DbRole.REPLICA]
+        if len(replicas) < 2:
+            return
+        deaf, holder = self.random.sample(replicas, 2)
+        deaf.drops_entries = True
+        self._schedule(3.0 + 4.0 * self.random.random(), partial(self._resume_replication, deaf))
+        crash_at = 0.3 + 1.5 * self.random.random()
+        if self.random.random() < 0.5:
+            self._schedule(crash_at, partial(self._crash_for, holder.name, 0.5, 4.0))
+        else:
+            self._schedule(crash_at, partial(self.cluster.drain_instance, holder.name))
+            self._schedule(crash_at + 7.0, partial(self._crash_drained, holder))
+        self._schedule(
+            crash_at + self.random.random(),
+            partial(self._crash_for, self.cluster.group.primary().name, 3.0, 4.0),
+        )
+
+    def _crash_for(self, name: str, min_s: float, range_s: float) -> None:
+        member = self.cluster.group.members[name]
+        if member.alive:
+            self.cluster.crash_instance(name)
+            seconds = min_s + range_s * self.random.random()
+            self._schedule(seconds, partial(self._restart_instance, member))
+
     def _crash_drained(self, member: SimulatedInstance) -> None:
         if not member.alive or member.directory_entry.state is not InstanceState.DRAINING:
             return
--- a/orioleplank/tests/_simulated_instances.py
+++ b/orioleplank/tests/_simulated_instances.py
@@ -89,6 +89,10 @@
         # Called with each statement that runs, and with each commit that writes.
         self.on_execute: Callable[[SimulatedInstance, str, dict[str, str]], None] = lambda *_: None
         self.on_commit: Callable[[SimulatedInstance, dict[str, str]], None] = lambda *_: None
+        # Called with each instance that takes the lead.
+        self.on_promoted: Callable[[SimulatedInstance], None] = lambda _: None
+        # Replicas that receive a commit before it is acknowledged.
+        self.sync_replicas = 0
         self._publish = publish
         self.members: dict[str, SimulatedInstance] = {}
         for number, letter in enumerate("abc"):
@@ -126,6 +130,7 @@
         member = self.members[name]
         member.role, member.term = DbRole.PRIMARY, term
         self.term_started_at[term] = self.simulator.now
+        self.on_promoted(member)
         for other in self.members.values():
             if other is not member and other.role is DbRole.REPLICA and other.alive:
                 other.log = list(member.log[: len(other.log)])
@@ -162,6 +167,11 @@
             member.lag, lambda: self.simulator.deliver(primary.name, member.name, receive)
         )
 
+    def is_confirmed(self, primary: SimulatedInstance, entry: CommitEntry) -> bool:
+        """Return whether `sync_replicas` other instances have received a commit."""
+        holders = [m for m in self.members.values() if m is not primary and entry in m.log]
+        return len(holders) >= self.sync_replicas
+
     def catch_up(self, name: str) -> None:
         """Copy the primary's whole log and term to an instance, which receives entries again."""
         primary = self.primary()
--- a/orioleplank/tests/_simulated_links.py
+++ b/orioleplank/tests/_simulated_links.py
@@ -30,6 +30,7 @@
 )
 from orioleplank.gateway import InstanceRefusedError, InstanceUnreachableError
 from orioleplank.tests._simulated_instances import (
+    CommitEntry,
     ExecutionRecord,
     SimulatedGroup,
     SimulatedInstance,
@@ -37,6 +38,8 @@
 from orioleplank.tests._simulator import Node, Simulator
 
 EXECUTION_S = 0.005
+# Interval of the checks whether replicas have received a commit.
+CONFIRMATION_INTERVAL_S = 0.002
 # A connection to an unresponsive instance fails after this time without a response.
 SILENCE_TIMEOUT_S = 3.0
 
@@ -309,13 +312,36 @@
             self._is_processing = False
             if not self._member.alive or self._member.generation != generation or not self._is_open:
                 return
+            log_length = len(self._member.log)
             response = queued.execute()
-            if not (queued.is_change and self._member.loses_answers):
-                self._send_response(queued.result, response)
-            self._process_next()
+            if len(self._member.log) > log_length:
+                self._confirm(queued, response, self._member.log[-1], generation)
+            else:
+                self._finish(queued, response)
 
         self._simulator.call_later(queued.seconds, execute)
 
+    def _confirm(
+        self, queued: _QueuedRequest, response: Any, entry: CommitEntry, generation: int
+    ) -> None:
+        """Finish a commit once enough replicas have received it; until then nothing else runs."""
+        self._is_processing = True
+        member = self._member
+        if not member.alive or member.generation != generation or not self._is_open:
+            return
+        if self._group.is_confirmed(member, entry):
+            self._is_processing = False
+            self._finish(queued, response)
+            return
+        self._simulator.call_later(
+            CONFIRMATION_INTERVAL_S, lambda: self._confirm(queued, response, entry, generation)
+        )
+
+    def _finish(self, queued: _QueuedRequest, response: Any) -> None:
+        if not (queued.is_change and self._member.loses_answers):
+            self._send_response(queued.result, response)
+        self._process_next()
+
     def _send_response(self, result: Deferred[Any], response: Any) -> None:
         def arrive() -> None:
             if result in self._pending:
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -23,6 +23,8 @@
 # Runs in which proxies are also shut down, with more callers, so that some are always served.
 STOP_SEEDS = range(20261205, 20261208)
 STOP_CALLERS = 40
+# Runs in which one replica confirms each commit.
+SYNC_SEEDS = (20261205, 20261207, 20261210, 20261211, 20261212)
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -54,6 +56,13 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_synchronous_replication(self) -> None:
+        for seed in SYNC_SEEDS:
+            with self.subTest(seed=seed):
+                audit = RandomFaultRun(seed, sync_replicas=1).run()
+                self.assertEqual([], audit.violations[:5])
+                self.assertGreater(audit.answered, 300)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
