A promotion that an earlier claim may have requested is waited for

Cause: whoever claims a group anew took a primary of the old term, without regard to an order of an earlier claim. The wait before a take-over hid it on one path, was skipped for a holder that had ended, and recover had none.

Change: the wait is where the primary is chosen, on every path (decision/failover/_pending_promotions.py). Once all leases are released no earlier claim orders any longer, so for 3 s only an instance that leads a later term is taken. The record remembers over all claims that an order may have been given; then an instance of the old term is promoted itself before it is used, since its successor may have crashed.

Ruled out: leases that were not released (they were); a wait that is too short (there was none: the claim came 0.1 s after the end of the holder).

--- a/orioleplank/decision/failover/__init__.py
+++ b/orioleplank/decision/failover/__init__.py
@@ -1,6 +1,11 @@
 """When a primary is replaced, which proxies confirm it, and which instance is promoted."""
 
 from orioleplank.decision.failover._confirmation import choose_confirming_peers
+from orioleplank.decision.failover._pending_promotions import (
+    PROMOTION_EFFECT_TIMEOUT_S,
+    PendingPromotions,
+    find_new_primary,
+)
 from orioleplank.decision.failover._primary_health import (
     PrimaryAssessment,
     PrimaryDemoted,
@@ -24,6 +29,8 @@
 
 __all__ = [
     "InstanceReport",
+    "PROMOTION_EFFECT_TIMEOUT_S",
+    "PendingPromotions",
     "PrimaryAssessment",
     "PrimaryDemoted",
     "PrimaryHealth",
@@ -35,6 +42,7 @@
     "PromotionUnsafe",
     "assess_primary",
     "choose_confirming_peers",
+    "find_new_primary",
     "has_caught_up_replica",
     "rank_promotion_candidates",
     "select_candidates",
--- a/orioleplank/decision/failover/_promotion.py
+++ b/orioleplank/decision/failover/_promotion.py
@@ -30,15 +30,17 @@
 ) -> tuple[str, ...]:
     """Return the ids of the instances that can replace the primary `old_primary`, best first.
 
-    A draining instance comes after all others, however much of the log it has received.
+    A draining instance comes after all others, however much of the log it has received. Between
+    equal logs a replica comes first, since its promotion certainly begins a new term.
     """
     candidates = [report for report in reports if report.id != old_primary]
     candidates.sort(key=_promotion_priority, reverse=True)
     return tuple(report.id for report in candidates)
 
 
-def _promotion_priority(report: InstanceReport) -> tuple[bool, Position, str]:
-    return not report.draining, report.received_position, report.id
+def _promotion_priority(report: InstanceReport) -> tuple[bool, Position, bool, str]:
+    is_replica = report.role is DbRole.REPLICA
+    return not report.draining, report.received_position, is_replica, report.id
 
 
 def has_caught_up_replica(reports: Iterable[InstanceReport], old_primary: str) -> bool:
--- a/orioleplank/decision/group/_group_record.py
+++ b/orioleplank/decision/group/_group_record.py
@@ -48,6 +48,9 @@
     replaces: int = 0
     # While the group is moving: True if the old primary may stay, because only its record was lost.
     keeps_primary: bool = False
+    # While the group is moving: True if a promotion may have been requested, under this claim or an
+    # earlier one.
+    may_be_requested: bool = False
     # Where the acknowledged commits are.
     sync: SyncReplication = SyncReplication()
     # While the group is moving: addresses of the replicas without whose reports no instance can be
--- a/orioleplank/gateway/_primary_monitor.py
+++ b/orioleplank/gateway/_primary_monitor.py
@@ -62,9 +62,8 @@
 # A failover whose record has not changed for this long is taken over. Its holder writes the record
 # at least every `RECORD_REFRESH_INTERVAL_S`.
 FAILOVER_TAKEOVER_TIMEOUT_S = 1.5
-# The same once the leases are released: the holder may have requested a promotion. It requests none
-# after `PROMOTION_REQUEST_WINDOW_S`, and aborts an unanswered one a second later (`CALL_TIMEOUT_S`
-# in `orioleplank.platform._promotions`).
+# The same once the leases are released: the holder may have requested a promotion that ends the
+# failover without a successor.
 PROMOTION_TAKEOVER_TIMEOUT_S = 4.0
 # After a restore of the store, how long a proxy without a lease leaves it to those with one to
 # write a group record again: longer than it takes all of them to learn of the restore.
@@ -214,8 +213,9 @@
     def _takeover_delay(self, record: GroupRecord) -> float:
         """Return for how long a failover's record must not change before it is taken over.
 
-        Before its leases are recorded as released, the holder has requested no promotion: it would
-        have to write the record first, and fails to once another proxy has written it.
+        A successor waits itself for a promotion that the holder may have requested. Before the
+        leases are recorded as released it has requested none: it would have to write the record
+        first, and fails to once another proxy has written it.
         """
         if self._has_holder_ended(record):
             return 0.0
--- a/orioleplank/gateway/_promotion.py
+++ b/orioleplank/gateway/_promotion.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+from enum import Enum, unique
 from typing import Any
 
+from msgspec import Struct
 from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 
 from orioleplank.decision.failover import (
+    PROMOTION_EFFECT_TIMEOUT_S,
     InstanceReport,
+    PendingPromotions,
     PromotionSafe,
     PromotionSafety,
     PromotionUnsafe,
+    find_new_primary,
     has_caught_up_replica,
     select_candidates,
 )
@@ -32,8 +37,6 @@
 
 # A promotion is requested only within this time after the group record was written.
 PROMOTION_REQUEST_WINDOW_S = 2.0
-# Time for a promotion to take effect before another one is requested.
-PROMOTION_EFFECT_TIMEOUT_S = 3.0
 # Interval of the probes of the instance that is being promoted.
 PROMOTION_EFFECT_CHECK_INTERVAL_S = 0.05
 # How long a switchover waits for a replica that has received the whole log.
@@ -42,6 +45,26 @@
 CATCH_UP_CHECK_INTERVAL_S = 0.02
 
 
+@unique
+class PromotionRequest(Enum):
+    """The outcome of a request for a promotion."""
+
+    ACCEPTED = "accepted"
+    # It will not take effect.
+    REFUSED = "refused"
+    # It may take effect.
+    UNANSWERED = "unanswered"
+
+
+class _PromotionAttempt(Struct):
+    """The state of one run of `InstancePromoter.promote`."""
+
+    failover: ClaimedFailover
+    # The record of the primary that is being replaced.
+    old_record: GroupRecord
+    pending: PendingPromotions
+
+
 class InstancePromoter:
     """Requests the promotions of a claimed failover, under its revision as the fencing token."""
 
@@ -61,56 +84,92 @@
         self._writer = writer
         self._sync_keeper = sync_keeper
 
-    async def _mark_released(self, failover: ClaimedFailover) -> None:
-        """Record that no proxy relies on the old primary; must precede the first promotion."""
-        await self._writer.write(failover, replace(failover.record, released=True))
-
     async def promote(self, failover: ClaimedFailover, old_record: GroupRecord) -> InstanceReport:
         """Promote the instance with the newest received position; return its report as primary.
 
-        With synchronous replication it waits for an instance that holds all acknowledged commits.
+        All leases must have been released. A promotion that an earlier claim may have requested is
+        waited for first. With synchronous replication, so is an instance that holds all
+        acknowledged commits.
 
         The reports are collected while the record is written as released. In a failover the report
         of the old primary is not awaited, unless it may stay.
         """
+        attempt = _PromotionAttempt(
+            failover, old_record, PendingPromotions.inherit(old_record, self._cluster_state.now())
+        )
         catch_up_deadline = self._cluster_state.now() + CATCH_UP_TIMEOUT_S
-        may_skip_report = self._cluster_state.mechanisms.is_on(Mechanism.UNAWAITED_REPORT)
-        record = failover.record
-        awaits_all = record.planned or record.keeps_primary or not may_skip_report
-        unawaited = "" if awaits_all else old_record.primary
         marking: Deferred[None] | None = Deferred.fromCoroutine(self._mark_released(failover))
-        has_requested = False
         while True:
-            entries = self._cluster_state.directory.entries_of_service(failover.record.service)
-            reports = await self._prober.collect_reports(entries, unawaited)
+            reports = await self._collect_reports(attempt)
             if marking is not None:
                 await marking
                 marking = None
             await self._writer.refresh_if_due(failover)
-            new_primary = self._find_new_primary(reports, old_record)
+            now, pending = self._cluster_state.now(), attempt.pending
+            new_primary = find_new_primary(reports, old_record, pending, now)
             if new_primary is not None:
                 return new_primary
-            may_wait = failover.record.planned and self._cluster_state.now() < catch_up_deadline
+            if now < pending.settles_at:
+                await sleep(self._reactor, PROMOTION_EFFECT_CHECK_INTERVAL_S)
+                continue
+            may_wait = failover.record.planned and now < catch_up_deadline
             if may_wait and not has_caught_up_replica(reports, old_record.primary):
                 await sleep(self._reactor, CATCH_UP_CHECK_INTERVAL_S)
                 continue
-            safety = self.assess_safety(failover.record, old_record.primary, reports)
-            await self._record_awaited(failover, old_record.primary, safety)
-            if isinstance(safety, PromotionUnsafe):
-                unawaited = ""
-                kept = _find_old_primary(reports, old_record)
-                if kept is not None and not (record.planned or has_requested):
-                    return kept
-            candidates = safety.candidates if isinstance(safety, PromotionSafe) else ()
-            for candidate in candidates:
-                has_requested = True
-                if await self._request_promotion(failover, candidate):
-                    report = await self._wait_for_promotion(failover, candidate, old_record)
-                    if report is not None:
-                        return report
-                    break
+            promoted = await self._promote_best(attempt, reports)
+            if promoted is not None:
+                return promoted
             await sleep(self._reactor, RETRY_DELAY_S)
 
+    async def _mark_released(self, failover: ClaimedFailover) -> None:
+        """Record that no proxy relies on the old primary; must precede the first promotion."""
+        record = replace(failover.record, released=True, may_be_requested=True)
+        await self._writer.write(failover, record)
+
+    async def _collect_reports(self, attempt: _PromotionAttempt) -> tuple[InstanceReport, ...]:
+        record = attempt.failover.record
+        may_skip_report = self._cluster_state.mechanisms.is_on(Mechanism.UNAWAITED_REPORT)
+        awaits_all = record.planned or record.keeps_primary or record.awaited or not may_skip_report
+        entries = self._cluster_state.directory.entries_of_service(record.service)
+        unawaited = "" if awaits_all else attempt.old_record.primary
+        return await self._prober.collect_reports(entries, unawaited)
+
+    async def _promote_best(
+        self, attempt: _PromotionAttempt, reports: tuple[InstanceReport, ...]
+    ) -> InstanceReport | None:
+        """Promote the best instance that may be; return its report as primary, or None."""
+        failover, old_record = attempt.failover, attempt.old_record
+        replaced = "" if old_record.keeps_primary else old_record.primary
+        safety = self.assess_safety(failover.record, replaced, reports)
+        match safety:
+            case PromotionUnsafe():
+                await self._record_wait(attempt, safety)
+                may_keep = not failover.record.planned and not attempt.pending.has_any
+                return _find_old_primary(reports, old_record) if may_keep else None
+            case PromotionSafe(()):
+                await self._record_wait(attempt, safety)
+                return None
+            case PromotionSafe(candidates):
+                return await self._promote_first(attempt, candidates)
+
+    async def _promote_first(
+        self, attempt: _PromotionAttempt, candidates: tuple[str, ...]
+    ) -> InstanceReport | None:
+        """Promote the first of the candidates that accepts it."""
+        failover = attempt.failover
+        if failover.record.awaited or not failover.record.may_be_requested:
+            record = replace(failover.record, awaited=(), may_be_requested=True)
+            await self._writer.write(failover, record)
+        for candidate in candidates:
+            earlier = attempt.pending
+            attempt.pending = earlier.add(candidate)
+            match await self._request_promotion(failover, candidate):
+                case PromotionRequest.REFUSED:
+                    attempt.pending = earlier
+                case result:
+                    return await self._wait_for_promotion(attempt, candidate, result)
+        return None
+
     def assess_safety(
         self, record: GroupRecord, old_primary: str, reports: tuple[InstanceReport, ...]
     ) -> PromotionSafety:
@@ -123,16 +182,16 @@
             self._sync_keeper.list_replicas(record.service, old_primary),
         )
 
-    async def _record_awaited(
-        self, failover: ClaimedFailover, old_primary: str, safety: PromotionSafety
-    ) -> None:
-        """Write and log which reports a promotion waits for, when this has changed."""
+    async def _record_wait(self, attempt: _PromotionAttempt, safety: PromotionSafety) -> None:
+        """Write and log what a promotion waits for, when this has changed."""
+        failover = attempt.failover
         awaited: tuple[str, ...] = ()
         if isinstance(safety, PromotionUnsafe):
-            awaited = (*safety.awaited, old_primary)
-        if awaited == failover.record.awaited:
+            awaited = (*safety.awaited, attempt.old_record.primary)
+        record = replace(failover.record, awaited=awaited, may_be_requested=attempt.pending.has_any)
+        if record == failover.record:
             return
-        if isinstance(safety, PromotionUnsafe):
+        if isinstance(safety, PromotionUnsafe) and awaited != failover.record.awaited:
             self._writer.log_failover(
                 failover,
                 "no safe instance",
@@ -140,24 +199,12 @@
                 best=str(safety.best),
                 base=str(failover.record.sync.base),
             )
-        await self._writer.write(failover, replace(failover.record, awaited=awaited))
-
-    def _find_new_primary(
-        self, reports: tuple[InstanceReport, ...], old_record: GroupRecord
-    ) -> InstanceReport | None:
-        """Return the report of an instance that already is the new primary; None without one.
-
-        A primary that was replaced by a new instance with the same log reports a new id and the
-        old term. So does one that may stay, under its own id.
-        """
-        primaries = [report for report in reports if _is_new_primary(report, old_record)]
-        return max(primaries, key=lambda report: report.term) if primaries else None
-
-    async def _request_promotion(self, failover: ClaimedFailover, candidate: str) -> bool:
-        """Request a promotion; return False when that instance cannot take over.
+        await self._writer.write(failover, record)
 
-        Returns True also when the outcome is unknown.
-        """
+    async def _request_promotion(
+        self, failover: ClaimedFailover, candidate: str
+    ) -> PromotionRequest:
+        """Request a promotion, unless the claim was written too long ago."""
         service = failover.record.service
         if failover.revision < self._cluster_state.leases.min_revisions.get(service, 0):
             raise FailoverSupersededError(
@@ -171,7 +218,7 @@
         ):
             await self._writer.write(failover, failover.record)
         if self._cluster_state.lease_clock() - failover.requested_at >= PROMOTION_REQUEST_WINDOW_S:
-            return False
+            return PromotionRequest.REFUSED
         in_flight = self._cluster_state.promotions_in_flight
         in_flight[service] += 1
         try:
@@ -182,27 +229,33 @@
             self._writer.log_failover(
                 failover, "order unanswered", instance=candidate, why=str(error)
             )
-            return True
+            return PromotionRequest.UNANSWERED
         finally:
             in_flight[service] -= 1
         self._writer.log_failover(
             failover, "ordered" if accepted else "order refused", instance=candidate
         )
-        return accepted
+        return PromotionRequest.ACCEPTED if accepted else PromotionRequest.REFUSED
 
     async def _wait_for_promotion(
-        self, failover: ClaimedFailover, candidate: str, old_record: GroupRecord
+        self, attempt: _PromotionAttempt, candidate: str, result: PromotionRequest
     ) -> InstanceReport | None:
-        """Wait until the candidate is the primary; return its report, or None after the timeout."""
+        """Wait until the candidate leads a new term; return its report, or None after the timeout.
+
+        A candidate that still leads the old term after its promotion was accepted has not been
+        replaced: for the present primary the promotion changes nothing.
+        """
+        old_term, report = attempt.old_record.term, None
         deadline = self._cluster_state.now() + PROMOTION_EFFECT_TIMEOUT_S
         while self._cluster_state.now() < deadline:
             pool = self._cluster_state.pools.get(candidate)
             report = await self._prober.probe(pool) if pool is not None else None
-            if report is not None and _is_new_primary(report, old_record):
+            if report is not None and report.role is DbRole.PRIMARY and report.term > old_term:
                 return report
-            await self._writer.refresh_if_due(failover)
+            await self._writer.refresh_if_due(attempt.failover)
             await sleep(self._reactor, PROMOTION_EFFECT_CHECK_INTERVAL_S)
-        return None
+        is_present = report is not None and report.role is DbRole.PRIMARY
+        return report if is_present and result is PromotionRequest.ACCEPTED else None
 
 
 def _find_old_primary(
@@ -219,10 +272,3 @@
         and (report.id, report.term) == (old_record.primary, old_record.term)
     )
     return next(leading, None)
-
-
-def _is_new_primary(report: InstanceReport, old_record: GroupRecord) -> bool:
-    if report.role is not DbRole.PRIMARY:
-        return False
-    may_have_same_term = report.id != old_record.primary or old_record.keeps_primary
-    return report.term > old_record.term or (may_have_same_term and report.term == old_record.term)
--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -300,6 +300,22 @@
         self.store.delete("instances", name)
         self.group.publish(successor)
 
+    def return_under_new_id(self, name: str) -> None:
+        """Let a crashed instance come back with its log and another id.
+
+        It is a primary again unless another instance has been promoted.
+        """
+        member = self.group.members.get(name)
+        if member is None or member.alive:
+            return
+        was_replaced = self.group.primary() is not member
+        successor = f"{name}-again"
+        self.replace_primary(name, successor)
+        if was_replaced:
+            self.group.members[successor].role = DbRole.REPLICA
+            self.group.catch_up(successor)
+            self.group.publish(successor)
+
     def restart_instance(self, name: str) -> None:
         """Restart a crashed instance with its log, as a replica if another one is the primary."""
         member = self.group.members[name]
@@ -317,7 +333,8 @@
         self.group.publish(name, InstanceState.DRAINING)
 
     def _expire_entry(self, name: str) -> None:
-        if not self.group.members[name].alive:
+        member = self.group.members.get(name)
+        if member is not None and not member.alive:
             self.store.delete("instances", name)
 
     def _publish(self, entry: InstanceEntry) -> None:
--- a/orioleplank/tests/_random_faults.py
+++ b/orioleplank/tests/_random_faults.py
@@ -25,6 +25,10 @@
 STOP_WEIGHT = 6
 # The same for each fault that only groups with synchronous replication have.
 SYNC_WEIGHT = 4
+# The same for a primary and a coordinator that are back before a promotion takes effect.
+FAST_RESTART_WEIGHT = 6
+# Delay of the promotions in runs with such faults, in seconds.
+SLOW_PROMOTION_S = 1.0
 # Share of the new sessions that go to proxies that are shutting down, while there are any.
 STOPPING_PROXY_SHARE = 0.9
 # Longest pause between the shutdowns of two proxies, in seconds.
@@ -46,15 +50,18 @@
         with_restores: bool = False,
         with_stops: bool = False,
         sync_replicas: int = 0,
+        with_fast_restarts: bool = False,
     ) -> None:
         """Build the cluster.
 
         Only `with_restores` the store also comes back from older copies, only `with_stops` proxies
         are also shut down gracefully, and only with `sync_replicas` replicas also drain, and crash
-        together with the primary while the other replica receives nothing.
+        together with the primary while the other replica receives nothing. Only
+        `with_fast_restarts` promotions take longer than primaries and coordinators are away.
         """
         self._with_restores = with_restores
         self._with_stops = with_stops
+        self._with_fast_restarts = with_fast_restarts
         # Names of the proxies that are shutting down.
         self._stopping: set[str] = set()
         cluster = GatewayCluster(seed, proxies, connection_limit, mechanisms, sync_replicas)
@@ -120,6 +127,9 @@
             faults += (self._restore_store,) * RESTORE_WEIGHT + (self._delay_store_changes,)
         if self.cluster.group.sync_replicas:
             faults += (self._drain_replica, self._crash_near_deaf_replica) * SYNC_WEIGHT
+        if self._with_fast_restarts:
+            self.cluster.group.promotion_delay_s = SLOW_PROMOTION_S
+            faults += (self._restart_primary_and_coordinator,) * FAST_RESTART_WEIGHT
         if self._with_stops:
             faults += (self._stop_proxies,) * STOP_WEIGHT
         fault_at = 1.0
@@ -346,6 +356,32 @@
             seconds = min_s + range_s * self.random.random()
             self._schedule(seconds, partial(self._restart_instance, member))
 
+    def _restart_primary_and_coordinator(self) -> None:
+        """Crash the primary, and kill its coordinator after the request of a promotion."""
+        group, primary = self.cluster.group, self.cluster.group.primary()
+        if not primary.alive:
+            return
+        orders = len(group.promotion_orders)
+        self.cluster.crash_instance(primary.name)
+        back_after_s = 0.7 + 0.6 * self.random.random()
+        self._schedule(back_after_s, partial(self.cluster.return_under_new_id, primary.name))
+        self._kill_coordinator(orders, 0.5 * self.random.random(), attempts=100)
+
+    def _kill_coordinator(self, orders: int, delay_s: float, attempts: int) -> None:
+        """Kill the proxy that requests the next promotion `delay_s` after its request."""
+        requested = self.cluster.group.promotion_orders[orders:]
+        if not requested:
+            if attempts:
+                self._schedule(0.02, partial(self._kill_coordinator, orders, delay_s, attempts - 1))
+            return
+        holder = next(node for node in self.cluster.proxies if node.name == requested[0][0])
+        self._schedule(delay_s, partial(self._kill_briefly, holder))
+
+    def _kill_briefly(self, node: GatewayNode) -> None:
+        if node.alive:
+            self.cluster.kill_proxy(node)
+            self._schedule(0.1 + 0.2 * self.random.random(), partial(self._restart_proxy, node))
+
     def _crash_drained(self, member: SimulatedInstance) -> None:
         if not member.alive or member.directory_entry.state is not InstanceState.DRAINING:
             return
--- a/orioleplank/tests/_simulated_dialer.py
+++ b/orioleplank/tests/_simulated_dialer.py
@@ -13,7 +13,7 @@
     InstanceUnreachableError,
     TunnelRoute,
 )
-from orioleplank.tests._simulated_instances import PROMOTION_DELAY_S, SimulatedGroup
+from orioleplank.tests._simulated_instances import SimulatedGroup
 from orioleplank.tests._simulated_links import SimulatedLink, deliver_via
 from orioleplank.tests._simulator import Node
 
@@ -93,16 +93,24 @@
     def request_promotion(self, service: str, instance: str, token: int) -> Deferred[bool]:
         """Request a promotion; return whether the instance accepted it.
 
-        A dead instance does not; for the current primary nothing changes.
+        A dead instance does not; for the current primary nothing changes. A lost request is never
+        answered.
         """
         group, result = self._group, Deferred[bool]()
         group.promotion_orders.append((self._node.name, token, instance))
         member = group.members[instance]
+        if group.loses_promotions:
+            return result
         if not member.alive:
             result.callback(False)
             return result
         if member is not group.primary():
-            term = max(m.term for m in group.members.values()) + 1
-            group.simulator.call_later(PROMOTION_DELAY_S, lambda: group.promote(instance, term))
+            group.simulator.call_later(group.promotion_delay_s, lambda: self._take_effect(instance))
         group.simulator.call_later(0.03, lambda: result.callback(True))
         return result
+
+    def _take_effect(self, instance: str) -> None:
+        """Promote an instance, unless it is dead, gone or the primary by now."""
+        group, member = self._group, self._group.members.get(instance)
+        if member is not None and member.alive and member is not group.primary():
+            group.promote(instance, max(m.term for m in group.members.values()) + 1)
--- a/orioleplank/tests/_simulated_instances.py
+++ b/orioleplank/tests/_simulated_instances.py
@@ -91,6 +91,10 @@
         self.on_commit: Callable[[SimulatedInstance, dict[str, str]], None] = lambda *_: None
         # Called with each instance that takes the lead.
         self.on_promoted: Callable[[SimulatedInstance], None] = lambda _: None
+        # Seconds from an accepted promotion request to its effect.
+        self.promotion_delay_s = PROMOTION_DELAY_S
+        # True while promotion requests get lost.
+        self.loses_promotions = False
         # Replicas that receive a commit before it is acknowledged.
         self.sync_replicas = 0
         self._publish = publish
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -25,6 +25,8 @@
 STOP_CALLERS = 40
 # Runs in which one replica confirms each commit.
 SYNC_SEEDS = (20261205, 20261207, 20261210, 20261211, 20261212)
+# Runs in which primaries and coordinators are back before a promotion takes effect.
+FAST_RESTART_SEEDS = range(20261205, 20261209)
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -63,6 +65,13 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_fast_restarts(self) -> None:
+        for seed in FAST_RESTART_SEEDS:
+            with self.subTest(seed=seed):
+                audit = RandomFaultRun(seed, with_fast_restarts=True).run()
+                self.assertEqual([], audit.violations[:5])
+                self.assertGreater(audit.answered, 300)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
