One odd entry of another writer no longer hides the others

What operators of other systems saw: an entry that was nested very deeply, had a number too large or named a port out of range ended the processes that read the list, or they stopped following it. Here no process ended, but the whole listing was refused as long as the entry was there, or an entry was taken that could not be encoded for the other proxies, or that names no address.

Cause: a response was parsed as one, and what was parsed was checked for its shape, not for its range.

Numbers, names, addresses and ports have bounds, also in the store's era header and the replies of instances; a record that cannot be encoded for other proxies is none. The soak writes such entries, and sends a second SIGTERM.

Ruled out: msgspec.Raw for the items, since it recurses while it skips them.

--- a/orioleplank/decision/__init__.py
+++ b/orioleplank/decision/__init__.py
@@ -5,6 +5,6 @@
 """
 
 from orioleplank.decision._position import ZERO_POSITION, Position
-from orioleplank.decision._revision import build_revision, era_of, number_of
+from orioleplank.decision._revision import MAX_ERA, build_revision, era_of, number_of
 
-__all__ = ["Position", "ZERO_POSITION", "build_revision", "era_of", "number_of"]
+__all__ = ["MAX_ERA", "Position", "ZERO_POSITION", "build_revision", "era_of", "number_of"]
--- a/orioleplank/decision/_revision.py
+++ b/orioleplank/decision/_revision.py
@@ -9,14 +9,16 @@
 # floating-point number too.
 NUMBER_BITS = 40
 MAX_NUMBER = (1 << NUMBER_BITS) - 1
+# A revision fits into a signed integer of 64 bits.
+MAX_ERA = (1 << 63 - NUMBER_BITS) - 1
 
 
 def build_revision(era: int, number: int) -> int:
     """Return the revision of change `number` in `era`.
 
-    Raises `ValueError` if one of them is negative, or the number exceeds `MAX_NUMBER`.
+    Raises `ValueError` if one of them is negative or exceeds `MAX_ERA` or `MAX_NUMBER`.
     """
-    if era < 0 or not 0 <= number <= MAX_NUMBER:
+    if not 0 <= era <= MAX_ERA or not 0 <= number <= MAX_NUMBER:
         raise ValueError(f"no revision: era {era}, number {number}")
     return era << NUMBER_BITS | number
 
--- a/orioleplank/gateway/_failover.py
+++ b/orioleplank/gateway/_failover.py
@@ -46,7 +46,7 @@
 from orioleplank.gateway._lease_release import CollectedReleases, LeaseReleaseCoordinator
 from orioleplank.gateway._notifier import ChangeNotifier, sleep
 from orioleplank.gateway._promotion import InstancePromoter
-from orioleplank.gateway._records import parse_proxy_record
+from orioleplank.gateway._records import dump_proxy_record, parse_proxy_record
 from orioleplank.gateway._sync_replication import SyncReplicationKeeper
 
 # Pause before a postponed switchover is tried again.
@@ -304,7 +304,7 @@
             if record is None or record.retired or record != names.get(record.name):
                 continue
             try:
-                content = {**item.content, "retired": True}
+                content = dump_proxy_record(replace(record, retired=True))
                 await self._records.replace(item.name, content, item.revision)
             except StoreConflictError:
                 continue
--- a/orioleplank/gateway/_records.py
+++ b/orioleplank/gateway/_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -11,6 +12,8 @@
 from orioleplank.decision.membership import ProxyRecord
 from orioleplank.gateway._interfaces import StoredRecord
 
+# HOST:PORT, with a port that leaves room for the offsets of channels and tunnels.
+_ADDRESS = re.compile(r"^[0-9.]{7,15}:(?:[1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3})$")
 GROUP_PREFIX = "group."
 PROXY_PREFIX = "proxy."
 
@@ -56,6 +59,7 @@
     if not stored.name.startswith(PROXY_PREFIX):
         return None
     try:
-        return msgspec.convert(stored.content, ProxyRecord)
+        record = msgspec.convert(stored.content, ProxyRecord)
     except msgspec.ValidationError:
         return None
+    return record if _ADDRESS.match(record.address) else None
--- a/orioleplank/platform/_codec.py
+++ b/orioleplank/platform/_codec.py
@@ -35,6 +35,8 @@
 MAX_MESSAGE_BYTES = 1024 * 1024
 # Request id of statements that the proxy issues on its own behalf.
 PROXY_REQUEST_ID = "-"
+# Such a number fits into 64 bits.
+MAX_NUMBER_DIGITS = 18
 # Written instead of a position if there is none.
 NO_POSITION = "-"
 
@@ -140,10 +142,15 @@
 
 def parse_position(text: str) -> Position | None:
     """Parse TERM.INDEX; return `None` for any other text."""
-    term, _, index = text.partition(".")
-    if not (term.isdecimal() and index.isdecimal()):
-        return None
-    return Position(int(term), int(index))
+    term_text, _, index_text = text.partition(".")
+    term, index = parse_number(term_text), parse_number(index_text)
+    return None if term is None or index is None else Position(term, index)
+
+
+def parse_number(text: str) -> int | None:
+    """Parse a number of at most `MAX_NUMBER_DIGITS` decimal digits; return `None` otherwise."""
+    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_NUMBER_DIGITS
+    return int(text) if is_number else None
 
 
 def parse_code(word: str) -> FailureCode:
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -209,21 +209,24 @@
 
     def _read_report(self, reply: Reply) -> InstanceReport:
         columns = reply.rows[0].split(" ") if reply.rows else []
-        received_position = codec.parse_position(columns[2]) if len(columns) >= 6 else None
-        is_readable = received_position is not None and (
-            columns[0] in (DbRole.PRIMARY.value, DbRole.REPLICA.value)
-            and columns[1].isdecimal()
-            and columns[5].isdecimal()
-        )
-        if reply.failure is not None or received_position is None or not is_readable:
+        if len(columns) < 6 or columns[0] not in (DbRole.PRIMARY.value, DbRole.REPLICA.value):
+            columns = ["", "", "", "", "", ""]
+        received_position = codec.parse_position(columns[2])
+        term, running_statements = codec.parse_number(columns[1]), codec.parse_number(columns[5])
+        if (
+            reply.failure is not None
+            or received_position is None
+            or term is None
+            or running_statements is None
+        ):
             detail = reply.failure.code.value if reply.failure else "the report is not readable"
             raise InstanceRefusedError("ask for report", self._entry.id, detail)
         return InstanceReport(
             self._entry.id,
             DbRole(columns[0]),
-            int(columns[1]),
+            term,
             received_position,
-            running_statements=int(columns[5]),
+            running_statements=running_statements,
         )
 
 
--- a/orioleplank/platform/_objects.py
+++ b/orioleplank/platform/_objects.py
@@ -6,8 +6,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from ipaddress import IPv4Address
 from types import MappingProxyType
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Struct
@@ -24,14 +25,21 @@
     ServiceLimits,
 )
 from orioleplank.gateway import StoredRecord
+from orioleplank.platform._codec import parse_number
 
 # Name of the only object that holds the configuration.
 ROUTES_NAME = "main"
-_Text = Annotated[str, msgspec.Meta(min_length=1)]
-_Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
-_PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
-_Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+# Numbers from outside are bounded, so that they can be passed on to other proxies and added to.
+MAX_COUNT = (1 << 53) - 1
+MAX_MILLISECONDS = 1e12
+# Lone surrogates are valid in JSON, but cannot be encoded.
+_Text = Annotated[str, msgspec.Meta(pattern=r"^[^\ud800-\udfff]+$")]
+# A name that is sent to instances and other proxies as one word of a line.
+_Name = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,200}$")]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
+_MAX_PORT = 65535
 
 
 class RawObject(Struct, frozen=True):
@@ -59,9 +67,10 @@
 
 
 class _WireInstance(msgspec.Struct, frozen=True):
-    service: _Text
-    address: _Address
-    zone: _Text
+    service: _Name
+    # IPv4 address and port, HOST:PORT.
+    address: str
+    zone: _Name
     # Maximum number of concurrent statements.
     capacity: _PositiveInt
     state: Literal["ready", "draining"]
@@ -74,14 +83,14 @@
     # Name of the database as given by callers.
     host: _Text
     type: Literal["primary", "bounded_staleness", "read_your_writes"]
-    service: _Text
+    service: _Name
     timeoutMs: _Milliseconds = 1000.0  # noqa: N815
     maxStalenessMs: _Milliseconds = 0.0  # noqa: N815
-    priority: int = 0
+    priority: Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)] = 0
 
 
 class _WireService(msgspec.Struct, frozen=True):
-    name: _Text
+    name: _Name
     maxConns: _PositiveInt = 1000  # noqa: N815
     syncReplicas: _Count = 0  # noqa: N815
 
@@ -106,14 +115,21 @@
 )
 
 
+def _convert(value: object, kind: Any) -> Any:
+    """Return a value as an object of a type; return `None` if it is invalid."""
+    try:
+        return msgspec.convert(value, kind)
+    except (msgspec.ValidationError, UnicodeEncodeError, OverflowError, RecursionError):
+        return None
+
+
 def parse_instance(raw: RawObject) -> InstanceEntry | None:
     """Parse the entry of an instance; return `None` if it is invalid."""
-    try:
-        wire = msgspec.convert(raw.spec, _WireInstance)
-    except msgspec.ValidationError:
+    wire, name = _convert(raw.spec, _WireInstance), _convert(raw.name, _Name)
+    if wire is None or name is None or not _is_dialable(wire.address):
         return None
     return InstanceEntry(
-        raw.name,
+        name,
         wire.service,
         wire.address,
         wire.zone,
@@ -124,13 +140,23 @@
     )
 
 
+def _is_dialable(address: str) -> bool:
+    """Return whether an address is that of a TCP port at a host on the network."""
+    host, _, port_text = address.rpartition(":")
+    port = parse_number(port_text)
+    try:
+        is_host = not (ip := IPv4Address(host)).is_multicast and int(ip) != 0
+    except ValueError:
+        return False
+    return is_host and port is not None and 0 < port <= _MAX_PORT
+
+
 def parse_routes(raw: RawObject) -> RouteTable | None:
     """Parse the configuration; return `None` if it is invalid or `raw` is another object."""
     if raw.name != ROUTES_NAME:
         return None
-    try:
-        wire = msgspec.convert(raw.spec, _WireRoutes)
-    except msgspec.ValidationError:
+    wire = _convert(raw.spec, _WireRoutes)
+    if wire is None:
         return None
     idle_ms = wire.limits.txIdleMs
     return RouteTable(
@@ -155,8 +181,13 @@
 def parse_record(raw: RawObject) -> StoredRecord | None:
     """Parse a record of the proxies; return `None` if its content is not a mapping.
 
-    The gateway validates the content.
+    The gateway validates the content, and other proxies receive what it has found valid; so one
+    that cannot be encoded is not.
     """
     if not isinstance(raw.spec, Mapping):
         return None
+    try:
+        msgspec.msgpack.encode((raw.name, raw.spec))
+    except (OverflowError, UnicodeEncodeError, RecursionError):
+        return None
     return StoredRecord(raw.name, raw.revision, raw.spec)
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -16,7 +16,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from orioleplank.decision import build_revision, era_of, number_of
+from orioleplank.decision import MAX_ERA, build_revision, era_of, number_of
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.gateway import (
     Changes,
@@ -30,6 +30,8 @@
     WatchHistoryExpiredError,
 )
 from orioleplank.http import HttpClient, NoResponseError, Request, Response
+from orioleplank.platform._codec import parse_number
+from orioleplank.platform._json import parse_json
 from orioleplank.platform._objects import RawObject, parse_instance, parse_record, parse_routes
 
 # Timeout for a request: many times the response time of a slow store.
@@ -140,10 +142,9 @@
 
         A response without a valid header counts as one of the latest known era.
         """
-        previous = self._era
-        if not text.isdecimal():
+        previous, era = self._era, parse_number(text)
+        if era is None or era > MAX_ERA:
             return previous or 0
-        era = int(text)
         if previous is None or era > previous:
             self._era = era
         if previous is not None and era > previous:
@@ -163,8 +164,8 @@
             case _:
                 raise StoreUnavailableError(step, self._address, f"code {code}")
         try:
-            return json.loads(text)
-        except (ValueError, RecursionError) as error:
+            return parse_json(text)
+        except ValueError as error:
             raise StoreUnavailableError(step, self._address, "the body is not JSON") from error
 
 
@@ -197,17 +198,17 @@
             try:
                 revision = revision or build_revision(reply.era, int(page["at"]))
                 raw_objects = [RawObject.parse(item, reply.era) for item in page["items"]]
-            except (KeyError, TypeError, ValueError) as error:
+            except (KeyError, TypeError, ValueError, OverflowError) as error:
                 raise StoreUnavailableError("list objects", self._kind, "bad page") from error
             if era_of(revision) != reply.era:
                 raise StoreUnavailableError("list objects", self._kind, "restored meanwhile")
             items += [item for raw in raw_objects if raw and (item := self._parse(raw)) is not None]
             if not page.get("hasMore") or not raw_objects:
                 return Listing(revision, tuple(items))
-            last = raw_objects[-1]
-            if last is None:
+            names = [raw.name for raw in raw_objects if raw is not None]
+            if not names or names[-1] == after:
                 raise StoreUnavailableError("list objects", self._kind, "a page is not readable")
-            after = last.name
+            after = names[-1]
 
     async def watch(self, revision: int, timeout: float) -> Changes[T]:
         """Wait up to `timeout` seconds for changes after `revision`.
@@ -219,12 +220,14 @@
         try:
             events = self._parse_events(reply.body.get("events", ()), reply.era)
             return Changes(build_revision(reply.era, int(reply.body["at"])), events)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
+        except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
             raise StoreUnavailableError("watch objects", self._kind, "bad events") from error
 
     def _parse_events(self, events: Any, era: int) -> tuple[T | RemovedObject, ...]:
         items: list[T | RemovedObject] = []
         for event in events:
+            if not isinstance(event, Mapping):
+                continue
             raw = RawObject.parse(event.get("object"), era)
             if raw is None:
                 continue
--- a/orioleplank/platform/tests/test_codec.py
+++ b/orioleplank/platform/tests/test_codec.py
@@ -71,5 +71,6 @@
 
     def test_valid_position_is_parsed_and_invalid_one_is_none(self) -> None:
         self.assertEqual(Position(3, 1207), codec.parse_position("3.1207"))
-        for text in ("-", "", "3", "3.x", "-1.2", "3.²"):
+        too_long = "1" * 6000
+        for text in ("-", "", "3", "3.x", "-1.2", "3.²", f"3.{too_long}", f"{too_long}.3"):
             self.assertIsNone(codec.parse_position(text))
--- a/orioleplank/platform/tests/test_instance.py
+++ b/orioleplank/platform/tests/test_instance.py
@@ -153,6 +153,9 @@
             b"leader 2 2.17 0 30 4 9",
             b"replica two 2.17 0 30 4 9",
             b"replica 2 2.17 0 30 x",
+            b"replica " + b"1" * 6000 + b" 2.17 0 30 4 9",
+            b"replica 2 2." + b"1" * 6000 + b" 0 30 4 9",
+            b"replica 2 2.17 0 30 " + b"1" * 6000 + b" 9",
         ):
             self.results.clear()
             self.record_result(self.protocol.fetch_report())
--- a/orioleplank/platform/tests/test_objects.py
+++ b/orioleplank/platform/tests/test_objects.py
@@ -7,7 +7,7 @@
 import testtools
 
 from orioleplank.decision.instances import Consistency, DbRole, InstanceState
-from orioleplank.platform._objects import RawObject, parse_instance, parse_routes
+from orioleplank.platform._objects import RawObject, parse_instance, parse_record, parse_routes
 
 _ENTRY: dict[str, Any] = {
     "service": "books",
@@ -26,7 +26,23 @@
     {"capacity": "5"},
     {"address": "nowhere"},
     {"service": None},
+    {"service": "two words"},
+    {"service": "books\r\nQUERY"},
+    {"service": "\ud800"},
+    {"zone": "\ud800"},
+    {"capacity": 10**30},
+    {"born": 10**30},
+    {"address": "10.0.0.9:99999"},
+    {"address": "10.0.0.9:0"},
+    {"address": "10.0.0.9:"},
+    {"address": "10.0.0.9:-1"},
+    {"address": "10.0.0.9:" + "1" * 6000},
+    {"address": "999.1.1.1:80"},
+    {"address": "....:80"},
+    {"address": "0.0.0.0:80"},
+    {"address": "224.0.0.1:80"},
 )
+_INVALID_NAMES = ("", "two words", "i-1\r\nQUERY", "\ud800", "x" * 201)
 
 
 class TestInstanceEntries(testtools.TestCase):
@@ -47,6 +63,16 @@
         for spec in specs:
             self.assertIsNone(parse_instance(RawObject("i-1", 4, spec)))
 
+    def test_entry_with_an_invalid_name_is_none(self) -> None:
+        for name in _INVALID_NAMES:
+            self.assertIsNone(parse_instance(RawObject(name, 4, _ENTRY)), repr(name))
+
+    # An entry with a number too large was taken, and could not be passed on to other proxies.
+    def test_record_that_cannot_be_passed_on_is_none(self) -> None:
+        for content in ({"term": 10**30}, {"name": "\ud800"}, {"a": -(2**70)}):
+            self.assertIsNone(parse_record(RawObject("proxy.x", 4, content)), str(content))
+        self.assertIsNotNone(parse_record(RawObject("proxy.x", 4, {"term": 1})))
+
     def test_object_without_name_or_revision_is_none(self) -> None:
         for value in (None, 7, {}, {"meta": 3}, {"meta": {"name": "x"}}):
             self.assertIsNone(RawObject.parse(value, 1))
--- a/orioleplank/platform/tests/test_store.py
+++ b/orioleplank/platform/tests/test_store.py
@@ -13,13 +13,14 @@
 from orioleplank.gateway import (
     Changes,
     Listing,
+    RemovedObject,
     StoreConflictError,
     StoredRecord,
     StoreUnavailableError,
     WatchHistoryExpiredError,
 )
-from orioleplank.platform._objects import parse_record
-from orioleplank.platform._store import StoreClient, StoreRecordCollection
+from orioleplank.platform._objects import parse_instance, parse_record
+from orioleplank.platform._store import StoreClient, StoreObjectCollection, StoreRecordCollection
 
 
 class _Transport(StringTransport):
@@ -50,14 +51,14 @@
         self._connections: list[Any] = []
 
     def respond(self, body: object, era: str | None = None, status: int = 200) -> None:
-        """Send a response on the newest connection."""
+        """Send a response on the newest connection; `body` is encoded unless it is bytes."""
         for _, _, factory, *_ in self.reactor.tcpClients[len(self._connections) :]:
             protocol = factory.buildProtocol(None)
             build_transport: Any = _Transport
             protocol.makeConnection(build_transport())
             self._connections.append(protocol)
         self.reactor.advance(0)
-        data = json.dumps(body).encode()
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
         head = f"HTTP/1.1 {status} Status\r\nContent-Length: {len(data)}\r\n"
         if era is not None:
             head += f"Store-Era: {era}\r\n"
@@ -181,3 +182,73 @@
         self.respond(_stored("a", 12), "4")
         self.assertIn('"revision": 17', self.sent())
         self.assertEqual([build_revision(4, 12)], self.results)
+
+
+class TestOddEntry(StoreTestCase):
+    """Another writer leaves one object that cannot be read; the others hold."""
+
+    # Each is the spec of the object, as JSON.
+    ODD_SPECS = (
+        "[" * 5000 + "]" * 5000,
+        "7" * 6000,
+        '{"address": "10.0.0.9:99999"}',
+        "1e999",
+        '"\\ud800"',
+    )
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.unreadable: list[str] = []
+        self.instances = StoreObjectCollection(
+            self.client, "servers", parse_instance, lambda _, name: self.unreadable.append(name)
+        )
+        self.results: list[Any] = []
+
+    def start(self, call: Any) -> None:
+        """Start a call; its result or exception is appended to `results`."""
+        Deferred.fromCoroutine(call).addBoth(
+            lambda result: self.results.append(getattr(result, "value", result))
+        )
+
+    def _object(self, name: str, spec: str) -> str:
+        return f'{{"meta":{{"name":"{name}","revision":3}},"spec":{spec}}}'
+
+    def _sound(self, name: str) -> str:
+        spec = {"service": "books", "address": "10.0.0.9:80", "zone": "akl-a", "capacity": 5}
+        return self._object(name, json.dumps(spec | {"state": "ready", "dbRole": "replica"}))
+
+    # The listing that held the object was refused as a whole, again and again.
+    def test_listing_keeps_the_other_instances(self) -> None:
+        for odd_spec in self.ODD_SPECS:
+            with self.subTest(odd_spec[:20]):
+                self.results.clear()
+                self.unreadable.clear()
+                self.start(self.instances.list())
+                items = (self._sound("i-1"), self._object("i-2", odd_spec), self._sound("i-3"))
+                body = f'{{"items":[{",".join(items)}],"hasMore":false,"at":7}}'
+                self.respond(body.encode(), "1")
+                self.assertEqual(["i-1", "i-3"], [entry.id for entry in self.results[0].items])
+                self.assertEqual(["i-2"], self.unreadable)
+
+    def test_watch_removes_the_instance_and_keeps_the_others(self) -> None:
+        for odd_spec in self.ODD_SPECS:
+            with self.subTest(odd_spec[:20]):
+                self.results.clear()
+                self.start(self.instances.watch(build_revision(1, 4), 2.0))
+                odd = f'{{"object":{self._object("i-2", odd_spec)},"deleted":false}}'
+                sound = f'{{"object":{self._sound("i-3")},"deleted":false}}'
+                self.respond(f'{{"events":[{odd},7,{sound}],"at":7}}'.encode(), "1")
+                removed, changed = self.results[0].items
+                self.assertEqual(RemovedObject("i-2"), removed)
+                self.assertEqual("i-3", changed.id)
+
+    def test_listing_continues_after_a_page_that_ends_with_an_unreadable_object(self) -> None:
+        self.start(self.instances.list())
+        self.respond(f'{{"items":[{self._sound("i-1")},7],"hasMore":true,"at":7}}'.encode(), "1")
+        self.respond(f'{{"items":[7,{self._sound("i-3")}],"hasMore":false,"at":7}}'.encode(), "1")
+        self.assertEqual(["i-1", "i-3"], [entry.id for entry in self.results[0].items])
+
+    def test_era_that_is_no_usable_number_is_ignored(self) -> None:
+        for era in ("1" * 6000, "9" * 18, "²"):
+            self.call(era)
+        self.assertEqual([], self.restores)
--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -16,6 +16,7 @@
 from orioleplank.soak._faulty_link import FaultyLink
 from orioleplank.soak._process_cluster import ProcessCluster
 from orioleplank.soak._processes import ProxyProcess
+from orioleplank.soak._store import INSTANCES_KIND, ODD_SPECS
 from orioleplank.tests._audited_run import AuditedRun
 from orioleplank.tests._simulated_instances import SimulatedInstance
 
@@ -155,8 +156,26 @@
             "answers-lost": self._lose_answers,
             "instance-full": self._exhaust_connections,
             "configuration-changes": self.cluster.change_routes,
+            "odd-entry-written": self._write_odd_entry,
+            "proxy-asked-twice": self._terminate_twice,
         }
 
+    def _write_odd_entry(self) -> None:
+        """Leave an entry of another writer among those of the instances for some seconds."""
+        store, spec = self.cluster.store, self.random.choice(sorted(ODD_SPECS))
+        name = f"i-{spec}"
+        store.put(INSTANCES_KIND, name, spec)
+        self.cluster.simulator.call_later(
+            8.0 * self.random.random(), partial(store.delete, INSTANCES_KIND, name)
+        )
+
+    def _terminate_twice(self) -> None:
+        proxy = self._choose_proxy()
+        proxy.terminate()
+        self.cluster.simulator.call_later(
+            3.0 * self.random.random(), partial(proxy.send_signal, signal.SIGTERM)
+        )
+
     def _choose_proxy(self) -> ProxyProcess:
         return self.random.choice(self.cluster.proxies)
 
--- a/orioleplank/soak/_store.py
+++ b/orioleplank/soak/_store.py
@@ -18,6 +18,18 @@
 # Probability that a response is lost while the fault of lost responses is active.
 RESPONSE_LOSS_PROBABILITY = 0.4
 
+# Specs that another writer may leave, as JSON, by the name that stands for them in the store.
+ODD_SPECS = {
+    "odd-nested": "[" * 5000 + "]" * 5000,
+    "odd-number": "7" * 6000,
+    "odd-bytes": '"\xff\xfe"',
+    "odd-surrogate": '"\\ud800"',
+    "odd-port": (
+        '{"service":"books","address":"127.0.0.1:99999","zone":"zone-a","capacity":5,'
+        f'"state":"ready","dbRole":"replica","born":{10**30}}}'
+    ),
+}
+
 
 def instance_to_json(entry: InstanceEntry, address: str) -> dict[str, object]:
     """Return an instance's entry in the platform's JSON form, with `address` for connections."""
@@ -155,7 +167,7 @@
             return
         request.setResponseCode(code)
         request.setHeader("Store-Era", str(self._store.era))
-        request.write(json.dumps(body).encode())
+        request.write(_encode(body))
         request.finish()
 
 
@@ -185,6 +197,14 @@
         return b"{}"
 
 
+def _encode(body: object) -> bytes:
+    """Return a body as JSON, with the odd specs in place of their names."""
+    text = json.dumps(body)
+    for name, spec in ODD_SPECS.items():
+        text = text.replace(json.dumps(name), spec)
+    return text.encode("latin-1")
+
+
 def _object_to_json(name: str, revision: int, spec: object) -> dict[str, object]:
     return {"meta": {"name": name, "revision": revision}, "spec": spec}
 
