The order in which proxies act and the checks of a shutdown stand in one place each

Change: gateway/_action_ranking.py holds the ranking; ClusterState answers accepts_request and accepts_transaction. No behaviour changes.

Measured: tests of shutdowns, promotions, owners and successions pass.

--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -134,6 +134,16 @@
         is_complete = self.routes.version > 0 and knows_groups and self.directory_revision > 0
         return not is_complete and self.now() - self._started_at < STARTUP_TIMEOUT_S
 
+    # Shutdown.
+
+    def accepts_request(self, timeout: float) -> bool:
+        """Return whether a request that takes at most `timeout` seconds ends before a shutdown."""
+        return self.shutdown is None or self.shutdown.accepts_request(self.now(), timeout)
+
+    def accepts_transaction(self) -> bool:
+        """Return whether a transaction may begin."""
+        return self.shutdown is None or self.shutdown.accepts_transaction(self.now())
+
     # Routes.
 
     def route(self, database: str) -> Route | None:
--- a/orioleplank/gateway/_forwarding_server.py
+++ b/orioleplank/gateway/_forwarding_server.py
@@ -183,7 +183,7 @@
         if isinstance(request, RunAsked) and request.in_transaction and link_state is None:
             self._send(NotSent(request.correlation_id, "its transaction is gone", False))
             return
-        if link_state is None and not self._accepts_request(request):
+        if link_state is None and not self._executor.cluster_state.accepts_request(request.timeout):
             self._send(NotSent(request.correlation_id, "the owner is stopping", True))
             return
         if link_state is None:
@@ -195,12 +195,6 @@
         if not link_state.is_closed:
             self._send(response)
 
-    def _accepts_request(self, request: RunAsked | BeginAsked) -> bool:
-        """Return whether a request ends in time if this proxy is shutting down."""
-        cluster_state = self._executor.cluster_state
-        shutdown = cluster_state.shutdown
-        return shutdown is None or shutdown.accepts_request(cluster_state.now(), request.timeout)
-
     async def _serve(self, link_state: _LinkState, request: RunAsked | BeginAsked) -> ResponseFrame:
         statement = decode_statement(request) if isinstance(request, RunAsked) else None
         deadline = self._executor.cluster_state.now() + request.timeout
--- a/orioleplank/gateway/_primary_monitor.py
+++ b/orioleplank/gateway/_primary_monitor.py
@@ -33,7 +33,8 @@
 )
 from orioleplank.decision.instances import InstanceEntry
 from orioleplank.decision.mechanisms import Mechanism
-from orioleplank.decision.membership import Fleet, ProxyRecord, rank_proxies
+from orioleplank.decision.membership import ProxyRecord
+from orioleplank.gateway._action_ranking import ActionRanking
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._failover import FailoverCoordinator
@@ -78,16 +79,6 @@
     unchanged_since: float
 
 
-class _CachedRanking(Struct, frozen=True):
-    """The order in which the proxies act for one service, with the inputs of its computation."""
-
-    fleet: Fleet
-    # Connection owners of the primary.
-    owners: tuple[str, ...]
-    # Names of the proxies; the first one acts first.
-    names: tuple[str, ...]
-
-
 class PrimaryMonitor:
     """Assesses the primaries of all services periodically, and starts failovers and switchovers.
 
@@ -121,7 +112,7 @@
         self._probing: set[str] = set()
         # When each instance was last probed, in seconds of the monotonic clock.
         self._probed_at: dict[str, float] = {}
-        self._rankings: dict[str, _CachedRanking] = {}
+        self._ranking = ActionRanking(cluster_state, own_record.name)
 
     # Periodic checks.
 
@@ -198,7 +189,7 @@
         takeover_delay = self._takeover_delay(versioned_record.record)
         # The holder itself takes no part in its succession.
         successors = [
-            name for name in self._ranking(service) if name != versioned_record.record.holder
+            name for name in self._ranking.names(service) if name != versioned_record.record.holder
         ]
         rank = successors.index(self._own_record.name) if self._own_record.name in successors else 0
         delay = takeover_delay + rank * RANK_DELAY_S
@@ -242,30 +233,9 @@
         if latest is None or latest.kind is not kind:
             latest = _UnchangedAssessment(kind, now)
             self._assessments[service] = latest
-        return now - latest.unchanged_since >= delay_s + self._rank(service) * RANK_DELAY_S
-
-    def _rank(self, service: str) -> int:
-        """Return this proxy's rank for a service; rank 0 acts first."""
-        return self._ranking(service).index(self._own_record.name)
-
-    def _ranking(self, service: str) -> tuple[str, ...]:
-        """Return all active proxies by rank; connection owners of the primary come first."""
-        versioned_record, fleet = (
-            self._cluster_state.leases.group_records.get(service),
-            self._cluster_state.fleet,
-        )
-        owners = (
-            self._cluster_state.connection_owners(versioned_record.record.primary)
-            if versioned_record
-            else ()
+        return (
+            now - latest.unchanged_since >= delay_s + self._ranking.own_rank(service) * RANK_DELAY_S
         )
-        cached = self._rankings.get(service)
-        if cached is not None and cached.fleet is fleet and cached.owners == owners:
-            return cached.names
-        names = {record.name for record in fleet.active()} | {self._own_record.name}
-        ranked = owners + tuple(name for name in rank_proxies(service, names) if name not in owners)
-        self._rankings[service] = _CachedRanking(fleet, owners, ranked)
-        return ranked
 
     def _is_monitored_by_owners(self, primary: str) -> bool:
         """Return whether other proxies own the connections to a primary, and so monitor it."""
@@ -312,7 +282,7 @@
         """Return whether an instance is a primary that this proxy has to probe while it is idle."""
         lease = self._cluster_state.lease(entry.service)
         is_primary = lease is not None and lease.primary == entry.id
-        return is_primary and self._rank(entry.service) < IDLE_PRIMARY_PROBERS
+        return is_primary and self._ranking.own_rank(entry.service) < IDLE_PRIMARY_PROBERS
 
     def _start_action(self, service: str, work: Coroutine[Any, Any, None]) -> None:
         self._assessments.pop(service, None)
--- a/orioleplank/gateway/_session_table.py
+++ b/orioleplank/gateway/_session_table.py
@@ -74,13 +74,11 @@
         cluster_state = self._dependencies.cluster_state
         if cluster_state.routes.version == 0:
             return Failure(FailureCode.BUSY, "program start: no configuration is known yet")
-        route, shutdown = cluster_state.route(database), cluster_state.shutdown
+        route = cluster_state.route(database)
         if route is None:
             detail = f"program find route: no route is called {database[:60]}"
             return Failure(FailureCode.UNKNOWN_DATABASE, detail)
-        if shutdown is not None and not shutdown.accepts_request(
-            cluster_state.now(), route.timeout
-        ):
+        if not cluster_state.accepts_request(route.timeout):
             return Failure(FailureCode.BUSY, f"program open session: {SHUTDOWN_REASON}")
         return None
 
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -234,8 +234,7 @@
         route = cluster_state.route(self._session.database)
         if route is None:
             return self._refuse(pending, self._route_refusal())
-        shutdown = cluster_state.shutdown
-        if shutdown is not None and not shutdown.accepts_transaction(cluster_state.now()):
+        if not cluster_state.accepts_transaction():
             return self._refuse(pending, refuse(FailureCode.BUSY, "begin", SHUTDOWN_REASON))
         self._transaction = Transaction(read_only, pending.received_at)
         self._transaction_route = route
@@ -283,10 +282,7 @@
         route = cluster_state.route(self._session.database)
         if route is None:
             return self._refuse(pending, self._route_refusal())
-        shutdown = cluster_state.shutdown
-        if shutdown is not None and not shutdown.accepts_request(
-            cluster_state.now(), route.timeout
-        ):
+        if not cluster_state.accepts_request(route.timeout):
             return self._refuse(pending, refuse(FailureCode.BUSY, "admit", SHUTDOWN_REASON))
         request = self._build_request(pending, route)
         statements = self._dependencies.statements
