A repeated stop signal does not stop the reactor twice

Cause: each signal attached a stop of the reactor to the shutdown; since a further shut_down waits for the first one, both stopped it.

Change: only the first signal ends the process.

--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -187,6 +187,11 @@
             self.cluster_state.directory.instances
         )
 
+    @property
+    def is_stopping(self) -> bool:
+        """True once a shutdown has begun."""
+        return self._is_stopping
+
     @property
     def peer_address(self) -> str:
         """The address at which other proxies reach this one, HOST:PORT."""
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -91,6 +91,8 @@
         reactor.callFromThread(begin_shutdown)
 
     def begin_shutdown() -> None:
+        if gateway.is_stopping:
+            return
         shutdown = Deferred.fromCoroutine(gateway.shut_down())
         shutdown.addBoth(lambda _: reactor.stop() if reactor.running else None)
 
