Names and addresses of other writers are matched to their end

Cause: '$' in a pattern also matches before a line feed at the end, so an id or a service with one was taken, and would have split a line of the protocol.

Change: the patterns end with \Z or are matched in full; the report of an instance is read in one branch.

--- a/orioleplank/gateway/_records.py
+++ b/orioleplank/gateway/_records.py
@@ -13,7 +13,7 @@
 from orioleplank.gateway._interfaces import StoredRecord
 
 # HOST:PORT, with a port that leaves room for the offsets of channels and tunnels.
-_ADDRESS = re.compile(r"^[0-9.]{7,15}:(?:[1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3})$")
+_ADDRESS = re.compile(r"[0-9.]{7,15}:(?:[1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3})")
 GROUP_PREFIX = "group."
 PROXY_PREFIX = "proxy."
 
@@ -62,4 +62,4 @@
         record = msgspec.convert(stored.content, ProxyRecord)
     except msgspec.ValidationError:
         return None
-    return record if _ADDRESS.match(record.address) else None
+    return record if _ADDRESS.fullmatch(record.address) else None
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -31,6 +31,11 @@
 # Caller name under which the proxy connects to instances.
 PROXY_CALLER_NAME = "orioleplank"
 
+# Columns of a report that are read: role, term, received position, and as the sixth one the running
+# statements.
+REPORT_COLUMNS = 6
+_ROLES = frozenset(role.value for role in DbRole)
+
 
 class _PendingRequest(Struct):
     """A statement without a complete reply."""
@@ -209,25 +214,25 @@
 
     def _read_report(self, reply: Reply) -> InstanceReport:
         columns = reply.rows[0].split(" ") if reply.rows else []
-        if len(columns) < 6 or columns[0] not in (DbRole.PRIMARY.value, DbRole.REPLICA.value):
-            columns = ["", "", "", "", "", ""]
-        received_position = codec.parse_position(columns[2])
-        term, running_statements = codec.parse_number(columns[1]), codec.parse_number(columns[5])
-        if (
-            reply.failure is not None
-            or received_position is None
-            or term is None
-            or running_statements is None
-        ):
-            detail = reply.failure.code.value if reply.failure else "the report is not readable"
-            raise InstanceRefusedError("ask for report", self._entry.id, detail)
-        return InstanceReport(
-            self._entry.id,
-            DbRole(columns[0]),
-            term,
-            received_position,
-            running_statements=running_statements,
-        )
+        if reply.failure is None and len(columns) >= REPORT_COLUMNS and columns[0] in _ROLES:
+            term, running_statements = codec.parse_number(columns[1]), codec.parse_number(
+                columns[5]
+            )
+            received_position = codec.parse_position(columns[2])
+            if (
+                term is not None
+                and running_statements is not None
+                and received_position is not None
+            ):
+                return InstanceReport(
+                    self._entry.id,
+                    DbRole(columns[0]),
+                    term,
+                    received_position,
+                    running_statements=running_statements,
+                )
+        detail = reply.failure.code.value if reply.failure else "the report is not readable"
+        raise InstanceRefusedError("ask for report", self._entry.id, detail)
 
 
 class InstanceDialer:
--- a/orioleplank/platform/_objects.py
+++ b/orioleplank/platform/_objects.py
@@ -33,9 +33,9 @@
 MAX_COUNT = (1 << 53) - 1
 MAX_MILLISECONDS = 1e12
 # Lone surrogates are valid in JSON, but cannot be encoded.
-_Text = Annotated[str, msgspec.Meta(pattern=r"^[^\ud800-\udfff]+$")]
+_Text = Annotated[str, msgspec.Meta(pattern=r"\A[^\ud800-\udfff]+\Z")]
 # A name that is sent to instances and other proxies as one word of a line.
-_Name = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,200}$")]
+_Name = Annotated[str, msgspec.Meta(pattern=r"\A[!-~]{1,200}\Z")]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 _PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
--- a/orioleplank/platform/tests/test_objects.py
+++ b/orioleplank/platform/tests/test_objects.py
@@ -28,6 +28,7 @@
     {"service": None},
     {"service": "two words"},
     {"service": "books\r\nQUERY"},
+    {"service": "books\n"},
     {"service": "\ud800"},
     {"zone": "\ud800"},
     {"capacity": 10**30},
@@ -42,7 +43,7 @@
     {"address": "0.0.0.0:80"},
     {"address": "224.0.0.1:80"},
 )
-_INVALID_NAMES = ("", "two words", "i-1\r\nQUERY", "\ud800", "x" * 201)
+_INVALID_NAMES = ("", "i-1\n", "two words", "i-1\r\nQUERY", "\ud800", "x" * 201)
 
 
 class TestInstanceEntries(testtools.TestCase):
