--- a/orioleplank/decision/instances/_routes.py
+++ b/orioleplank/decision/instances/_routes.py
@@ -7,6 +7,8 @@
 
 from msgspec import Struct, field
 
+from orioleplank.decision.accounts import AccountTable
+
 # Idle limit of a transaction when none is configured, in seconds: one day, effectively unlimited.
 DEFAULT_TRANSACTION_IDLE_S = 86400.0
 
@@ -37,6 +39,8 @@
     max_age: float = 0.0
     # 0 is the highest priority.
     priority: int = 0
+    # True if it also serves callers whose key belongs to no account.
+    is_public: bool = False
 
 
 class ServiceLimits(Struct, frozen=True):
@@ -59,6 +63,8 @@
     services: Mapping[str, ServiceLimits] = field(default_factory=dict)
     # How long a transaction may stay idle, in seconds.
     transaction_idle: float = DEFAULT_TRANSACTION_IDLE_S
+    # None when the configuration has no list of accounts; then callers are not identified.
+    accounts: AccountTable | None = None
 
     def select_newer(self, other: RouteTable) -> RouteTable:
         """Return the table with the higher version; this one when they are equal."""
--- a/orioleplank/decision/routing/__init__.py
+++ b/orioleplank/decision/routing/__init__.py
@@ -9,6 +9,7 @@
     choose_owner,
     direct_path,
     non_owner_connection_limit,
+    order_by_account,
     owner_connection_limit,
     select_owners,
 )
@@ -35,6 +36,7 @@
     "choose_connection_path",
     "choose_owner",
     "direct_path",
+    "order_by_account",
     "owner_connection_limit",
     "place_read",
     "select_owners",
--- a/orioleplank/decision/routing/_connection_owners.py
+++ b/orioleplank/decision/routing/_connection_owners.py
@@ -115,6 +115,20 @@
     return rank_proxies(f"prefers {proxy_name}", owners)
 
 
+def order_by_account(owners: tuple[ProxyRecord, ...], account: str) -> tuple[ProxyRecord, ...]:
+    """Return the owners in the order in which statements of an account prefer them.
+
+    All proxies compute the same order, so that the connections of an account are at one owner;
+    otherwise each owner would need connections of every account. Backup owners stay last. The
+    order is unchanged for callers without an account.
+    """
+    if not account:
+        return owners
+    records = {record.name: record for record in owners[:OWNER_COUNT]}
+    ranked = rank_proxies(f"account {account}", records)
+    return (*(records[name] for name in ranked), *owners[OWNER_COUNT:])
+
+
 def choose_owner(
     path: ForwardingPath, is_avoided: Callable[[ProxyRecord], bool]
 ) -> ProxyRecord | None:
--- a/orioleplank/decision/session/_reply.py
+++ b/orioleplank/decision/session/_reply.py
@@ -35,6 +35,8 @@
     UNKNOWN_NAME = "unknown-name"
     # There is no route for the database.
     UNKNOWN_DATABASE = "unknown-database"
+    # The caller's key belongs to no account; nothing ran.
+    UNAUTHENTICATED = "unauthenticated"
     # The message is larger than allowed.
     TOO_LARGE = "too-large"
     # The message cannot be parsed, or is not allowed in the current state of the session.
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from orioleplank.decision import era_of
+from orioleplank.decision.accounts import ClientAccount, identify_caller
 from orioleplank.decision.admission import ShutdownSchedule
 from orioleplank.decision.group import (
     GroupPhase,
@@ -146,6 +147,10 @@
 
     # Routes.
 
+    def identify(self, key: str, route: Route) -> ClientAccount | None:
+        """Return the account of a caller with this key on a route; None if it is not allowed."""
+        return identify_caller(self.routes.accounts, key, route.is_public)
+
     def route(self, database: str) -> Route | None:
         """Return the route of a database; None when none is configured."""
         return self.routes.routes.get(database)
--- a/orioleplank/gateway/_forwarding_client.py
+++ b/orioleplank/gateway/_forwarding_client.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import Deferred, fail, succeed
 
 from orioleplank.decision import Position
+from orioleplank.decision.accounts import ANONYMOUS
 from orioleplank.decision.failover import InstanceReport
 from orioleplank.decision.instances import InstanceEntry
 from orioleplank.decision.membership import ProxyRecord
@@ -43,13 +44,17 @@
     encode_position,
     encode_statement,
 )
-from orioleplank.gateway._interfaces import InstanceRefusedError, InstanceUnreachableError
+from orioleplank.gateway._interfaces import (
+    InstanceRefusedError,
+    InstanceUnreachableError,
+    RequestOptions,
+)
 from orioleplank.gateway._owner_channel import OWNER_AVOIDANCE_S, OwnerChannel
 
 # Reason given when a statement is not sent because all owners are avoided.
 NO_OWNER_REASON = "no owner of its connections is reached"
-# Priority of requests that the proxy makes for itself, such as probes.
-INTERNAL_PRIORITY = 0
+# Options of requests that the proxy makes for itself, such as probes.
+INTERNAL_OPTIONS = RequestOptions(ANONYMOUS, priority=0, timeout=0.0)
 
 
 class ForwardingClient:
@@ -123,7 +128,7 @@
         self,
         entry: InstanceEntry,
         forwarding: ForwardingClient,
-        choose_owner: Callable[[], ProxyRecord | None],
+        choose_owner: Callable[[str], ProxyRecord | None],
         on_unreachable: Callable[[], None],
     ) -> None:
         self._entry = entry
@@ -132,8 +137,7 @@
         self._on_unreachable = on_unreachable
         self._link_id = forwarding.next_number()
         self._state = INITIAL_CONNECTION_STATE
-        self._priority = INTERNAL_PRIORITY
-        self._timeout = 0.0
+        self._options = INTERNAL_OPTIONS
         # Owner at which the transaction is open; None outside a transaction.
         self._transaction_owner: ProxyRecord | None = None
         # The request without a response: its owner, correlation id and send time; None without one.
@@ -146,9 +150,14 @@
         """False: only a reply shows that the instance is healthy."""
         return False
 
-    def set_next_request_options(self, priority: int, timeout: float) -> None:
-        """Set the priority of the next request and its timeout in seconds."""
-        self._priority, self._timeout = priority, timeout
+    @property
+    def account(self) -> None:
+        """None: each statement states its account to the owner."""
+        return None
+
+    def set_next_request_options(self, options: RequestOptions) -> None:
+        """Set the options of the next request."""
+        self._options = options
 
     def prepare(self, step: ConnectionSetupStep) -> Deferred[Reply]:
         """Record a session value or prepared name locally; it is sent along with statements."""
@@ -157,7 +166,7 @@
 
     def begin(self, read_only: bool, min_position: Position | None) -> Deferred[Reply]:
         """Begin a transaction at an instance whose log has reached `min_position`."""
-        owner = self._choose_owner()
+        owner = self._choose_owner(self._options.account.name)
         if owner is None:
             return succeed(self._busy_reply(NO_OWNER_REASON))
         self._transaction_owner = owner
@@ -176,7 +185,7 @@
 
         The log of the instance must have reached `min_position`.
         """
-        owner = self._transaction_owner or self._choose_owner()
+        owner = self._transaction_owner or self._choose_owner(self._options.account.name)
         if owner is None:
             return succeed(self._busy_reply(NO_OWNER_REASON))
         mode, prepared_text, arguments = encode_statement(statement)
@@ -196,16 +205,18 @@
             "link_id": self._link_id,
             "correlation_id": self._forwarding.next_number(),
             "instance": self._entry.id,
-            "priority": self._priority,
-            "timeout": self._timeout,
+            "priority": self._options.priority,
+            "timeout": self._options.timeout,
             "values": dict(self._state.values),
             "min_position": encode_position(min_position),
+            "account": self._options.account.name,
+            "account_priority": self._options.account.priority,
         }
 
     def commit(self, request_id: str) -> Deferred[Reply]:
         """Commit under the caller's request id; has no effect outside a transaction."""
         correlation_id = self._forwarding.next_number()
-        frame = CommitAsked(self._link_id, correlation_id, request_id, self._timeout)
+        frame = CommitAsked(self._link_id, correlation_id, request_id, self._options.timeout)
         return self._request_transaction_end(frame)
 
     def roll_back(self) -> Deferred[Reply]:
@@ -216,7 +227,7 @@
 
     def fetch_report(self) -> Deferred[InstanceReport]:
         """Request the state of the instance; fails with `InstanceRefusedError` if it is busy."""
-        owner = self._choose_owner()
+        owner = self._choose_owner(ANONYMOUS.name)
         if owner is None:
             return fail(self._unreachable_error(NO_OWNER_REASON))
         frame = ReportAsked(self._forwarding.next_number(), self._entry.id)
@@ -224,7 +235,7 @@
 
     def step_down(self, term: int) -> Deferred[Reply]:
         """Demote the instance to a replica if it is the primary of a lower term."""
-        owner = self._choose_owner()
+        owner = self._choose_owner(ANONYMOUS.name)
         if owner is None:
             return fail(self._unreachable_error(NO_OWNER_REASON))
         correlation_id = self._forwarding.next_number()
@@ -299,7 +310,7 @@
     def _record_unreachable(self, owner: ProxyRecord) -> None:
         """Avoid the owner; without another owner the instance itself counts as unreachable."""
         self._forwarding.avoid(self._entry.id, owner.name)
-        if self._choose_owner() is None:
+        if self._choose_owner(ANONYMOUS.name) is None:
             self._on_unreachable()
 
     def _busy_reply(self, reason: str, retry_after: float | None = None) -> Reply:
--- a/orioleplank/gateway/_forwarding_server.py
+++ b/orioleplank/gateway/_forwarding_server.py
@@ -15,16 +15,17 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
+from orioleplank.decision.accounts import ClientAccount
 from orioleplank.decision.session import ExecutableStatement, Reply, TransactionState
 from orioleplank.gateway._channels import Channel
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._connection import PooledConnection
+from orioleplank.gateway._connection_request import ConnectionRequest
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._frames import (
     Answered,
     BeginAsked,
     CommitAsked,
-    InstanceRequest,
     LinkClosed,
     NotSent,
     ReportAsked,
@@ -47,7 +48,7 @@
     PreparationError,
 )
 from orioleplank.gateway._instance_prober import InstanceProber
-from orioleplank.gateway._interfaces import InstanceUnreachableError
+from orioleplank.gateway._interfaces import InstanceUnreachableError, RequestOptions
 from orioleplank.gateway._pool import InstancePool
 
 # Part of the timeout that is reserved for returning a "not sent" response, in seconds: twice the
@@ -219,7 +220,7 @@
     async def _prepare_link(
         self,
         link_state: _LinkState,
-        request: InstanceRequest,
+        request: RunAsked | BeginAsked,
         statement: ExecutableStatement | None,
         deadline: float,
     ) -> NotSent | None:
@@ -233,7 +234,13 @@
             if pool is None:
                 return NotSent(request.correlation_id, "the instance is not known here", True)
             acquisition = pool.acquire(
-                request.values, link_state.session_id, request.priority, timeout
+                ConnectionRequest(
+                    timeout,
+                    _account_of(request),
+                    request.priority,
+                    request.values,
+                    link_state.session_id,
+                )
             )
             link_state.pending_acquisition = acquisition
             try:
@@ -255,8 +262,7 @@
                 link_state.connection,
                 request.values,
                 statement,
-                request.priority,
-                timeout,
+                RequestOptions(_account_of(request), request.priority, timeout),
             )
         except (*NOT_SENT_ERRORS, PreparationError) as error:
             self._discard_connection(link_state)
@@ -340,6 +346,10 @@
             self._send(NotSent(request.correlation_id, "it is not reached", True))
 
 
+def _account_of(request: RunAsked | BeginAsked) -> ClientAccount:
+    return ClientAccount(request.account, request.account_priority)
+
+
 def _explain(error: Exception, timeout_reason: str) -> str:
     """Return the text of an error, or `timeout_reason` for a timeout, which has no useful text."""
     return timeout_reason if isinstance(error, TIMEOUT_ERRORS) else str(error)
--- a/orioleplank/gateway/_frames.py
+++ b/orioleplank/gateway/_frames.py
@@ -62,12 +62,18 @@
     arguments: str
     # True if it belongs to the open transaction of the link.
     in_transaction: bool
+    # Name and priority of the caller's account; the name is empty without an account.
+    account: str = ""
+    account_priority: int = 0
 
 
 class BeginAsked(InstanceRequest, frozen=True):
     """Requests to begin a transaction; the link keeps its connection until the transaction ends."""
 
     read_only: bool
+    # Name and priority of the caller's account; the name is empty without an account.
+    account: str = ""
+    account_priority: int = 0
 
 
 class CommitAsked(Frame, frozen=True):
--- a/orioleplank/gateway/_instance_connector.py
+++ b/orioleplank/gateway/_instance_connector.py
@@ -17,12 +17,14 @@
     choose_owner,
     direct_path,
     non_owner_connection_limit,
+    order_by_account,
     select_owners,
 )
 from orioleplank.gateway._forwarding_client import ForwardingClient, ForwardingLink
 from orioleplank.gateway._interfaces import Dialer, InstanceLink, TunnelRoute
 
-Dial = Callable[[InstanceEntry, Callable[[], None]], Deferred[InstanceLink]]
+# Takes the instance, a function to call when it is unreachable, and the name of the account.
+Dial = Callable[[InstanceEntry, Callable[[], None], str], Deferred[InstanceLink]]
 ConnectionLimit = Callable[[InstanceEntry], int]
 
 # How long new connections to an instance use a tunnel before connections without one are tried
@@ -121,33 +123,35 @@
                 return non_owner_connection_limit(limits.max_connections) if limits else 1
 
     def open(
-        self, entry: InstanceEntry, on_unreachable: Callable[[], None]
+        self, entry: InstanceEntry, on_unreachable: Callable[[], None], account: str
     ) -> Deferred[InstanceLink]:
-        """Open a connection to an instance, or a forwarding link to its owners.
+        """Open a connection for an account to an instance, or a forwarding link to its owners.
 
         A forwarding link calls `on_unreachable` when no owner is left that reaches the instance.
         """
         match self.connection_path(entry):
             case DirectPath():
-                return self.open_own_connection(entry, on_unreachable)
+                return self.open_own_connection(entry, on_unreachable, account)
             case ForwardingPath():
                 return succeed(self._build_forwarding_link(entry, on_unreachable))
 
     def open_own_connection(
-        self, entry: InstanceEntry, on_unreachable: Callable[[], None]
+        self, entry: InstanceEntry, on_unreachable: Callable[[], None], account: str
     ) -> Deferred[InstanceLink]:
         """Open a connection of this proxy's own to an instance, through a tunnel if one is in use.
 
         `on_unreachable` is not called: the returned Deferred fails instead.
         """
-        return self._dialer.dial(entry, self._find_tunnel_route(entry.id))
+        return self._dialer.dial(entry, self._find_tunnel_route(entry.id), account)
 
     def _build_forwarding_link(
         self, entry: InstanceEntry, on_unreachable: Callable[[], None]
     ) -> InstanceLink:
-        def select_owner() -> ProxyRecord | None:
+        def select_owner(account: str) -> ProxyRecord | None:
             path = self.connection_path(entry)
             owners = path.owners if isinstance(path, ForwardingPath) else ()
+            if self._mechanisms.is_on(Mechanism.ACCOUNT_AFFINITY):
+                owners = order_by_account(owners, account)
             candidates = ForwardingPath((*owners, self._own_record))
             return choose_owner(
                 candidates, lambda owner: self._forwarding.is_avoided(entry.id, owner)
--- a/orioleplank/gateway/_instance_executor.py
+++ b/orioleplank/gateway/_instance_executor.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
 from orioleplank._exceptions import OrioleplankError
+from orioleplank.decision.accounts import ClientAccount
 from orioleplank.decision.instances import Route
 from orioleplank.decision.session import (
     ExecutableStatement,
@@ -22,7 +23,12 @@
 )
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._connection import PooledConnection
-from orioleplank.gateway._interfaces import InstanceRefusedError, InstanceUnreachableError
+from orioleplank.gateway._connection_request import ConnectionRequest
+from orioleplank.gateway._interfaces import (
+    InstanceRefusedError,
+    InstanceUnreachableError,
+    RequestOptions,
+)
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._wait_queue import QueueTooLongError
 
@@ -53,6 +59,8 @@
     session: Session
     session_id: int
     route: Route
+    # Account of the caller.
+    account: ClientAccount
     # When the first byte of the request was read, in seconds of the lease clock.
     received_at: float
     # When the route's timeout expires, in seconds of the monotonic clock.
@@ -82,10 +90,14 @@
         self, pool: InstancePool, request: Request, seconds: float
     ) -> PooledConnection:
         """Acquire a connection within `seconds`; raise one of `NOT_SENT_ERRORS` on failure."""
-        session = request.session
-        priority, remaining = request.route.priority, self.remaining_time(request)
-        acquisition = pool.acquire(session.values, request.session_id, priority, remaining)
-        return await self.with_timeout(acquisition, seconds)
+        connection_request = ConnectionRequest(
+            self.remaining_time(request),
+            request.account,
+            request.route.priority,
+            request.session.values,
+            request.session_id,
+        )
+        return await self.with_timeout(pool.acquire(connection_request), seconds)
 
     async def prepare_connection(
         self,
@@ -93,15 +105,14 @@
         connection: PooledConnection,
         values: Mapping[str, str],
         statement: ExecutableStatement | None,
-        priority: int,
-        seconds: float,
+        options: RequestOptions,
     ) -> None:
         """Set the session's values and prepare the statement on a connection, where needed.
 
         Raise one of `NOT_SENT_ERRORS` or `PreparationError` on failure; the connection is unusable
         afterwards.
         """
-        connection.link.set_next_request_options(priority, seconds)
+        connection.link.set_next_request_options(options)
         prepared_statement = (
             statement.prepared_statement if isinstance(statement, ExecutePrepared) else None
         )
@@ -112,7 +123,7 @@
         connection.is_usable = False
         try:
             for step, deferred in pending:
-                reply = await self.with_timeout(deferred, seconds)
+                reply = await self.with_timeout(deferred, options.timeout)
                 if reply.failure is not None:
                     raise PreparationError("prepare", pool.entry.id, reply.failure.code.value)
                 connection.state = connection.state.apply(step)
--- a/orioleplank/gateway/_instance_prober.py
+++ b/orioleplank/gateway/_instance_prober.py
@@ -15,6 +15,7 @@
 from orioleplank.decision.instances import InstanceEntry, InstanceState
 from orioleplank.decision.membership import PeerMessage, ProxyRecord, ReachAsked, ReachTold
 from orioleplank.gateway._cluster_state import ClusterState
+from orioleplank.gateway._connection_request import ConnectionRequest
 from orioleplank.gateway._interfaces import (
     InstanceLink,
     InstanceRefusedError,
@@ -69,8 +70,7 @@
         outcome is recorded in the pool.
         """
         try:
-            # No session (id 0), and priority 0, the highest.
-            acquisition = pool.acquire({}, 0, 0, REPORT_TIMEOUT_S, is_probe=True)
+            acquisition = pool.acquire(ConnectionRequest(REPORT_TIMEOUT_S, is_probe=True))
             connection = await acquisition.addTimeout(REPORT_TIMEOUT_S, self._reactor)
         except PROBE_ERRORS as error:
             if isinstance(error, TwistedTimeoutError | CancelledError):
@@ -121,8 +121,7 @@
         failure.
         """
         try:
-            # No session (id 0), and priority 0, the highest.
-            acquisition = pool.acquire({}, 0, 0, REPORT_TIMEOUT_S, is_probe=True)
+            acquisition = pool.acquire(ConnectionRequest(REPORT_TIMEOUT_S, is_probe=True))
             connection = await acquisition.addTimeout(REPORT_TIMEOUT_S, self._reactor)
         except PROBE_ERRORS:
             return False
--- a/orioleplank/gateway/_interfaces.py
+++ b/orioleplank/gateway/_interfaces.py
@@ -10,6 +10,7 @@
 
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision import Position
+from orioleplank.decision.accounts import ClientAccount
 from orioleplank.decision.failover import InstanceReport
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.decision.session import (
@@ -118,6 +119,17 @@
     records: RecordCollection
 
 
+class RequestOptions(Struct, frozen=True):
+    """How a request is treated on its way to an instance."""
+
+    # Account of its caller.
+    account: ClientAccount
+    # Priority of its route; 0 is the highest.
+    priority: int
+    # Its timeout, in seconds.
+    timeout: float
+
+
 class InstanceLink(Protocol):
     """One open connection to an instance; replies come in the order of the requests.
 
@@ -128,8 +140,12 @@
     def has_replied_on_opening(self) -> bool:
         """True when opening the link required a response of the instance itself."""
 
-    def set_next_request_options(self, priority: int, timeout: float) -> None:
-        """Set the priority of the next request, and its timeout in seconds."""
+    @property
+    def account(self) -> str | None:
+        """Name of the account under which it was opened; None if it serves all accounts."""
+
+    def set_next_request_options(self, options: RequestOptions) -> None:
+        """Set the options of the next request."""
 
     def prepare(self, step: ConnectionSetupStep) -> Deferred[Reply]:
         """Run a step that sets session values or prepares a statement name."""
@@ -175,10 +191,11 @@
     """Opens single connections to instances."""
 
     def dial(
-        self, entry: InstanceEntry, tunnel_route: TunnelRoute | None
+        self, entry: InstanceEntry, tunnel_route: TunnelRoute | None, account: str
     ) -> Deferred[InstanceLink]:
         """Open a connection: direct if `tunnel_route` is None, otherwise through that tunnel.
 
+        The instance is told the name of `account`; of this proxy if it is empty.
         Fails with `InstanceUnreachableError`, or with `InstanceRefusedError` when a different
         instance answers or the instance has no free connection.
         """
@@ -231,5 +248,8 @@
 class SessionFactory(Protocol):
     """Opens sessions for callers."""
 
-    def open(self, link: CallerLink, database: str) -> CallerSession | None:
-        """Open a session to a database; None when it was refused on the link."""
+    def open(self, link: CallerLink, database: str, key: str) -> CallerSession | None:
+        """Open a session to a database; None when it was refused on the link.
+
+        `key` is what the caller identifies itself with.
+        """
--- a/orioleplank/gateway/_outcome.py
+++ b/orioleplank/gateway/_outcome.py
@@ -41,7 +41,22 @@
 
     `retry_after` is the number of seconds after which a retry may succeed; None if unknown.
     """
-    text = f"program {step}: {detail}"
+    return _build_refusal(f"program {step}: {detail}", code, step, instance, retry_after)
+
+
+def refuse_by_operator(
+    code: FailureCode, step: str, detail: str, retry_after: float | None = None
+) -> Refused:
+    """Build a refusal that follows from the operator's configuration and not from a fault.
+
+    `retry_after` is the number of seconds after which a retry may succeed; None if unknown.
+    """
+    return _build_refusal(f"operator {step}: {detail}", code, step, "", retry_after)
+
+
+def _build_refusal(
+    text: str, code: FailureCode, step: str, instance: str, retry_after: float | None
+) -> Refused:
     if retry_after is not None:
         text = f"{text}; retry after {retry_after:.2f} s"
     return Refused(Failure(code, text, retry_after), step, instance)
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
+from collections import Counter
+from collections.abc import Callable
 
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.python.failure import Failure
@@ -19,6 +20,7 @@
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.decision.session import plan_connection_setup
 from orioleplank.gateway._connection import PooledConnection
+from orioleplank.gateway._connection_request import ConnectionRequest
 from orioleplank.gateway._interfaces import (
     InstanceLink,
     InstanceRefusedError,
@@ -52,14 +54,15 @@
     """Connections, or forwarding links, of this proxy to one incarnation of an instance.
 
     Opens them on demand up to `connection_limit`, queues requests for them, and records what the
-    replies and failures show about the instance. A proxy that forwards statements may have a second
-    pool of the same instance, for connections of its own.
+    replies and failures show about the instance. A connection belongs to one account; at the limit
+    an idle connection of another account is closed for a request that has none. A proxy that
+    forwards statements may have a second pool of the same instance, for connections of its own.
     """
 
     def __init__(
         self,
         entry: InstanceEntry,
-        dial: Callable[[InstanceEntry, Callable[[], None]], Deferred[InstanceLink]],
+        dial: Callable[[InstanceEntry, Callable[[], None], str], Deferred[InstanceLink]],
         now: Callable[[], float],
         connection_limit: Callable[[InstanceEntry], int],
         on_problem: Callable[[str], None],
@@ -72,12 +75,14 @@
         self._connection_limit = connection_limit
         self._on_problem = on_problem
         self._generation = 0
+        # Idle connections, the least recently used first.
         self._idle: list[PooledConnection] = []
         # Connections in use, each with the time at which it was taken, in seconds.
         self._in_use: dict[PooledConnection, float] = {}
         # Mean time for which a connection stays in use, in seconds.
         self._mean_hold_time = INITIAL_LATENCY_S
-        self._opening = 0
+        # Numbers of connections that are being opened, by the account's name.
+        self._opening: Counter[str] = Counter()
         self._waiters = WaitQueue(now, mechanisms)
         self._closed = False
         self._retry_at = 0.0
@@ -111,7 +116,7 @@
     @property
     def size(self) -> int:
         """Number of connections that are open or being opened."""
-        return len(self._idle) + len(self._in_use) + self._opening
+        return len(self._idle) + len(self._in_use) + self._opening.total()
 
     @property
     def latency(self) -> float:
@@ -198,38 +203,29 @@
 
     # Connections.
 
-    def acquire(
-        self,
-        values: Mapping[str, str],
-        session_id: int,
-        priority: int,
-        remaining_time: float,
-        is_probe: bool = False,
-    ) -> Deferred[PooledConnection]:
+    def acquire(self, request: ConnectionRequest) -> Deferred[PooledConnection]:
         """Return an idle connection that needs the least setup, or wait for one.
 
-        `remaining_time` is the time until the deadline of the work, in seconds. Only a probe gets a
-        connection to a suspected instance, and a probe is not refused because of a long queue.
-        Fails with `InstanceUnreachableError`, `InstanceRefusedError` or `QueueTooLongError`.
+        Only a probe gets a connection to a suspected instance, and a probe is not refused because
+        of a long queue. Fails with `InstanceUnreachableError`, `InstanceRefusedError` or
+        `QueueTooLongError`.
         """
         if self._closed:
             error = InstanceUnreachableError("take connection", self.entry.id, "it is gone")
             return fail(error)
-        connection = self._take_idle(values, session_id)
+        connection = self._take_idle(request)
         if connection is not None:
             return succeed(connection)
-        if (self.is_suspect and not is_probe) or not self._may_get_connection():
+        if (self.is_suspect and not request.is_probe) or not self._may_get_connection():
             error = InstanceUnreachableError("take connection", self.entry.id, "it was unreachable")
             return fail(error)
         admission = decide_admission(
-            self._queue_load(priority, remaining_time).expected_wait, remaining_time
+            self._queue_load(request).expected_wait, request.remaining_time
         )
         refuses_early = self._mechanisms.is_on(Mechanism.EARLY_REFUSAL)
-        if isinstance(admission, AdmissionRefused) and refuses_early and not is_probe:
+        if isinstance(admission, AdmissionRefused) and refuses_early and not request.is_probe:
             return fail(QueueTooLongError(self.entry.id, admission.retry_after))
-        result = self._waiters.enqueue(
-            priority, remaining_time, values, session_id, waits_until_timeout=is_probe
-        )
+        result = self._waiters.enqueue(request)
         self._open_needed_connections()
         return result
 
@@ -289,43 +285,77 @@
             InstanceUnreachableError("take connection", self.entry.id, "it left")
         )
 
-    def _take_idle(self, values: Mapping[str, str], session_id: int) -> PooledConnection | None:
-        if not self._idle:
+    def _take_idle(self, request: ConnectionRequest) -> PooledConnection | None:
+        usable = [c for c in reversed(self._idle) if request.may_use(c.link.account)]
+        if not usable:
             return None
 
         def setup_cost(connection: PooledConnection) -> tuple[int, bool]:
-            steps = len(plan_connection_setup(connection.state, values, None))
-            return steps, connection.last_session_id != session_id
+            steps = len(plan_connection_setup(connection.state, request.values, None))
+            return steps, connection.last_session_id != request.session_id
 
-        best = min(reversed(self._idle), key=setup_cost)
+        best = min(usable, key=setup_cost)
         self._idle.remove(best)
-        best.last_session_id = session_id
+        best.last_session_id = request.session_id
         self._in_use[best] = self._now()
         return best
 
-    def _queue_load(self, priority: int, remaining_time: float) -> QueueLoad:
-        """Return the load of the queue for a new request that has `remaining_time` seconds."""
-        waiters_ahead = self._waiters.count_ahead(priority, remaining_time)
+    def _has_idle(self, request: ConnectionRequest) -> bool:
+        return any(request.may_use(connection.link.account) for connection in self._idle)
+
+    def _queue_load(self, request: ConnectionRequest) -> QueueLoad:
+        """Return the load of the queue for a new request."""
+        waiters_ahead = self._waiters.count_ahead(request)
         return QueueLoad(waiters_ahead, self._connection_limit(self.entry), self._mean_hold_time)
 
     def _may_get_connection(self) -> bool:
         """Return whether a connection may become free or may be opened soon."""
-        return bool(self._in_use or self._opening) or self._now() >= self._retry_at
+        return self.size > len(self._idle) or self._now() >= self._retry_at
 
     def _open_needed_connections(self) -> None:
-        while self._opening < len(self._waiters) and self.size < max(
-            1, self._connection_limit(self.entry)
-        ):
-            if self._now() < self._retry_at:
+        """Open a connection for each waiter for which none is being opened, in their order.
+
+        At the limit an idle connection is closed instead, since no waiter can use it.
+        """
+        if not len(self._waiters) or not self._has_room:
+            return
+        covered = Counter(self._opening)
+        for request in self._waiters.requests:
+            if self._now() < self._retry_at or self._closed:
                 return
-            self._opening += 1
-            dialing = self._dial(self.entry, self.record_failure)
-            dialing.addCallbacks(
-                self._handle_opened, self._handle_dial_failure, callbackArgs=(self._generation,)
-            )
-
-    def _handle_opened(self, link: InstanceLink, generation: int) -> None:
-        self._opening -= 1
+            account = request.account.name
+            if covered[account] > 0:
+                covered[account] -= 1
+            elif self._make_room():
+                self._open_connection(account)
+            else:
+                return
+
+    @property
+    def _has_room(self) -> bool:
+        """True if a connection may be opened, possibly in the place of an idle one."""
+        return bool(self._idle) or self.size < max(1, self._connection_limit(self.entry))
+
+    def _make_room(self) -> bool:
+        """Close idle connections at the limit; return whether a connection may be opened."""
+        while self.size >= max(1, self._connection_limit(self.entry)):
+            if not self._idle:
+                return False
+            self._idle.pop(0).link.close()
+        return True
+
+    def _open_connection(self, account: str) -> None:
+        self._opening[account] += 1
+        dialing = self._dial(self.entry, self.record_failure, account)
+        dialing.addCallbacks(
+            self._handle_opened,
+            self._handle_dial_failure,
+            callbackArgs=(account, self._generation),
+            errbackArgs=(account,),
+        )
+
+    def _handle_opened(self, link: InstanceLink, account: str, generation: int) -> None:
+        self._opening[account] -= 1
         self._dial_failures = 0
         self._retry_at = 0.0
         if link.has_replied_on_opening:
@@ -336,8 +366,8 @@
         self._idle.append(PooledConnection(link, generation=generation))
         self._serve_waiters()
 
-    def _handle_dial_failure(self, failure: Failure) -> None:
-        self._opening -= 1
+    def _handle_dial_failure(self, failure: Failure, account: str) -> None:
+        self._opening[account] -= 1
         if failure.check(InstanceRefusedError):
             self.record_reply()
             self._retry_at = self._now() + REFUSED_BACKOFF_S
@@ -346,14 +376,16 @@
             self._dial_failures = min(self._dial_failures + 1, 8)
             self._retry_at = self._now() + min(DIAL_BACKOFF_MAX_S, backoff)
             self.record_failure()
-        if not self._in_use and not self._opening:
+        if self.size == len(self._idle):
             assert failure.value is not None
             self._waiters.fail_all(failure.value)
 
     def _serve_waiters(self) -> None:
-        while self._idle and len(self._waiters):
-            waiter = self._waiters.pop_first()
-            connection = self._take_idle(waiter.values, waiter.session_id)
+        while self._idle:
+            waiter = self._waiters.pop_first(self._has_idle)
+            if waiter is None:
+                break
+            connection = self._take_idle(waiter.request)
             assert connection is not None
             waiter.result.callback(connection)
         self._waiters.refuse_expiring(
--- a/orioleplank/gateway/_session_table.py
+++ b/orioleplank/gateway/_session_table.py
@@ -12,7 +12,12 @@
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._interfaces import CallerLink
 from orioleplank.gateway._metrics import Metrics
-from orioleplank.gateway._sessions import SHUTDOWN_REASON, SessionDependencies, SessionTask
+from orioleplank.gateway._sessions import (
+    SHUTDOWN_REASON,
+    UNKNOWN_KEY_REASON,
+    SessionDependencies,
+    SessionTask,
+)
 from orioleplank.gateway._statements import StatementExecutor
 from orioleplank.gateway._transactions import TransactionExecutor
 
@@ -49,9 +54,9 @@
     def __len__(self) -> int:
         return len(self._tasks)
 
-    def open(self, link: CallerLink, database: str) -> SessionTask | None:
+    def open(self, link: CallerLink, database: str, key: str) -> SessionTask | None:
         """Open a session; return None if it was refused."""
-        refusal = self._find_refusal(database)
+        refusal = self._find_refusal(database, key)
         awaits_configuration = (
             self._dependencies.cluster_state.routes.version == 0
             and self._dependencies.cluster_state.is_starting
@@ -59,17 +64,18 @@
         if refusal is not None and not awaits_configuration:
             link.refuse(refusal)
             return None
-        task = SessionTask(next(self._session_numbers), link, database, self._dependencies)
+        number = next(self._session_numbers)
+        task = SessionTask(number, link, database, key, self._dependencies)
         self._tasks.add(task)
         if awaits_configuration:
-            Deferred.fromCoroutine(self._accept_when_configured(task, link, database)).addErrback(
-                self._handle_internal_error
-            )
+            Deferred.fromCoroutine(
+                self._accept_when_configured(task, link, database, key)
+            ).addErrback(self._handle_internal_error)
         else:
             link.send_ready()
         return task
 
-    def _find_refusal(self, database: str) -> Failure | None:
+    def _find_refusal(self, database: str, key: str) -> Failure | None:
         """Return why a session cannot be opened; None if it can."""
         cluster_state = self._dependencies.cluster_state
         if cluster_state.routes.version == 0:
@@ -78,12 +84,15 @@
         if route is None:
             detail = f"program find route: no route is called {database[:60]}"
             return Failure(FailureCode.UNKNOWN_DATABASE, detail)
+        if cluster_state.identify(key, route) is None:
+            detail = f"operator open session: {UNKNOWN_KEY_REASON}"
+            return Failure(FailureCode.UNAUTHENTICATED, detail)
         if not cluster_state.accepts_request(route.timeout):
             return Failure(FailureCode.BUSY, f"program open session: {SHUTDOWN_REASON}")
         return None
 
     async def _accept_when_configured(
-        self, task: SessionTask, link: CallerLink, database: str
+        self, task: SessionTask, link: CallerLink, database: str, key: str
     ) -> None:
         """Accept or refuse a session opened during start, once the configuration is known."""
         cluster_state = self._dependencies.cluster_state
@@ -91,7 +100,7 @@
             await cluster_state.changed.wait(START_CHECK_INTERVAL_S)
         if task not in self._tasks:
             return
-        refusal = self._find_refusal(database)
+        refusal = self._find_refusal(database, key)
         if refusal is None:
             link.send_ready()
         else:
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure as TwistedFailure
 
+from orioleplank.decision.accounts import ClientAccount
 from orioleplank.decision.instances import Route
 from orioleplank.decision.session import (
     Begin,
@@ -37,12 +38,20 @@
 from orioleplank.gateway._instance_executor import Request
 from orioleplank.gateway._interfaces import CallerLink
 from orioleplank.gateway._metrics import Metrics
-from orioleplank.gateway._outcome import Completed, Outcome, refuse
+from orioleplank.gateway._outcome import (
+    Completed,
+    Outcome,
+    Refused,
+    refuse,
+    refuse_by_operator,
+)
 from orioleplank.gateway._statements import StatementExecutor
 from orioleplank.gateway._transactions import Transaction, TransactionExecutor
 
 # Why a request is refused while the proxy shuts down.
 SHUTDOWN_REASON = "this proxy is stopping; use another connection"
+# Why a caller is refused whose key no account has.
+UNKNOWN_KEY_REASON = "the key belongs to no account of the configuration"
 # Number of pending requests of one session from which on reading from its caller is paused.
 MAX_PENDING_REQUESTS = 4
 
@@ -71,10 +80,17 @@
     """
 
     def __init__(
-        self, number: int, link: CallerLink, database: str, dependencies: SessionDependencies
+        self,
+        number: int,
+        link: CallerLink,
+        database: str,
+        key: str,
+        dependencies: SessionDependencies,
     ) -> None:
         self.number = number
         self._link = link
+        # Identifies the caller; never logged or sent on.
+        self._key = key
         self._dependencies = dependencies
         self._session = Session(database)
         self._pending_requests: deque[_PendingRequest] = deque()
@@ -234,9 +250,12 @@
         route = cluster_state.route(self._session.database)
         if route is None:
             return self._refuse(pending, self._route_refusal())
+        account = cluster_state.identify(self._key, route)
+        if account is None:
+            return self._refuse(pending, _refuse_key("begin"))
         if not cluster_state.accepts_transaction():
             return self._refuse(pending, refuse(FailureCode.BUSY, "begin", SHUTDOWN_REASON))
-        self._transaction = Transaction(read_only, pending.received_at)
+        self._transaction = Transaction(read_only, pending.received_at, account)
         self._transaction_route = route
         self._session = self._session.with_phase(SessionPhase.IN_TRANSACTION)
         return Reply()
@@ -259,7 +278,10 @@
             detail = "the transaction failed and was rolled back"
             return self._refuse(pending, refuse(FailureCode.ABORTED, "commit", detail))
         assert self._transaction_route is not None
-        request = self._build_request(pending, self._transaction_route)
+        if not self._is_account_unchanged(transaction):
+            await self._dependencies.transactions.roll_back_transaction(transaction)
+            return self._refuse(pending, _refuse_withdrawn_key("commit"))
+        request = self._build_request(pending, self._transaction_route, transaction.account)
         outcome = await self._dependencies.transactions.commit(transaction, request)
         if isinstance(outcome, Completed) and transaction.has_written:
             self._session = self._session.record_commit(outcome.reply.position)
@@ -282,9 +304,12 @@
         route = cluster_state.route(self._session.database)
         if route is None:
             return self._refuse(pending, self._route_refusal())
+        account = cluster_state.identify(self._key, route)
+        if account is None:
+            return self._refuse(pending, _refuse_key("admit"))
         if not cluster_state.accepts_request(route.timeout):
             return self._refuse(pending, refuse(FailureCode.BUSY, "admit", SHUTDOWN_REASON))
-        request = self._build_request(pending, route)
+        request = self._build_request(pending, route, account)
         statements = self._dependencies.statements
         run = statements.run_write if is_write(resolved) else statements.run_read
         outcome = await run(request, resolved)
@@ -309,7 +334,11 @@
         self, pending: _PendingRequest, transaction: Transaction, statement: ExecutableStatement
     ) -> Reply:
         assert self._transaction_route is not None
-        request = self._build_request(pending, self._transaction_route)
+        if not self._is_account_unchanged(transaction):
+            await self._roll_back_open_transaction()
+            self._session = self._session.with_phase(SessionPhase.FAILED)
+            return self._refuse(pending, _refuse_withdrawn_key("run in transaction"))
+        request = self._build_request(pending, self._transaction_route, transaction.account)
         outcome, remains_open = await self._dependencies.transactions.run(
             transaction, request, statement
         )
@@ -318,12 +347,25 @@
             self._session = self._session.with_phase(SessionPhase.FAILED)
         return self._build_reply(pending, request, outcome)
 
+    def _is_account_unchanged(self, transaction: Transaction) -> bool:
+        """Return whether the caller's key still belongs to the account that began it."""
+        assert self._transaction_route is not None
+        account = self._dependencies.cluster_state.identify(self._key, self._transaction_route)
+        return account is not None and account.name == transaction.account.name
+
     # Replies.
 
-    def _build_request(self, pending: _PendingRequest, route: Route) -> Request:
-        deadline = pending.arrived_at + route.timeout
+    def _build_request(
+        self, pending: _PendingRequest, route: Route, account: ClientAccount
+    ) -> Request:
         return Request(
-            pending.request_id, self._session, self.number, route, pending.received_at, deadline
+            pending.request_id,
+            self._session,
+            self.number,
+            route,
+            account,
+            pending.received_at,
+            pending.arrived_at + route.timeout,
         )
 
     def _route_refusal(self) -> Outcome:
@@ -353,6 +395,7 @@
             session=self.number,
             database=self._session.database[:60],
             service=service,
+            account=request.account.name if request else "",
             statement=type(pending.statement).__name__,
             code=outcome.failure.code.value,
             step=outcome.step,
@@ -367,6 +410,15 @@
         return Reply(failure=outcome.failure)
 
 
+def _refuse_key(step: str) -> Refused:
+    return refuse_by_operator(FailureCode.UNAUTHENTICATED, step, UNKNOWN_KEY_REASON)
+
+
+def _refuse_withdrawn_key(step: str) -> Refused:
+    detail = "the key was withdrawn or given to another account; the transaction was rolled back"
+    return refuse_by_operator(FailureCode.ABORTED, step, detail)
+
+
 class SessionDependencies(Struct, frozen=True):
     """Dependencies and callbacks that all sessions of a proxy share."""
 
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -29,6 +29,7 @@
     PreparationError,
     Request,
 )
+from orioleplank.gateway._interfaces import RequestOptions
 from orioleplank.gateway._outcome import Completed, Outcome, Refused, refuse
 from orioleplank.gateway._pool import INITIAL_LATENCY_S, InstancePool
 from orioleplank.gateway._wait_queue import QueueTooLongError
@@ -373,11 +374,12 @@
         except NOT_SENT_ERRORS as error:
             return refuse(FailureCode.BUSY, "open connection", str(error), pool.entry.id)
         try:
-            values = request.session.values
-            priority = request.route.priority
             # The wait for the connection has used up part of the remaining time.
             seconds = min(seconds, self.remaining_time(request))
-            await self.prepare_connection(pool, connection, values, statement, priority, seconds)
+            options = RequestOptions(request.account, request.route.priority, seconds)
+            await self.prepare_connection(
+                pool, connection, request.session.values, statement, options
+            )
         except (*NOT_SENT_ERRORS, PreparationError) as error:
             pool.discard(connection)
             return refuse(FailureCode.BUSY, "prepare connection", str(error), pool.entry.id)
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -7,6 +7,7 @@
 from msgspec import Struct, field
 from msgspec.structs import replace
 
+from orioleplank.decision.accounts import ClientAccount
 from orioleplank.decision.group import Lease
 from orioleplank.decision.routing import NoInstanceAvailable
 from orioleplank.decision.session import (
@@ -19,6 +20,7 @@
 )
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._instance_executor import NO_REPLY_ERRORS, Request
+from orioleplank.gateway._interfaces import RequestOptions
 from orioleplank.gateway._outcome import Completed, Outcome, Refused, refuse
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._statements import (
@@ -42,6 +44,8 @@
     read_only: bool
     # When the first byte of its begin request was read, in seconds of the lease clock.
     began_at: float
+    # Account of the caller when it began.
+    account: ClientAccount
     # Pool of its connection; None while it has no connection.
     pool: InstancePool | None = None
     # None before its first statement and after its end.
@@ -116,11 +120,9 @@
                 False,
             )
         try:
-            values = request.session.values
-            remaining = statements.remaining_time(request)
-            priority = request.route.priority
+            options = self._build_options(request)
             await statements.prepare_connection(
-                pool, connection, values, statement, priority, remaining
+                pool, connection, request.session.values, statement, options
             )
         except Exception as error:
             self._discard_connection(transaction)
@@ -277,9 +279,7 @@
         assert pool is not None and connection is not None
         while True:
             sent_at = self._cluster_state.lease_clock()
-            connection.link.set_next_request_options(
-                request.route.priority, self._statements.remaining_time(request)
-            )
+            connection.link.set_next_request_options(self._build_options(request))
             pending_reply = connection.link.commit(request.id)
             reply = await self._statements.await_reply(
                 pool, pending_reply, self._statements.remaining_time(request)
@@ -352,6 +352,10 @@
             self._cluster_state.lease_clock()
         )
 
+    def _build_options(self, request: Request) -> RequestOptions:
+        remaining = self._statements.remaining_time(request)
+        return RequestOptions(request.account, request.route.priority, remaining)
+
     def _instance_id(self, transaction: Transaction) -> str:
         return transaction.pool.entry.id if transaction.pool else ""
 
--- a/orioleplank/gateway/_wait_queue.py
+++ b/orioleplank/gateway/_wait_queue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from itertools import count
 from math import inf
 
@@ -14,6 +14,7 @@
 from orioleplank.decision.admission import QueueLoad, find_expiring_waiters
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.gateway._connection import PooledConnection
+from orioleplank.gateway._connection_request import ConnectionRequest
 
 # Interval between checks for waiters that cannot be served before their deadline, in seconds.
 EXPIRY_CHECK_INTERVAL_S = 0.05
@@ -47,11 +48,7 @@
     deadline: float
     # Receives the connection, or the error.
     result: Deferred[PooledConnection]
-    # Values that its session has set.
-    values: Mapping[str, str]
-    session_id: int
-    # True if it is never refused early but waits until its own timeout.
-    waits_until_timeout: bool
+    request: ConnectionRequest
 
 
 class WaitQueue:
@@ -70,26 +67,21 @@
     def __len__(self) -> int:
         return len(self._queue)
 
-    def count_ahead(self, priority: int, remaining_time: float) -> int:
-        """Return how many waiters are served before a new one that has `remaining_time` seconds."""
-        queue_position = (priority, self._deadline_bucket(self._now() + remaining_time))
+    @property
+    def requests(self) -> list[ConnectionRequest]:
+        """The waiting requests, in the order of service."""
+        return [waiter.request for waiter in sorted(self._queue)]
+
+    def count_ahead(self, request: ConnectionRequest) -> int:
+        """Return how many waiters are served before a new request."""
+        deadline = self._now() + request.remaining_time
+        queue_position = (request.priority, self._deadline_bucket(deadline))
         return sum(
             (waiter.priority, waiter.deadline_bucket) <= queue_position for waiter in self._queue
         )
 
-    def enqueue(
-        self,
-        priority: int,
-        remaining_time: float,
-        values: Mapping[str, str],
-        session_id: int,
-        waits_until_timeout: bool = False,
-    ) -> Deferred[PooledConnection]:
-        """Add a waiter that has `remaining_time` seconds; cancelling the result removes it.
-
-        One that `waits_until_timeout` is not refused early: its own timeout is what shows that an
-        instance is unresponsive.
-        """
+    def enqueue(self, request: ConnectionRequest) -> Deferred[PooledConnection]:
+        """Add a request; cancelling the result removes it."""
 
         def remove_waiter(_: object) -> None:
             if waiter in self._queue:
@@ -97,27 +89,29 @@
                 heapq.heapify(self._queue)
 
         result: Deferred[PooledConnection] = Deferred(remove_waiter)
-        deadline = self._now() + remaining_time
-        deadline_bucket, arrival_number = (
+        deadline = self._now() + request.remaining_time
+        waiter = Waiter(
+            request.priority,
             self._deadline_bucket(deadline),
             next(self._arrival_numbers),
-        )
-        waiter = Waiter(
-            priority,
-            deadline_bucket,
-            arrival_number,
             deadline,
             result,
-            values,
-            session_id,
-            waits_until_timeout,
+            request,
         )
         heapq.heappush(self._queue, waiter)
         return result
 
-    def pop_first(self) -> Waiter:
-        """Remove and return the waiter that is served next."""
-        return heapq.heappop(self._queue)
+    def pop_first(self, may_serve: Callable[[ConnectionRequest], bool]) -> Waiter | None:
+        """Remove and return the next waiter that may be served now; None when there is none."""
+        if not self._queue:
+            return None
+        if may_serve(self._queue[0].request):
+            return heapq.heappop(self._queue)
+        waiter = next((w for w in sorted(self._queue) if may_serve(w.request)), None)
+        if waiter is not None:
+            self._queue.remove(waiter)
+            heapq.heapify(self._queue)
+        return waiter
 
     def fail_all(self, error: BaseException) -> None:
         """Remove all waiters and fail their results with `error`."""
@@ -139,8 +133,7 @@
         self._last_expiry_check_at = self._now()
         ordered = sorted(self._queue)
         remaining_times = [
-            inf if waiter.waits_until_timeout else waiter.deadline - self._now()
-            for waiter in ordered
+            inf if waiter.request.is_probe else waiter.deadline - self._now() for waiter in ordered
         ]
         load = QueueLoad(len(ordered), connection_count, mean_hold_time)
         expiring = set(find_expiring_waiters(remaining_times, load))
--- a/orioleplank/gateway/tests/test_pool.py
+++ b/orioleplank/gateway/tests/test_pool.py
@@ -9,6 +9,7 @@
 
 from orioleplank.decision import Position
 from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
+from orioleplank.gateway._connection_request import ConnectionRequest
 from orioleplank.gateway._pool import LAG_BACKOFF_MAX_S, LAG_BACKOFF_MIN_S, InstancePool
 
 REQUESTED_POSITION = Position(3, 100)
@@ -57,6 +58,7 @@
     """A connection that is only closed."""
 
     has_replied_on_opening = True
+    account = ""
 
     def __init__(self) -> None:
         self.is_closed = False
@@ -82,7 +84,8 @@
         pool = InstancePool(entry, dial, lambda: 0.0, lambda _: limit, lambda _: None)
         served: list[Any] = []
         for number in range(8):
-            pool.acquire({}, number, 0, 60.0).addCallback(served.append)
+            request = ConnectionRequest(60.0, session_id=number)
+            pool.acquire(request).addCallback(served.append)
         limit = 2
         for index in range(2):
             pool.release(served[index])
--- a/orioleplank/gateway/tests/test_wait_queue.py
+++ b/orioleplank/gateway/tests/test_wait_queue.py
@@ -9,9 +9,14 @@
 from twisted.python.failure import Failure
 
 from orioleplank.gateway._connection import PooledConnection
+from orioleplank.gateway._connection_request import ConnectionRequest
 from orioleplank.gateway._wait_queue import EXPIRY_CHECK_INTERVAL_S, QueueTooLongError, WaitQueue
 
 
+def _request(name: str, priority: int, remaining_time: float) -> ConnectionRequest:
+    return ConnectionRequest(remaining_time, priority=priority, values={"name": name})
+
+
 class TestWaitQueue(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -22,7 +27,7 @@
     def _enqueue(
         self, name: str, priority: int, remaining_time: float
     ) -> Deferred[PooledConnection]:
-        result = self.queue.enqueue(priority, remaining_time, {"name": name}, 0)
+        result = self.queue.enqueue(_request(name, priority, remaining_time))
 
         def record_refusal(failure: object) -> None:
             self.refused.append(name)
@@ -31,7 +36,8 @@
         return result
 
     def _pop_names(self) -> list[str]:
-        return [self.queue.pop_first().values["name"] for _ in range(len(self.queue))]
+        waiters = [self.queue.pop_first(lambda _: True) for _ in range(len(self.queue))]
+        return [waiter.request.values["name"] for waiter in waiters if waiter is not None]
 
     def test_higher_priority_is_served_first(self) -> None:
         self._enqueue("reads", 2, 0.2)
@@ -41,7 +47,7 @@
     def test_earlier_deadline_is_served_before_later_one(self) -> None:
         self._enqueue("patient", 2, 2.0)
         self._enqueue("urgent", 2, 1.0)
-        self.assertEqual(1, self.queue.count_ahead(2, 1.5))
+        self.assertEqual(1, self.queue.count_ahead(_request("new", 2, 1.5)))
         self.assertEqual(["urgent", "patient"], self._pop_names())
 
     def test_waiters_with_almost_equal_deadlines_are_served_in_order_of_arrival(self) -> None:
@@ -67,7 +73,8 @@
         self.assertEqual(["first", "third"], self._pop_names())
 
     def test_probe_is_not_refused_because_of_its_queue_position(self) -> None:
-        probe = self.queue.enqueue(0, 0.1, {"name": "probe"}, 0, waits_until_timeout=True)
+        request = ConnectionRequest(0.1, values={"name": "probe"}, is_probe=True)
+        probe = self.queue.enqueue(request)
         probe.addErrback(lambda _: self.fail("the probe was refused"))
         self._enqueue("work", 2, 0.1)
         self.now += EXPIRY_CHECK_INTERVAL_S
@@ -82,7 +89,7 @@
             failures.append(failure.value)
 
         for _ in range(3):
-            self.queue.enqueue(2, 0.1, {}, 0).addErrback(record_refusal)
+            self.queue.enqueue(_request("work", 2, 0.1)).addErrback(record_refusal)
         self.now += EXPIRY_CHECK_INTERVAL_S
         self.queue.refuse_expiring("i-1", 1, 0.2)
         self.assertEqual(3, len(failures))
--- a/orioleplank/platform/_caller.py
+++ b/orioleplank/platform/_caller.py
@@ -146,9 +146,8 @@
 
     def _open_session(self, rest: str) -> None:
         self._cancel_timer()
-        # The text after the database is the name of the caller, which is not used.
-        database, _, _ = rest.partition(" ")
-        self._session = self._sessions.open(self, database)
+        database, _, key = rest.partition(" ")
+        self._session = self._sessions.open(self, database, key)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None and self._timer.active():
--- a/orioleplank/platform/_codec.py
+++ b/orioleplank/platform/_codec.py
@@ -53,6 +53,7 @@
         FailureCode.EXECUTION_FAILED: "EXECFAIL",
         FailureCode.UNKNOWN_NAME: "NOSTMT",
         FailureCode.UNKNOWN_DATABASE: "NODB",
+        FailureCode.UNAUTHENTICATED: "AUTHFAIL",
         FailureCode.TOO_LARGE: "TOOBIG",
         FailureCode.MALFORMED: "MALFORMED",
         FailureCode.UNKNOWN: "INDOUBT",
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -21,6 +21,7 @@
     InstanceLink,
     InstanceRefusedError,
     InstanceUnreachableError,
+    RequestOptions,
     TunnelRoute,
 )
 from orioleplank.platform import _codec as codec
@@ -28,7 +29,7 @@
 # Timeout for opening a connection, and for its greeting; it allows for several round trips between
 # regions.
 DIAL_TIMEOUT_S = 1.0
-# Caller name under which the proxy connects to instances.
+# Caller name under which the proxy connects to instances for callers without an account.
 PROXY_CALLER_NAME = "orioleplank"
 
 # Columns of a report that are read: role, term, received position, and as the sixth one the running
@@ -59,8 +60,9 @@
     delimiter = b"\r\n"
     MAX_LENGTH = codec.MAX_MESSAGE_BYTES
 
-    def __init__(self, entry: InstanceEntry, prologue: bytes = b"") -> None:
+    def __init__(self, entry: InstanceEntry, prologue: bytes = b"", account: str = "") -> None:
         self._entry = entry
+        self._account = account
         self._prologue = prologue
         self._pending_requests: deque[_PendingRequest] = deque()
         self.greeted: Deferred[InstanceLink] = Deferred()
@@ -73,7 +75,12 @@
         """True: opening this connection has shown that the instance responds."""
         return True
 
-    def set_next_request_options(self, priority: int, timeout: float) -> None:
+    @property
+    def account(self) -> str:
+        """Name of the account under which the connection was opened; empty for the proxy."""
+        return self._account
+
+    def set_next_request_options(self, options: RequestOptions) -> None:
         """Do nothing; the instance handles statements in order of arrival."""
 
     def prepare(self, step: ConnectionSetupStep) -> Deferred[Reply]:
@@ -133,7 +140,8 @@
         set_tcp_timeouts(transport.getHandle())
         if self._prologue:
             transport.write(self._prologue)
-        self._send(f"STARTUP {self._entry.service} {PROXY_CALLER_NAME} {self._entry.id}")
+        caller = self._account or PROXY_CALLER_NAME
+        self._send(f"STARTUP {self._entry.service} {caller} {self._entry.id}")
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Handle one message; an unexpected one closes the connection."""
@@ -242,16 +250,18 @@
         self._reactor = reactor
 
     def dial(
-        self, entry: InstanceEntry, tunnel_route: TunnelRoute | None
+        self, entry: InstanceEntry, tunnel_route: TunnelRoute | None, account: str
     ) -> Deferred[InstanceLink]:
         """Open a connection, directly or through another proxy, and wait for its greeting.
 
+        The instance is told the name of `account`; of this proxy if it is empty.
+
         Fails with `InstanceUnreachableError` or `InstanceRefusedError`.
         """
         address = tunnel_route.address if tunnel_route else entry.address
         host, _, port = address.rpartition(":")
         prologue = tunnel_route.prologue if tunnel_route else b""
-        creator = ClientCreator(self._reactor, InstanceProtocol, entry, prologue)
+        creator = ClientCreator(self._reactor, InstanceProtocol, entry, prologue, account)
 
         def convert_error(failure: TwistedFailure) -> TwistedFailure:
             if isinstance(failure.value, OrioleplankError):
--- a/orioleplank/platform/_objects.py
+++ b/orioleplank/platform/_objects.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Mapping, Sequence
 from ipaddress import IPv4Address
 from types import MappingProxyType
 from typing import Annotated, Any, Literal
@@ -14,6 +15,7 @@
 from msgspec import Struct
 
 from orioleplank.decision import build_revision
+from orioleplank.decision.accounts import AccountTable, ClientAccount, RateLimit
 from orioleplank.decision.instances import (
     DEFAULT_TRANSACTION_IDLE_S,
     Consistency,
@@ -38,6 +40,8 @@
 _Name = Annotated[str, msgspec.Meta(pattern=r"\A[!-~]{1,200}\Z")]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 _PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+_Priority = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
 _MAX_PORT = 65535
 
@@ -86,7 +90,16 @@
     service: _Name
     timeoutMs: _Milliseconds = 1000.0  # noqa: N815
     maxStalenessMs: _Milliseconds = 0.0  # noqa: N815
-    priority: Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)] = 0
+    priority: _Priority = 0
+    public: bool = False
+
+
+class _WireAccount(msgspec.Struct, frozen=True):
+    name: _Name
+    apiKeys: list[str]  # noqa: N815
+    priority: _Priority = 0
+    ratePerS: _Rate | None = None  # noqa: N815
+    burst: _Rate | None = None
 
 
 class _WireService(msgspec.Struct, frozen=True):
@@ -104,6 +117,8 @@
     routes: list[_WireRoute]
     services: list[_WireService]
     limits: _WireLimits = _WireLimits()
+    # Each account is parsed separately, so that an invalid one does not affect the others.
+    tenants: list[Any] | None = None
 
 
 _CONSISTENCY = MappingProxyType(
@@ -164,9 +179,31 @@
         {route.host: _convert_route(route) for route in wire.routes},
         {s.name: ServiceLimits(s.maxConns, s.syncReplicas) for s in wire.services},
         DEFAULT_TRANSACTION_IDLE_S if idle_ms is None else idle_ms / 1000,
+        None if wire.tenants is None else _convert_accounts(wire.tenants),
     )
 
 
+def _convert_accounts(values: Sequence[object]) -> AccountTable:
+    """Return the valid accounts; a key that several of them claim belongs to none."""
+    by_key: dict[str, ClientAccount] = {}
+    claims: Counter[str] = Counter()
+    for value in values:
+        wire = _convert(value, _WireAccount)
+        if wire is None:
+            continue
+        account = ClientAccount(wire.name, wire.priority, _convert_limit(wire))
+        keys = set(wire.apiKeys)
+        claims.update(keys)
+        by_key.update(dict.fromkeys(keys, account))
+    return AccountTable({key: account for key, account in by_key.items() if claims[key] == 1})
+
+
+def _convert_limit(wire: _WireAccount) -> RateLimit | None:
+    if wire.ratePerS is None:
+        return None
+    return RateLimit(wire.ratePerS, wire.ratePerS if wire.burst is None else wire.burst)
+
+
 def _convert_route(wire: _WireRoute) -> Route:
     return Route(
         wire.host,
@@ -175,6 +212,7 @@
         wire.timeoutMs / 1000,
         wire.maxStalenessMs / 1000,
         wire.priority,
+        wire.public,
     )
 
 
--- a/orioleplank/platform/tests/test_caller.py
+++ b/orioleplank/platform/tests/test_caller.py
@@ -42,9 +42,11 @@
     def __init__(self) -> None:
         self.session = _Session()
         self.databases: list[str] = []
+        self.keys: list[str] = []
 
-    def open(self, link: CallerLink, database: str) -> _Session | None:
+    def open(self, link: CallerLink, database: str, key: str) -> _Session | None:
         self.databases.append(database)
+        self.keys.append(key)
         if database == "nowhere":
             link.refuse(Failure(FailureCode.UNKNOWN_DATABASE, "program find route: no"))
             return None
@@ -91,6 +93,7 @@
     def test_session_is_opened_for_the_database_in_the_start_message(self) -> None:
         self.assertEqual(b"READY I -\r\n", self.feed(b"STARTUP lepu270 u3f1\r\n"))
         self.assertEqual(["lepu270"], self.sessions.databases)
+        self.assertEqual(["u3f1"], self.sessions.keys)
 
     def test_unknown_database_is_refused_and_closed(self) -> None:
         sent = self.feed(b"STARTUP nowhere u3f1\r\n")
--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -391,10 +391,10 @@
 
     # Callers.
 
-    def open_session(self, node: GatewayNode, database: str) -> SimulatedCaller:
-        """Open a session of a database at a proxy."""
+    def open_session(self, node: GatewayNode, database: str, key: str = "") -> SimulatedCaller:
+        """Open a session of a database at a proxy, for a caller with this key."""
         caller = SimulatedCaller()
-        caller.session = node.gateway.sessions.open(caller, database)
+        caller.session = node.gateway.sessions.open(caller, database, key)
         node.callers.append(caller)
         return caller
 
--- a/orioleplank/tests/_simulated_dialer.py
+++ b/orioleplank/tests/_simulated_dialer.py
@@ -33,9 +33,9 @@
         self.links: list[tuple[str, SimulatedLink]] = []
 
     def dial(
-        self, entry: InstanceEntry, tunnel_route: TunnelRoute | None
+        self, entry: InstanceEntry, tunnel_route: TunnelRoute | None, account: str
     ) -> Deferred[InstanceLink]:
-        """Open a connection to an instance.
+        """Open a connection for an account to an instance.
 
         Fails with InstanceRefusedError if the instance no longer exists, and with
         InstanceUnreachableError if the instance is dead (at once) or does not respond within
@@ -52,7 +52,7 @@
             relay = self._find_proxy(tunnel_route.address)
 
         def open_link() -> None:
-            link = SimulatedLink(self._group, self._node, member, relay)
+            link = SimulatedLink(self._group, self._node, member, relay, account)
             self.links.append((member.name, link))
 
             def complete() -> None:
--- a/orioleplank/tests/_simulated_links.py
+++ b/orioleplank/tests/_simulated_links.py
@@ -28,7 +28,11 @@
     TransactionState,
     Write,
 )
-from orioleplank.gateway import InstanceRefusedError, InstanceUnreachableError
+from orioleplank.gateway import (
+    InstanceRefusedError,
+    InstanceUnreachableError,
+    RequestOptions,
+)
 from orioleplank.tests._simulated_instances import (
     CommitEntry,
     ExecutionRecord,
@@ -64,7 +68,9 @@
         node: Node,
         member: SimulatedInstance,
         relay: Node | None = None,
+        account: str = "",
     ) -> None:
+        self._account = account
         self._relay = relay
         self._group = group
         self._simulator = group.simulator
@@ -94,7 +100,12 @@
         """Return True: the handshake has shown that the instance itself responds."""
         return True
 
-    def set_next_request_options(self, priority: int, timeout: float) -> None:
+    @property
+    def account(self) -> str:
+        """Return the name of the account under which the connection was opened."""
+        return self._account
+
+    def set_next_request_options(self, options: RequestOptions) -> None:
         """Do nothing: an instance processes requests in the order of their arrival."""
 
     def prepare(self, step: ConnectionSetupStep) -> Deferred[Reply]:
