Accounts: odd entries are reported; tests on whole gateways and under random faults

Cause: an account that cannot be read, or a key that two accounts have, was left out without a word.

Change: event 1502 names the account by its place in the list, or the accounts that have a common key, never a key. Executions of simulated instances record the account, and the audit of the random faults checks it while keys change.

Ruled out: refusing the whole configuration for one odd account, which would also stop the others.

--- a/orioleplank/gateway/tests/test_pool.py
+++ b/orioleplank/gateway/tests/test_pool.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from orioleplank.decision import Position
+from orioleplank.decision.accounts import ClientAccount
 from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
 from orioleplank.gateway._connection_request import ConnectionRequest
 from orioleplank.gateway._pool import LAG_BACKOFF_MAX_S, LAG_BACKOFF_MIN_S, InstancePool
@@ -93,3 +94,102 @@
         for index in range(2, 6):
             pool.release(served[index])
         self.assertEqual(8, len(served))
+
+
+class _AccountLink(_Link):
+    """A connection that was opened for an account."""
+
+    def __init__(self, account: str) -> None:
+        super().__init__()
+        self.account = account
+
+
+class TestAccounts(testtools.TestCase):
+    """A connection belongs to the account under which it was opened."""
+
+    limit = 3
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.links: list[_AccountLink] = []
+        # Connections that are being opened, with their accounts.
+        self.dialing: list[tuple[Deferred[Any], str]] = []
+        entry = InstanceEntry(
+            "i-1", "books", "10.0.0.9:1", "a", InstanceState.READY, DbRole.PRIMARY, 5
+        )
+        self.pool = InstancePool(
+            entry, self._dial, lambda: 0.0, lambda _: self.limit, lambda _: None
+        )
+
+    def _dial(self, entry: object, on_unreachable: object, account: str) -> Any:
+        opened: Deferred[Any] = Deferred()
+        self.dialing.append((opened, account))
+        return opened
+
+    def _open_all(self) -> None:
+        """Complete the opening of all connections."""
+        while self.dialing:
+            opened, account = self.dialing.pop(0)
+            self.links.append(_AccountLink(account))
+            opened.callback(self.links[-1])
+
+    def _acquire(self, account: str, is_probe: bool = False) -> list[Any]:
+        """Request a connection; return a list to which it is added."""
+        served: list[Any] = []
+        request = ConnectionRequest(60.0, ClientAccount(account), is_probe=is_probe)
+        self.pool.acquire(request).addCallback(served.append)
+        return served
+
+    def _use_once(self, account: str) -> None:
+        served = self._acquire(account)
+        self._open_all()
+        self.pool.release(served[0])
+
+    def _open_accounts(self) -> list[str]:
+        return [link.account for link in self.links if not link.is_closed]
+
+    def test_account_gets_no_connection_of_another_one(self) -> None:
+        self._use_once("a")
+        served = self._acquire("b")
+        self.assertEqual([], served)
+        self._open_all()
+        self.assertEqual("b", served[0].link.account)
+
+    def test_idle_connection_of_the_account_is_used_again(self) -> None:
+        for _ in range(4):
+            self._use_once("a")
+            self._use_once("b")
+        self.assertEqual(["a", "b"], self._open_accounts())
+
+    def test_least_recently_used_connection_makes_room_at_the_limit(self) -> None:
+        for account in ("a", "b", "c", "a", "d"):
+            self._use_once(account)
+        self.assertEqual(["a", "c", "d"], self._open_accounts())
+        self.assertEqual(self.limit, self.pool.size)
+
+    def test_waiter_without_a_connection_of_its_account_is_served_after_a_release(self) -> None:
+        held = [self._acquire("a") for _ in range(self.limit)]
+        self._open_all()
+        waiting = self._acquire("b")
+        self.assertEqual(([], []), (waiting, self.dialing))
+        self.pool.release(held[0][0])
+        self._open_all()
+        self.assertEqual("b", waiting[0].link.account)
+        self.assertEqual(self.limit, self.pool.size)
+
+    # The first waiter's connection is still being opened; the idle one must not stay unused.
+    def test_later_waiter_uses_a_connection_that_the_first_one_cannot(self) -> None:
+        self.limit = 2
+        held = self._acquire("a")
+        other = self._acquire("c")
+        self._open_all()
+        first, second = self._acquire("b"), self._acquire("a")
+        self.pool.release(held[0])
+        self.assertEqual((0, 1), (len(first), len(second)))
+        self.pool.release(other[0])
+        self._open_all()
+        self.assertEqual("b", first[0].link.account)
+
+    def test_probe_uses_the_connection_of_any_account(self) -> None:
+        self._use_once("a")
+        self.assertEqual("a", self._acquire("", is_probe=True)[0].link.account)
--- a/orioleplank/platform/_objects.py
+++ b/orioleplank/platform/_objects.py
@@ -5,8 +5,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from ipaddress import IPv4Address
 from types import MappingProxyType
 from typing import Annotated, Any, Literal
@@ -166,8 +165,13 @@
     return is_host and port is not None and 0 < port <= _MAX_PORT
 
 
-def parse_routes(raw: RawObject) -> RouteTable | None:
-    """Parse the configuration; return `None` if it is invalid or `raw` is another object."""
+def parse_routes(
+    raw: RawObject, report: Callable[[str], None] = lambda detail: None
+) -> RouteTable | None:
+    """Parse the configuration; return `None` if it is invalid or `raw` is another object.
+
+    `report` is called with a description of each account that cannot be used, without its keys.
+    """
     if raw.name != ROUTES_NAME:
         return None
     wire = _convert(raw.spec, _WireRoutes)
@@ -179,23 +183,25 @@
         {route.host: _convert_route(route) for route in wire.routes},
         {s.name: ServiceLimits(s.maxConns, s.syncReplicas) for s in wire.services},
         DEFAULT_TRANSACTION_IDLE_S if idle_ms is None else idle_ms / 1000,
-        None if wire.tenants is None else _convert_accounts(wire.tenants),
+        None if wire.tenants is None else _convert_accounts(wire.tenants, report),
     )
 
 
-def _convert_accounts(values: Sequence[object]) -> AccountTable:
-    """Return the valid accounts; a key that several of them claim belongs to none."""
-    by_key: dict[str, ClientAccount] = {}
-    claims: Counter[str] = Counter()
-    for value in values:
+def _convert_accounts(values: Sequence[object], report: Callable[[str], None]) -> AccountTable:
+    """Return the valid accounts; a key that several of them have belongs to none."""
+    owners: dict[str, list[ClientAccount]] = {}
+    for number, value in enumerate(values, 1):
         wire = _convert(value, _WireAccount)
         if wire is None:
+            report(f"account {number} of {len(values)}")
             continue
         account = ClientAccount(wire.name, wire.priority, _convert_limit(wire))
-        keys = set(wire.apiKeys)
-        claims.update(keys)
-        by_key.update(dict.fromkeys(keys, account))
-    return AccountTable({key: account for key, account in by_key.items() if claims[key] == 1})
+        for key in dict.fromkeys(wire.apiKeys):
+            owners.setdefault(key, []).append(account)
+    for names in {tuple(sorted(a.name for a in found)) for found in owners.values()}:
+        if len(names) > 1:
+            report(f"accounts with a common key: {', '.join(names)}")
+    return AccountTable({key: found[0] for key, found in owners.items() if len(found) == 1})
 
 
 def _convert_limit(wire: _WireAccount) -> RateLimit | None:
--- a/orioleplank/platform/_store.py
+++ b/orioleplank/platform/_store.py
@@ -296,7 +296,10 @@
 
     def __init__(self, client: StoreClient, on_unreadable: UnreadableListener) -> None:
         self.routes: ObjectCollection[RouteTable] = StoreObjectCollection(
-            client, ROUTES_KIND, parse_routes, on_unreadable
+            client,
+            ROUTES_KIND,
+            partial(parse_routes, report=partial(on_unreadable, ROUTES_KIND)),
+            on_unreadable,
         )
         self.instances: ObjectCollection[InstanceEntry] = StoreObjectCollection(
             client, INSTANCES_KIND, parse_instance, on_unreadable
--- a/orioleplank/platform/tests/test_instance.py
+++ b/orioleplank/platform/tests/test_instance.py
@@ -66,6 +66,14 @@
         sent = self.transport.value()
         self.assertEqual(b"tunnel\r\nSTARTUP huvo11a orioleplank i-7f3a\r\n", sent)
 
+    def test_start_message_names_the_account(self) -> None:
+        build_transport: Any = _Transport
+        build_protocol: Any = InstanceProtocol
+        transport, protocol = build_transport(), build_protocol(_ENTRY, account="shop")
+        protocol.makeConnection(transport)
+        self.assertEqual(b"STARTUP huvo11a shop i-7f3a\r\n", transport.value())
+        self.assertEqual("shop", protocol.account)
+
     def test_wrong_instance_is_reported_as_refusal(self) -> None:
         self.record_result(self.protocol.greeted)
         self.protocol.dataReceived(b"ERROR WRONGNODE i-9\r\n")
--- a/orioleplank/platform/tests/test_objects.py
+++ b/orioleplank/platform/tests/test_objects.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Any
 
 import testtools
 
+from orioleplank.decision.accounts import ClientAccount, RateLimit
 from orioleplank.decision.instances import Consistency, DbRole, InstanceState
 from orioleplank.platform._objects import RawObject, parse_instance, parse_record, parse_routes
 
@@ -79,6 +81,65 @@
             self.assertIsNone(RawObject.parse(value, 1))
 
 
+def _configuration(**fields: Any) -> dict[str, Any]:
+    route = {"host": "quotes", "type": "primary", "service": "books"}
+    services = [{"name": "books", "maxConns": 33}]
+    return {"version": 7, "routes": [route], "services": services, **fields}
+
+
+class TestAccounts(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.reported: list[str] = []
+
+    def _parse(self, accounts: list[Any]) -> Mapping[str, ClientAccount]:
+        raw = RawObject("main", 9, _configuration(tenants=accounts))
+        table = parse_routes(raw, self.reported.append)
+        assert table is not None and table.accounts is not None
+        return table.accounts.by_key
+
+    def test_account_has_its_priority_and_limit_under_each_key(self) -> None:
+        wire = {"name": "shop", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 5, "burst": 9}
+        account = ClientAccount("shop", 1, RateLimit(5.0, 9.0))
+        self.assertEqual({"k1": account, "k2": account}, self._parse([wire]))
+
+    def test_account_without_a_rate_is_not_limited(self) -> None:
+        by_key = self._parse([{"name": "shop", "apiKeys": ["k1"], "burst": 9}])
+        self.assertIsNone(by_key["k1"].limit)
+
+    def test_account_without_keys_identifies_nobody(self) -> None:
+        self.assertEqual({}, self._parse([{"name": "shop", "apiKeys": []}]))
+
+    # With either account a caller could run statements under the name of the other one.
+    def test_key_of_two_accounts_belongs_to_none_and_is_reported(self) -> None:
+        accounts = [
+            {"name": "shop", "apiKeys": ["k1", "k1", "k2"]},
+            {"name": "bank", "apiKeys": ["k2", "k3"]},
+        ]
+        by_key = self._parse(accounts)
+        self.assertEqual({"k1": "shop", "k3": "bank"}, {k: a.name for k, a in by_key.items()})
+        self.assertEqual(["accounts with a common key: bank, shop"], self.reported)
+
+    # One odd account must not take the configuration of all others with it.
+    def test_invalid_account_is_left_out_and_reported_without_its_keys(self) -> None:
+        invalid: tuple[Any, ...] = (
+            None,
+            "text",
+            {"name": "no-keys"},
+            {"name": "two words", "apiKeys": ["secret"]},
+            {"name": "line\r\nQUERY", "apiKeys": ["secret"]},
+            {"name": "odd", "apiKeys": ["secret"], "ratePerS": -1},
+            {"name": "odd", "apiKeys": ["secret"], "priority": "1"},
+            {"name": "odd", "apiKeys": [7]},
+        )
+        for value in invalid:
+            self.reported.clear()
+            by_key = self._parse([value, {"name": "shop", "apiKeys": ["k1"]}])
+            self.assertEqual(["k1"], list(by_key), str(value))
+            self.assertEqual(1, len(self.reported))
+            self.assertNotIn("secret", self.reported[0])
+
+
 class TestRoutes(testtools.TestCase):
     def test_routes_are_parsed_and_times_converted_to_seconds(self) -> None:
         route = {
@@ -106,6 +167,12 @@
             (33, 3.0), (table.services["books"].max_connections, table.transaction_idle)
         )
 
+    def test_configuration_without_accounts_has_no_table_of_accounts(self) -> None:
+        table = parse_routes(RawObject("main", 9, _configuration()))
+        assert table is not None
+        self.assertIsNone(table.accounts)
+        self.assertFalse(table.routes["quotes"].is_public)
+
     def test_object_with_other_name_or_invalid_content_is_no_configuration(self) -> None:
         self.assertIsNone(parse_routes(RawObject("other", 9, {"version": 7})))
         self.assertIsNone(parse_routes(RawObject("main", 9, {"version": "7"})))
--- a/orioleplank/soak/_process_cluster.py
+++ b/orioleplank/soak/_process_cluster.py
@@ -174,7 +174,7 @@
 
     # Callers.
 
-    def open_session(self, node: ProxyProcess, database: str) -> TcpCaller:
+    def open_session(self, node: ProxyProcess, database: str, key: str = "") -> TcpCaller:
         """Open a session at a proxy; the caller is marked closed when the connection fails."""
         caller = TcpCaller(self._reactor, database)
         endpoint = TCP4ClientEndpoint(self._reactor, node.addresses.ip, CALLERS_PORT, 2.0)
--- a/orioleplank/tests/_audited_run.py
+++ b/orioleplank/tests/_audited_run.py
@@ -49,8 +49,8 @@
     def proxies(self) -> Sequence[Any]:
         """Return all proxies; those that are alive and not paused accept sessions."""
 
-    def open_session(self, node: Any, database: str) -> Any:
-        """Open a session of a database at a proxy; return the caller's end."""
+    def open_session(self, node: Any, database: str, key: str) -> Any:
+        """Open a session of a database at a proxy for a caller with a key; return its end."""
 
     def send_request(self, caller: Any, statement: Statement) -> str:
         """Send a request in a caller's session; return its id."""
@@ -91,6 +91,8 @@
     number: int
     session: Any = None
     database: str = ""
+    # Key of the current session.
+    key: str = ""
     # Session values (`SetValue`) that were acknowledged.
     values: dict[str, str] = field(default_factory=dict)
     # Values written by the open transaction.
@@ -140,7 +142,8 @@
             return
         self.database = audited_run.random.choice((QUOTES, QUOTES, CATALOGUE, JOBS, JOBS))
         node = audited_run.choose_proxy(alive)
-        session = audited_run.cluster.open_session(node, self.database)
+        self.key = audited_run.choose_key()
+        session = audited_run.cluster.open_session(node, self.database, self.key)
         self.session = session
         session.on_reply = partial(self._handle_reply, self.session_number)
         session.on_close = partial(self._handle_close, self.session_number)
@@ -251,14 +254,20 @@
         self._last_number += 1
         return self._last_number
 
+    def choose_key(self) -> str:
+        """Return the key with which a new session identifies its caller; empty without one."""
+        return ""
+
     def choose_proxy(self, alive: Sequence[Any]) -> Any:
         """Return the proxy for a new session, one of those that accept sessions."""
         return self.random.choice(alive)
 
     # Checks.
 
-    def _check_run(self, member: SimulatedInstance, request: str, values: dict[str, str]) -> None:
-        """Check the session values and the freshness of a statement when an instance runs it."""
+    def _check_run(
+        self, member: SimulatedInstance, request: str, values: dict[str, str], account: str
+    ) -> None:
+        """Check a statement when an instance runs it: session values, account and freshness."""
         sender = self.senders.get(request)
         if sender is None:
             self.audit.add_violation(f"{request} ran although no caller sent it")
@@ -266,8 +275,14 @@
         caller, expected, began_at, own_values = sender
         if values != expected:
             self.audit.add_violation(f"{request} ran with {values}, its session has {expected}")
+        self.check_account(request, caller, account)
         self._check_freshness(member, request, caller, began_at, own_values)
 
+    def check_account(self, request: str, caller: AuditedCaller, account: str) -> None:
+        """Check the account under which a statement runs; callers have none unless overridden."""
+        if account:
+            self.audit.add_violation(f"{request} ran under account {account}")
+
     def _check_freshness(
         self,
         member: SimulatedInstance,
--- a/orioleplank/tests/_random_faults.py
+++ b/orioleplank/tests/_random_faults.py
@@ -10,7 +10,8 @@
 
 from orioleplank.decision.instances import DbRole, InstanceState
 from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
-from orioleplank.tests._audited_run import Audit, AuditedRun
+from orioleplank.tests._audited_run import Audit, AuditedCaller, AuditedRun
+from orioleplank.tests._changing_keys import ChangingKeys
 from orioleplank.tests._gateway_cluster import GatewayCluster, GatewayNode
 from orioleplank.tests._simulated_instances import SimulatedInstance
 from orioleplank.tests._simulated_store import STORE_NODE
@@ -27,6 +28,8 @@
 SYNC_WEIGHT = 4
 # The same for a primary and a coordinator that are back before a promotion takes effect.
 FAST_RESTART_WEIGHT = 6
+# The same for changes of the accounts' keys.
+KEY_CHANGE_WEIGHT = 6
 # Delay of the promotions in runs with such faults, in seconds.
 SLOW_PROMOTION_S = 1.0
 # Share of the new sessions that go to proxies that are shutting down, while there are any.
@@ -51,13 +54,15 @@
         with_stops: bool = False,
         sync_replicas: int = 0,
         with_fast_restarts: bool = False,
+        with_accounts: bool = False,
     ) -> None:
         """Build the cluster.
 
         Only `with_restores` the store also comes back from older copies, only `with_stops` proxies
         are also shut down gracefully, and only with `sync_replicas` replicas also drain, and crash
         together with the primary while the other replica receives nothing. Only
-        `with_fast_restarts` promotions take longer than primaries and coordinators are away.
+        `with_fast_restarts` promotions take longer than primaries and coordinators are away. Only
+        `with_accounts` callers identify themselves with keys, which are withdrawn and moved.
         """
         self._with_restores = with_restores
         self._with_stops = with_stops
@@ -66,6 +71,7 @@
         self._stopping: set[str] = set()
         cluster = GatewayCluster(seed, proxies, connection_limit, mechanisms, sync_replicas)
         super().__init__(cluster, Random(seed), callers)
+        self._keys = ChangingKeys(cluster, self.random) if with_accounts else None
 
     def run(self) -> Audit:
         """Inject faults, end them, check that callers are served again, and return the audit."""
@@ -84,6 +90,17 @@
         self.check_invariants()
         return self.audit
 
+    def choose_key(self) -> str:
+        """Return a key that is or was configured, or another one; empty without accounts."""
+        return self._keys.choose_key() if self._keys else ""
+
+    def check_account(self, request: str, caller: AuditedCaller, account: str) -> None:
+        """Check that a statement runs under an account that has, or lately had, the key."""
+        if self._keys is None:
+            super().check_account(request, caller, account)
+        elif account not in self._keys.recent_accounts(caller.key):
+            self.audit.add_violation(f"{request} with {caller.key} ran under account {account!r}")
+
     def choose_proxy(self, alive: Sequence[GatewayNode]) -> GatewayNode:
         """Return a random proxy; mostly a stopping one while there is one."""
         stopping = [node for node in alive if node.name in self._stopping]
@@ -132,6 +149,8 @@
             faults += (self._restart_primary_and_coordinator,) * FAST_RESTART_WEIGHT
         if self._with_stops:
             faults += (self._stop_proxies,) * STOP_WEIGHT
+        if self._keys is not None:
+            faults += (self._keys.change,) * KEY_CHANGE_WEIGHT
         fault_at = 1.0
         while fault_at < FAULTS_S - 6.0:
             self.cluster.simulator.call_later(fault_at, self.random.choice(faults))
--- a/orioleplank/tests/_simulated_instances.py
+++ b/orioleplank/tests/_simulated_instances.py
@@ -41,6 +41,8 @@
     values: dict[str, str]
     # The prepared statement that was executed by name; None for other statements.
     prepared_statement: PreparedStatement | None
+    # Name of the account under which the connection was opened; empty for the proxy.
+    account: str
 
 
 @dataclass(slots=True)
@@ -86,8 +88,11 @@
         self.term_started_at: dict[int, float] = {1: 0.0}
         # Lease holder, fencing token and instance of each promotion request, in order.
         self.promotion_orders: list[tuple[str, int, str]] = []
-        # Called with each statement that runs, and with each commit that writes.
-        self.on_execute: Callable[[SimulatedInstance, str, dict[str, str]], None] = lambda *_: None
+        # Called with each statement that runs, its request id, the session values and the account
+        # of its connection, and with each commit that writes.
+        self.on_execute: Callable[[SimulatedInstance, str, dict[str, str], str], None] = (
+            lambda *_: None
+        )
         self.on_commit: Callable[[SimulatedInstance, dict[str, str]], None] = lambda *_: None
         # Called with each instance that takes the lead.
         self.on_promoted: Callable[[SimulatedInstance], None] = lambda _: None
--- a/orioleplank/tests/_simulated_links.py
+++ b/orioleplank/tests/_simulated_links.py
@@ -197,9 +197,10 @@
                 member.position,
                 dict(self._values),
                 prepared_statement,
+                self._account,
             )
         )
-        self._group.on_execute(member, request_id, dict(self._values))
+        self._group.on_execute(member, request_id, dict(self._values), self._account)
         if member.is_failing:
             return self._fail(FailureCode.EXECUTION_FAILED)
         item, _, value = statement.arguments.partition(" ")
@@ -256,6 +257,7 @@
                 member.position,
                 dict(self._values),
                 None,
+                self._account,
             )
         )
         return self._reply((), f"sig-{request_id}")
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -10,6 +10,7 @@
 from orioleplank.decision.instances import Consistency
 from orioleplank.decision.session import FailureCode
 from orioleplank.gateway import _instance_executor, _statements
+from orioleplank.gateway._connection_request import ConnectionRequest
 from orioleplank.gateway._instance_executor import Request
 from orioleplank.gateway._outcome import Outcome, refuse
 from orioleplank.gateway._pool import InstancePool
@@ -27,6 +28,8 @@
 SYNC_SEEDS = (20261205, 20261207, 20261210, 20261211, 20261212)
 # Runs in which primaries and coordinators are back before a promotion takes effect.
 FAST_RESTART_SEEDS = range(20261205, 20261209)
+# Runs in which keys of client accounts are withdrawn and moved; few connections for the accounts.
+ACCOUNT_SEEDS = range(20261205, 20261208)
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -72,6 +75,15 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_accounts(self) -> None:
+        for seed in ACCOUNT_SEEDS:
+            for proxies, connection_limit in ((4, 16), (7, 12)):
+                with self.subTest(seed=seed, proxies=proxies):
+                    run = RandomFaultRun(seed, proxies, 14, connection_limit, with_accounts=True)
+                    audit = run.run()
+                    self.assertEqual([], audit.violations[:5])
+                    self.assertGreater(audit.answered, 300)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
@@ -84,6 +96,11 @@
         with mock.patch.object(_instance_executor, "plan_connection_setup", lambda *_: ()):
             self.assertNotEqual([], RandomFaultRun(20261204).run().violations)
 
+    def test_audit_finds_violations_if_accounts_share_connections(self) -> None:
+        with mock.patch.object(ConnectionRequest, "may_use", lambda *_: True):
+            run = RandomFaultRun(20261205, with_accounts=True)
+            self.assertNotEqual([], run.run().violations)
+
     def test_audit_finds_violations_without_minimum_positions(self) -> None:
         with mock.patch.object(
             _statements.StatementExecutor, "_needed_position", _require_no_position
