A primary that answers probes and fails its work is replaced

Cause: a reply to a probe clears the failures of an instance, so a primary that resets or fails every statement and answers probes was never suspected.

Change: each pool keeps the outcomes of the latest statements. A proxy with connections of its own that sees most work fail for 0.8 s asks the others with such connections; success at one of them rejects it, failure at one confirms it, and without evidence the failure has to last 3 s. The service is then switched over, and for 10 s not moved again for this reason. An instance that fails its work is promoted last. The mechanism is work-failures. The confirmation by other proxies and the times of primaries have modules of their own.

Ruled out: counting failed statements as failures of the instance, which would also suspect it for errors of single statements; a failover without waiting for a replica, since a primary of this kind still replicates.

--- a/orioleplank/decision/failover/__init__.py
+++ b/orioleplank/decision/failover/__init__.py
@@ -9,6 +9,7 @@
 from orioleplank.decision.failover._primary_health import (
     PrimaryAssessment,
     PrimaryDemoted,
+    PrimaryFailingWork,
     PrimaryHealth,
     PrimaryHealthy,
     PrimaryLeaving,
@@ -26,6 +27,12 @@
     PromotionUnsafe,
     select_candidates,
 )
+from orioleplank.decision.failover._work_history import (
+    WORK_FAILURE_COOLDOWN_S,
+    WorkHistory,
+    WorkStatus,
+    is_work_failure_confirmed,
+)
 
 __all__ = [
     "InstanceReport",
@@ -33,6 +40,7 @@
     "PendingPromotions",
     "PrimaryAssessment",
     "PrimaryDemoted",
+    "PrimaryFailingWork",
     "PrimaryHealth",
     "PrimaryHealthy",
     "PrimaryLeaving",
@@ -40,10 +48,14 @@
     "PromotionSafe",
     "PromotionSafety",
     "PromotionUnsafe",
+    "WORK_FAILURE_COOLDOWN_S",
+    "WorkHistory",
+    "WorkStatus",
     "assess_primary",
     "choose_confirming_peers",
     "find_new_primary",
     "has_caught_up_replica",
+    "is_work_failure_confirmed",
     "rank_promotion_candidates",
     "select_candidates",
 ]
--- a/orioleplank/decision/failover/_primary_health.py
+++ b/orioleplank/decision/failover/_primary_health.py
@@ -4,6 +4,11 @@
 
 from msgspec import Struct
 
+from orioleplank.decision.failover._work_history import (
+    WORK_FAILURE_COOLDOWN_S,
+    WORK_FAILURE_TIMEOUT_S,
+)
+
 # How long a primary has to fail before it is suspected and other proxies are asked about it; longer
 # than a reconnect between regions takes.
 SUSPICION_TIMEOUT_S = 0.4
@@ -26,6 +31,10 @@
     failures: int
     # True when it responds that it is not the primary.
     denies_primary_role: bool = False
+    # Seconds for which it has failed most of the work that this proxy sent it; 0 while it does not.
+    work_failing_for: float = 0.0
+    # Seconds since this proxy first knew it as the primary.
+    leading_for: float = float("inf")
 
 
 class PrimaryHealthy(Struct, frozen=True):
@@ -50,13 +59,22 @@
     """
 
 
-PrimaryAssessment = PrimaryHealthy | PrimaryLeaving | PrimarySuspected | PrimaryDemoted
+class PrimaryFailingWork(Struct, frozen=True):
+    """The primary responds and fails most of its work, as seen by this proxy."""
+
+    # The observation behind the assessment.
+    reason: str
+
+
+PrimaryAssessment = (
+    PrimaryHealthy | PrimaryLeaving | PrimarySuspected | PrimaryDemoted | PrimaryFailingWork
+)
 
 
 def assess_primary(health: PrimaryHealth) -> PrimaryAssessment:
     """Assess a primary from the observations of this proxy alone.
 
-    `PrimarySuspected` still needs the confirmation of other proxies.
+    `PrimarySuspected` and `PrimaryFailingWork` still need the confirmation of other proxies.
     """
     if health.denies_primary_role:
         return PrimaryDemoted()
@@ -66,4 +84,7 @@
         return PrimarySuspected(f"{health.failures} failures in {health.failing_for:.1f} s")
     if health.is_leaving:
         return PrimaryLeaving()
+    is_settled = health.leading_for >= WORK_FAILURE_COOLDOWN_S
+    if health.work_failing_for >= WORK_FAILURE_TIMEOUT_S and is_settled:
+        return PrimaryFailingWork(f"most work fails for {health.work_failing_for:.1f} s")
     return PrimaryHealthy()
--- a/orioleplank/decision/mechanisms.py
+++ b/orioleplank/decision/mechanisms.py
@@ -45,6 +45,8 @@
     # A failover that has requested no promotion is taken over early, and its leases count as
     # expiring from the first claim.
     EARLY_SUCCESSION = "early-succession"
+    # A primary that responds and fails most of its work is replaced.
+    WORK_FAILURES = "work-failures"
     # Statements of an account prefer the same connection owner of an instance.
     ACCOUNT_AFFINITY = "account-affinity"
     # The report of a failed primary is not awaited.
--- a/orioleplank/decision/membership/_peer_messages.py
+++ b/orioleplank/decision/membership/_peer_messages.py
@@ -38,7 +38,7 @@
 
 
 class ReachAsked(Struct, frozen=True):
-    """Asks a proxy when it last received a response from an instance."""
+    """Asks a proxy when it last received a response from an instance, and how its work ends."""
 
     sender: str
     number: int
@@ -55,6 +55,10 @@
     age: float
     # Number of failures since the last response.
     failures: int
+    # Seconds for which most of the work sent to the instance has failed; 0 while it does not.
+    work_failing_for: float = 0.0
+    # True if there was enough recent work to tell, and most of it succeeded.
+    work_succeeds: bool = False
 
 
 class Ping(Struct, frozen=True):
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -34,20 +34,15 @@
 from orioleplank.gateway._notifier import ChangeNotifier
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._position_tracker import PositionTracker
+from orioleplank.gateway._primary_tracker import PrimaryTracker
 
 # A connection that is held for other proxies is closed after it has been idle for this long.
 UNUSED_CONNECTION_TIMEOUT_S = 3.0
 # Log lines about individual proxies per change of the fleet; the rest is logged as one count.
 MAX_FLEET_EVENT_LINES = 4
-# Time within which all responsive proxies release their leases: two round trips between regions,
-# plus the completion of running work at the old primary in a switchover.
-LEASE_RELEASE_TIMEOUT_S = 1.0
 # Time for a new process to receive its first listings from the store: a few attempts at a slow
 # store. Requests wait for this long before they are refused.
 STARTUP_TIMEOUT_S = 1.5
-# How long statements wait for the new primary once the group record says that the leases have been
-# released, which is written just before the promotion is requested.
-PROMOTION_WAIT_S = 2.0
 # How long statements wait after a restore of the store until the group record is in force again.
 RECORD_RECOVERY_TIMEOUT_S = 2.0
 
@@ -87,6 +82,7 @@
         self.retired_at: dict[str, float] = {}
         # When the replacement of each primary in progress was first seen, by service.
         self.move_times = MoveTimes()
+        self.primaries = PrimaryTracker(self.now)
         self.positions = PositionTracker(self.lease, self.now)
         # None until this proxy shuts down.
         self.shutdown: ShutdownSchedule | None = None
@@ -107,9 +103,6 @@
         self._started_at = float(reactor.seconds())
         # When the store was first found restored, in seconds of the monotonic clock.
         self._era_entered_at = float("-inf")
-        # Stage of each failover in progress, by service: whether the leases have been released, and
-        # when the stage began, in seconds of the monotonic clock.
-        self._failover_stage_since: dict[str, tuple[bool, float]] = {}
 
     @property
     def versions(self) -> ViewVersions:
@@ -342,19 +335,11 @@
                 continue
             self._log_group_record(versioned_record)
             if versioned_record.is_in_force:
-                self._track_failover_stage(versioned_record)
+                self.primaries.apply(versioned_record.record)
                 self.move_times = self.move_times.apply(versioned_record.record, self.lease_clock())
                 self._clear_primary_role_denial(versioned_record)
         self.changed.notify_all()
 
-    def _track_failover_stage(self, versioned_record: VersionedGroupRecord) -> None:
-        """Record when the failover of a service entered its current stage."""
-        service, released = versioned_record.record.service, versioned_record.record.released
-        if versioned_record.record.phase is not GroupPhase.MOVING:
-            self._failover_stage_since.pop(service, None)
-        elif self._failover_stage_since.get(service, (None, 0.0))[0] is not released:
-            self._failover_stage_since[service] = (released, self.now())
-
     def _clear_primary_role_denial(self, versioned_record: VersionedGroupRecord) -> None:
         """Clear the mark that the primary named by a new record denied its role earlier."""
         pool = self.pools.get(versioned_record.record.primary)
@@ -392,11 +377,7 @@
             return False
         if versioned_record.record.awaited:
             return False
-        stage_since = self._failover_stage_since.get(service, (False, 0.0))[1]
-        timeout_s = (
-            PROMOTION_WAIT_S if versioned_record.record.released else LEASE_RELEASE_TIMEOUT_S
-        )
-        return self.now() - stage_since < timeout_s
+        return self.primaries.expects_promotion(versioned_record.record)
 
 
 def _is_different_incarnation(previous: InstanceEntry, current: InstanceEntry) -> bool:
--- a/orioleplank/gateway/_instance_executor.py
+++ b/orioleplank/gateway/_instance_executor.py
@@ -129,6 +129,7 @@
                 connection.state = connection.state.apply(step)
         except NOT_SENT_ERRORS:
             pool.record_failure()
+            pool.record_work(False)
             raise
         finally:
             for _, deferred in pending:
@@ -151,7 +152,12 @@
             reply = await self.with_timeout(pending_reply, seconds)
         except NO_REPLY_ERRORS:
             pool.record_failure()
+            pool.record_work(False)
             raise
+        if reply.failure is None and is_latency_sample:
+            pool.record_work(True)
+        elif reply.failure is not None and reply.failure.code is FailureCode.EXECUTION_FAILED:
+            pool.record_work(False)
         pool.record_reply(self.cluster_state.now() - sent_at if is_latency_sample else None)
         pool.record_position(reply.position)
         return reply
--- a/orioleplank/gateway/_instance_prober.py
+++ b/orioleplank/gateway/_instance_prober.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
-from orioleplank.decision.failover import InstanceReport
+from orioleplank.decision.failover import InstanceReport, WorkStatus
 from orioleplank.decision.instances import InstanceEntry, InstanceState
 from orioleplank.decision.membership import PeerMessage, ProxyRecord, ReachAsked, ReachTold
 from orioleplank.gateway._cluster_state import ClusterState
@@ -48,6 +48,8 @@
     # Seconds since each proxy's latest response from the instance, by proxy; infinite when its
     # later attempts have failed.
     ages: dict[str, float] = field(default_factory=dict)
+    # How the instance's work for each proxy has ended, by proxy.
+    work: dict[str, WorkStatus] = field(default_factory=dict)
 
 
 class InstanceProber:
@@ -112,7 +114,10 @@
         report = await self.probe(pool) if pool is not None else None
         if report is None:
             return None
-        return replace(report, draining=entry.state is InstanceState.DRAINING)
+        # An instance that fails its work is promoted only if no other one can be.
+        is_draining = entry.state is InstanceState.DRAINING
+        is_avoided = is_draining or (pool is not None and pool.work_status.failing_for > 0)
+        return replace(report, draining=is_avoided)
 
     async def step_down(self, pool: InstancePool, term: int) -> bool:
         """Request that an old primary becomes a replica.
@@ -144,6 +149,18 @@
         The value is infinite for a peer whose later attempts have failed; peers that do not
         respond are left out.
         """
+        return (await self._query_peers(instance, peers)).ages
+
+    async def query_peer_work(
+        self, instance: str, peers: Iterable[ProxyRecord]
+    ) -> dict[str, WorkStatus]:
+        """Return how an instance's work for each peer has ended, by peer.
+
+        Peers that do not respond are left out.
+        """
+        return (await self._query_peers(instance, peers)).work
+
+    async def _query_peers(self, instance: str, peers: Iterable[ProxyRecord]) -> _ReachabilityQuery:
         number, query = next(self._query_numbers), _ReachabilityQuery()
         self._queries[number] = query
         request = ReachAsked(self._own_name, number, instance)
@@ -154,17 +171,18 @@
                     self.socket.send(peer.address, request)
             await sleep(self._reactor, REACHABILITY_TIMEOUT_S / REACHABILITY_ROUNDS)
         del self._queries[number]
-        return query.ages
+        return query
 
     def handle_message(self, message: PeerMessage) -> None:
         """Answer a peer's query, or record its response; ignore other messages."""
         match message:
             case ReachAsked(sender, number, instance):
                 self._answer_query(sender, number, instance)
-            case ReachTold(sender, number, age, failures):
+            case ReachTold(sender, number, age, failures, work_failing_for, work_succeeds):
                 query = self._queries.get(number)
                 if query is not None:
                     query.ages[sender] = age if failures == 0 else float("inf")
+                    query.work[sender] = WorkStatus(work_failing_for, work_succeeds)
 
     def _answer_query(self, sender: str, number: int, instance: str) -> None:
         peer = self._cluster_state.fleet.proxies.get(sender)
@@ -174,6 +192,13 @@
         age = self._cluster_state.now() - pool.last_reply_at
         if age >= PROBE_ON_QUERY_AFTER_S:
             Deferred.fromCoroutine(self.probe(pool))
-        self.socket.send(
-            peer.address, ReachTold(self._own_name, number, age, pool.consecutive_failures)
+        work = pool.work_status
+        response = ReachTold(
+            self._own_name,
+            number,
+            age,
+            pool.consecutive_failures,
+            work.failing_for,
+            work.succeeds,
         )
+        self.socket.send(peer.address, response)
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -16,6 +16,7 @@
     decide_admission,
     update_mean_hold_time,
 )
+from orioleplank.decision.failover import WorkHistory, WorkStatus
 from orioleplank.decision.instances import InstanceEntry
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.decision.session import plan_connection_setup
@@ -103,6 +104,8 @@
         # True once the instance has replied that it is not the primary although the group record
         # names it as such.
         self.denies_primary_role = False
+        # Outcomes of the statements that the instance was sent.
+        self.work_history = WorkHistory()
         self._latency = INITIAL_LATENCY_S
         self._latency_updated_at = now()
 
@@ -161,6 +164,15 @@
             self.close_idle_connections()
         self._on_problem(self.entry.id)
 
+    def record_work(self, succeeded: bool) -> None:
+        """Record whether the instance ran a statement; a refusal without a run is neither."""
+        self.work_history.record(self._now(), succeeded)
+
+    @property
+    def work_status(self) -> WorkStatus:
+        """What the outcomes of the latest statements show."""
+        return self.work_history.status(self._now())
+
     def record_primary_role_denied(self) -> None:
         """Record that the instance replied that it is not the primary."""
         self.denies_primary_role = True
--- a/orioleplank/gateway/_primary_monitor.py
+++ b/orioleplank/gateway/_primary_monitor.py
@@ -14,12 +14,12 @@
 
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.failover import (
+    PrimaryFailingWork,
     PrimaryHealth,
     PrimaryHealthy,
     PrimaryLeaving,
     PrimarySuspected,
     assess_primary,
-    choose_confirming_peers,
 )
 from orioleplank.decision.group import (
     GroupPhase,
@@ -38,10 +38,10 @@
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._failover import FailoverCoordinator
+from orioleplank.gateway._failure_confirmation import FailureConfirmation
 from orioleplank.gateway._group_record_writer import RETRY_DELAY_S
 from orioleplank.gateway._instance_prober import InstanceProber
 from orioleplank.gateway._notifier import sleep
-from orioleplank.gateway._tunnel import build_tunnel_route
 
 # Interval of the checks of each primary.
 PRIMARY_CHECK_INTERVAL_S = 0.25
@@ -56,10 +56,6 @@
 MIN_PROBE_INTERVAL_S = 0.1
 # Number of proxies, by rank, that probe a primary while it is idle.
 IDLE_PRIMARY_PROBERS = 2
-# A response that a peer has received within this time shows that the primary is running.
-RECENT_RESPONSE_S = 1.0
-# While no peer responds, a proxy relies on its own observation only after failures for this long.
-UNCONFIRMED_FAILURE_S = 3.0
 # A failover whose record has not changed for this long is taken over. Its holder writes the record
 # at least every `RECORD_REFRESH_INTERVAL_S`.
 FAILOVER_TAKEOVER_TIMEOUT_S = 1.5
@@ -104,15 +100,13 @@
         self._assessments: dict[str, _UnchangedAssessment] = {}
         # Store revision of each running failover's record, and since when it has not changed.
         self._failover_revisions: dict[str, tuple[int, float]] = {}
-        # Since when no peer has answered a query about a primary, by service, in seconds of the
-        # monotonic clock.
-        self._peers_silent_since: dict[str, float] = {}
         # Services with an action in progress.
         self._services_in_action: set[str] = set()
         self._probing: set[str] = set()
         # When each instance was last probed, in seconds of the monotonic clock.
         self._probed_at: dict[str, float] = {}
         self._ranking = ActionRanking(cluster_state, own_record.name)
+        self._confirmation = FailureConfirmation(cluster_state, event_log, prober, own_record)
 
     # Periodic checks.
 
@@ -172,6 +166,13 @@
                 self._run_exclusively(
                     service, self._confirm_failure(service, versioned_record, reason, may_act)
                 )
+            case PrimaryFailingWork() if not self._judges_work(versioned_record.record.primary):
+                pass
+            case PrimaryFailingWork(reason) as assessment:
+                if self._may_act(service, assessment):
+                    self._run_exclusively(
+                        service, self._confirm_work_failure(service, versioned_record, reason)
+                    )
             case PrimaryLeaving() as assessment if self._may_act(service, assessment):
                 self._start_action(service, self._failovers.switch_over(service, versioned_record))
             case assessment if self._may_act(service, assessment):
@@ -251,8 +252,15 @@
             failing_for=pool.failing_for if pool else 0.0,
             failures=pool.consecutive_failures if pool else 0,
             denies_primary_role=pool is not None and pool.denies_primary_role,
+            work_failing_for=pool.work_status.failing_for if pool else 0.0,
+            leading_for=self._cluster_state.primaries.leading_for(record.service),
         )
 
+    def _judges_work(self, primary: str) -> bool:
+        """Return whether this proxy acts on a primary's work: it has connections of its own."""
+        is_on = self._cluster_state.mechanisms.is_on(Mechanism.WORK_FAILURES)
+        return is_on and not self._is_monitored_by_owners(primary)
+
     def _probe_if_unresponsive(self, instance: str) -> None:
         """Probe an instance that fails or whose responses are overdue; a primary also when idle."""
         pool, now = self._cluster_state.pools[instance], self._cluster_state.now()
@@ -312,7 +320,7 @@
         If one of them reaches it, new connections to it go through a tunnel of that proxy. If none
         does and `may_act` is True, a failover is started.
         """
-        is_failed = await self._is_failure_confirmed(versioned_record.record, reason)
+        is_failed = await self._confirmation.is_failure_confirmed(versioned_record.record, reason)
         if is_failed and may_act:
             self._assessments.pop(service, None)
             await self._failovers.fail_over(service, versioned_record, planned=False)
@@ -321,52 +329,15 @@
             self._assessments.pop(service, None)
         await sleep(self._reactor, RETRY_DELAY_S)
 
-    async def _is_failure_confirmed(self, record: GroupRecord, reason: str) -> bool:
-        """Return whether no other proxy has reached the primary lately either.
-
-        If there are peers and none of them responds, this is False until this proxy's own failures
-        have lasted for `UNCONFIRMED_FAILURE_S`.
-        """
-        peers = choose_confirming_peers(
-            record.primary, self._own_record, self._cluster_state.fleet.active()
-        )
-        ages = await self._prober.query_peer_reachability(record.primary, peers)
-        is_isolated = self._is_isolated(record, bool(peers) and not ages)
-        is_failed = not is_isolated and all(age > RECENT_RESPONSE_S for age in ages.values())
-        self._event_log.log_event(
-            EventType.SUSPICION,
-            service=record.service,
-            primary=record.primary,
-            why=reason,
-            peers=ages,
-            outcome="dead" if is_failed else "not confirmed",
-        )
-        self._use_tunnel_through_peer(record.primary, ages)
-        return is_failed
-
-    def _is_isolated(self, record: GroupRecord, is_unanswered: bool) -> bool:
-        """Return whether the silence of all peers rather shows a fault of this proxy's own.
+    async def _confirm_work_failure(
+        self, service: str, versioned_record: VersionedGroupRecord, reason: str
+    ) -> None:
+        """Replace a primary that fails its work at other proxies too.
 
-        No longer so once the peers have been silent, or the primary has failed here, for
-        `UNCONFIRMED_FAILURE_S`.
+        It is replaced like a draining one: it still replicates and finishes running work.
         """
-        if not is_unanswered:
-            self._peers_silent_since.pop(record.service, None)
-            return False
-        now = self._cluster_state.now()
-        silent_for = now - self._peers_silent_since.setdefault(record.service, now)
-        pool = self._cluster_state.pools.get(record.primary)
-        failing_for = pool.failing_for if pool else 0.0
-        return max(silent_for, failing_for) < UNCONFIRMED_FAILURE_S
-
-    def _use_tunnel_through_peer(self, instance: str, ages: dict[str, float]) -> None:
-        """Use a tunnel to an instance through the peer that received its latest response."""
-        if not self._cluster_state.mechanisms.is_on(Mechanism.TUNNELS):
-            return
-        recent_ages = {name: age for name, age in ages.items() if age <= RECENT_RESPONSE_S}
-        if not recent_ages:
+        if await self._confirmation.is_work_failure_confirmed(versioned_record.record, reason):
+            self._assessments.pop(service, None)
+            await self._failovers.fail_over(service, versioned_record, planned=True)
             return
-        nearest = min(recent_ages, key=lambda name: recent_ages[name])
-        peer = self._cluster_state.fleet.proxies.get(nearest)
-        if peer is not None:
-            self._cluster_state.use_tunnel(instance, build_tunnel_route(peer, instance), nearest)
+        await sleep(self._reactor, RETRY_DELAY_S)
--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -99,6 +99,7 @@
             proxy.resume()
         for member in cluster.group.members.values():
             member.is_full = member.drops_entries = member.loses_answers = False
+            member.is_failing = member.resets_work = False
             member.lag = 0.003
             cluster.restart_instance(member)
         await sleep(self._reactor, RECOVERY_S - SERVICE_CHECK_S)
@@ -155,6 +156,7 @@
             "replica-deaf": self._drop_entries,
             "answers-lost": self._lose_answers,
             "instance-full": self._exhaust_connections,
+            "primary-fails-work": self._fail_primary_work,
             "configuration-changes": self.cluster.change_routes,
             "odd-entry-written": self._write_odd_entry,
             "proxy-asked-twice": self._terminate_twice,
@@ -295,6 +297,12 @@
         member.loses_answers = True
         self._call_later(2.0, partial(setattr, member, "loses_answers", False))
 
+    def _fail_primary_work(self) -> None:
+        member = self.cluster.group.primary()
+        fault = self.random.choice(("is_failing", "resets_work"))
+        setattr(member, fault, True)
+        self._call_later(1.0 + 7.0 * self.random.random(), partial(setattr, member, fault, False))
+
     def _exhaust_connections(self) -> None:
         member = self.random.choice(list(self.cluster.group.members.values()))
         member.is_full = True
--- a/orioleplank/tests/_random_faults.py
+++ b/orioleplank/tests/_random_faults.py
@@ -28,6 +28,8 @@
 SYNC_WEIGHT = 4
 # The same for a primary and a coordinator that are back before a promotion takes effect.
 FAST_RESTART_WEIGHT = 6
+# The same for instances that fail all work.
+FAILING_WORK_WEIGHT = 6
 # The same for changes of the accounts' keys.
 KEY_CHANGE_WEIGHT = 6
 # Delay of the promotions in runs with such faults, in seconds.
@@ -55,6 +57,7 @@
         sync_replicas: int = 0,
         with_fast_restarts: bool = False,
         with_accounts: bool = False,
+        with_failing_work: bool = False,
     ) -> None:
         """Build the cluster.
 
@@ -62,11 +65,13 @@
         are also shut down gracefully, and only with `sync_replicas` replicas also drain, and crash
         together with the primary while the other replica receives nothing. Only
         `with_fast_restarts` promotions take longer than primaries and coordinators are away. Only
-        `with_accounts` callers identify themselves with keys, which are withdrawn and moved.
+        `with_accounts` callers identify themselves with keys, which are withdrawn and moved. Only
+        `with_failing_work` instances also fail or reset all work, and answer probes meanwhile.
         """
         self._with_restores = with_restores
         self._with_stops = with_stops
         self._with_fast_restarts = with_fast_restarts
+        self._with_failing_work = with_failing_work
         # Names of the proxies that are shutting down.
         self._stopping: set[str] = set()
         cluster = GatewayCluster(seed, proxies, connection_limit, mechanisms, sync_replicas)
@@ -149,6 +154,8 @@
             faults += (self._restart_primary_and_coordinator,) * FAST_RESTART_WEIGHT
         if self._with_stops:
             faults += (self._stop_proxies,) * STOP_WEIGHT
+        if self._with_failing_work:
+            faults += (self._fail_work,) * FAILING_WORK_WEIGHT
         if self._keys is not None:
             faults += (self._keys.change,) * KEY_CHANGE_WEIGHT
         fault_at = 1.0
@@ -164,6 +171,7 @@
         cluster.store.change_delay = 0.0
         for member in list(cluster.group.members.values()):
             member.is_full = member.drops_entries = member.loses_answers = False
+            member.is_failing = member.resets_work = False
             member.lag = 0.003
             self._restart_instance(member)
         for node in cluster.proxies:
@@ -334,6 +342,15 @@
         member.is_full = True
         self._schedule(0.7, partial(setattr, member, "is_full", False))
 
+    def _fail_work(self) -> None:
+        """Let an instance, mostly the primary, fail or reset all its work for some seconds."""
+        members = list(self.cluster.group.members.values())
+        is_primary = self.random.random() < 0.7
+        member = self.cluster.group.primary() if is_primary else self.random.choice(members)
+        fault = self.random.choice(("is_failing", "resets_work"))
+        setattr(member, fault, True)
+        self._schedule(1.0 + 7.0 * self.random.random(), partial(setattr, member, fault, False))
+
     def _drain_primary(self) -> None:
         primary = self.cluster.group.primary()
         live_members = [m for m in self.cluster.group.members.values() if m.alive]
--- a/orioleplank/tests/_simulated_instances.py
+++ b/orioleplank/tests/_simulated_instances.py
@@ -62,6 +62,8 @@
     is_full: bool = False
     # True while every statement that it runs fails.
     is_failing: bool = False
+    # True while it resets the connection on which a statement arrives.
+    resets_work: bool = False
     directory_entry: InstanceEntry = field(init=False)
 
     @property
--- a/orioleplank/tests/_simulated_links.py
+++ b/orioleplank/tests/_simulated_links.py
@@ -180,6 +180,9 @@
         prepared_name: str,
         min_position: Position | None,
     ) -> Reply:
+        if self._member.resets_work:
+            self._simulator.call_later(0.0, self.break_connection)
+            return self._fail(FailureCode.EXECUTION_FAILED)
         prepared_statement = None
         if isinstance(statement, ExecutePrepared):
             prepared_statement = self._prepared.get(prepared_name)
--- a/orioleplank/tests/test_gateway_components.py
+++ b/orioleplank/tests/test_gateway_components.py
@@ -12,8 +12,8 @@
 from orioleplank.decision.session import Failure, FailureCode, Reply
 from orioleplank.gateway import StoreConflictError, WatchHistoryExpiredError
 from orioleplank.gateway._connection import PooledConnection
+from orioleplank.gateway._failure_confirmation import UNCONFIRMED_FAILURE_S
 from orioleplank.gateway._loopback_channel import LoopbackChannelDialer
-from orioleplank.gateway._primary_monitor import UNCONFIRMED_FAILURE_S
 from orioleplank.tests._gateway_helpers import start_cluster
 from orioleplank.tests._simulated_instances import SERVICE
 
@@ -59,7 +59,8 @@
     def test_silent_peers_delay_a_failover_for_a_limited_time_without_a_pool(self) -> None:
         cluster = start_cluster()
         gateway: Any = cluster.proxies[0].gateway
-        monitor, groups = gateway._primary_monitor, gateway.cluster_state.leases.group_records
+        monitor = gateway._primary_monitor._confirmation
+        groups = gateway.cluster_state.leases.group_records
         record = replace(groups[SERVICE].record, primary="db-gone")
         self.assertTrue(monitor._is_isolated(record, True))
         cluster.run_for(UNCONFIRMED_FAILURE_S + 0.1)
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -30,6 +30,8 @@
 FAST_RESTART_SEEDS = range(20261205, 20261209)
 # Runs in which keys of client accounts are withdrawn and moved; few connections for the accounts.
 ACCOUNT_SEEDS = range(20261205, 20261208)
+# Runs in which instances fail or reset all their work.
+FAILING_WORK_SEEDS = range(20261205, 20261208)
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -84,6 +86,13 @@
                     self.assertEqual([], audit.violations[:5])
                     self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_failing_work(self) -> None:
+        for seed in FAILING_WORK_SEEDS:
+            with self.subTest(seed=seed):
+                audit = RandomFaultRun(seed, with_failing_work=True).run()
+                self.assertEqual([], audit.violations[:5])
+                self.assertGreater(audit.answered, 300)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
