Soak: client accounts whose keys change

Cause: the soak knew no accounts. Change: in about half of the seeds callers identify themselves with keys that are withdrawn and moved, and the audit checks the account of each statement; the keys stand in the audited run, shared with the random faults. Ruled out: accounts in every seed, since deployments without them go on.

--- a/orioleplank/soak/_callers.py
+++ b/orioleplank/soak/_callers.py
@@ -35,9 +35,10 @@
     delimiter = b"\r\n"
     MAX_LENGTH = codec.MAX_MESSAGE_BYTES
 
-    def __init__(self, reactor: Any, database: str) -> None:
+    def __init__(self, reactor: Any, database: str, key: str = "") -> None:
         self._reactor = reactor
         self._database = database
+        self._key = key
         self._rows: list[str] = []
         self._signature = "-"
         self._failure: Failure | None = None
@@ -80,7 +81,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the startup message."""
-        self._send(f"STARTUP {self._database} soak")
+        self._send(f"STARTUP {self._database} {self._key or 'soak'}")
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
         """Mark the session as closed."""
--- a/orioleplank/soak/_instances.py
+++ b/orioleplank/soak/_instances.py
@@ -27,6 +27,7 @@
     Write,
 )
 from orioleplank.platform import _codec as codec
+from orioleplank.platform._instance import PROXY_CALLER_NAME
 from orioleplank.tests._simulated_dialer import HANDSHAKE_S
 from orioleplank.tests._simulated_instances import SERVICE, SimulatedGroup, SimulatedInstance
 from orioleplank.tests._simulated_links import SimulatedLink
@@ -74,15 +75,16 @@
 
     def _start(self, content: str) -> None:
         member, factory = self._factory.member, self._factory
-        service, _, expected = content.partition(" ")
-        expected = expected.partition(" ")[2]
+        service, _, rest = content.partition(" ")
+        caller, _, expected = rest.partition(" ")
         if service != SERVICE or (expected and expected != member.name):
             self._refuse("WRONGNODE")
         elif len(factory.connections) > factory.connection_limit:
             factory.refused_connections += 1
             self._refuse("CONNLIMIT")
         else:
-            self._link = SimulatedLink(factory.group, Node("connection"), member)
+            account = "" if caller == PROXY_CALLER_NAME else caller
+            self._link = SimulatedLink(factory.group, Node("connection"), member, account=account)
             factory.group.simulator.call_later(HANDSHAKE_S, lambda: self._send("READY I -"))
 
     def _refuse(self, code: str) -> None:
--- a/orioleplank/soak/_process_cluster.py
+++ b/orioleplank/soak/_process_cluster.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 
+from orioleplank.decision.accounts import AccountTable
 from orioleplank.decision.instances import (
     DbRole,
     InstanceEntry,
@@ -130,6 +131,17 @@
         self.routes = replace(self.routes, version=self.routes.version + 1)
         self._write_routes()
 
+    def change_accounts(self, accounts: AccountTable | None) -> None:
+        """Publish these accounts under a new configuration version."""
+        version = self.routes.version + 1
+        self.routes = replace(self.routes, version=version, accounts=accounts)
+        self._write_routes()
+
+    @property
+    def now(self) -> float:
+        """Return the time of the deployment in seconds."""
+        return float(self.simulator.now)
+
     def restore_store(self, seconds: float, rewrite_delay_s: float) -> None:
         """Restore the store from a copy that is `seconds` old.
 
@@ -176,7 +188,7 @@
 
     def open_session(self, node: ProxyProcess, database: str, key: str = "") -> TcpCaller:
         """Open a session at a proxy; the caller is marked closed when the connection fails."""
-        caller = TcpCaller(self._reactor, database)
+        caller = TcpCaller(self._reactor, database, key)
         endpoint = TCP4ClientEndpoint(self._reactor, node.addresses.ip, CALLERS_PORT, 2.0)
         connecting: Any = connectProtocol(endpoint, caller)
         connecting.addErrback(lambda _: caller.mark_closed())
--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -18,6 +18,7 @@
 from orioleplank.soak._processes import ProxyProcess
 from orioleplank.soak._store import INSTANCES_KIND, ODD_SPECS
 from orioleplank.tests._audited_run import AuditedRun
+from orioleplank.tests._changing_keys import ChangingKeys
 from orioleplank.tests._simulated_instances import SimulatedInstance
 
 # Time for all proxies to start.
@@ -26,6 +27,8 @@
 RECOVERY_S = 16.0
 # Last part of the recovery, in which as many requests as there are callers must succeed.
 SERVICE_CHECK_S = 5.0
+# Share of the seeds whose configuration has client accounts.
+ACCOUNTS_SHARE = 0.5
 # Minimum and random part of the time between faults; most faults last longer and overlap.
 MIN_FAULT_INTERVAL_S, FAULT_INTERVAL_RANGE_S = 0.3, 2.5
 
@@ -62,7 +65,9 @@
         # The lower limit, in about half of the seeds, is small enough to require connection owners.
         connections = random.choice((6 * proxies, 2 * proxies - 1))
         cluster = ProcessCluster(reactor, random, directory, subnet, proxies, connections)
-        super().__init__(cluster, random, callers=2 * proxies)
+        # In about half of the seeds callers identify themselves with keys that change.
+        keys = ChangingKeys(cluster, random) if random.random() < ACCOUNTS_SHARE else None
+        super().__init__(cluster, random, callers=2 * proxies, keys=keys)
 
     async def run(self, seconds: float) -> SoakReport:
         """Inject faults for `seconds`, remove them, wait for the recovery and audit the run."""
@@ -157,6 +162,7 @@
             "answers-lost": self._lose_answers,
             "instance-full": self._exhaust_connections,
             "primary-fails-work": self._fail_primary_work,
+            "keys-change": self._change_keys,
             "configuration-changes": self.cluster.change_routes,
             "odd-entry-written": self._write_odd_entry,
             "proxy-asked-twice": self._terminate_twice,
@@ -297,6 +303,10 @@
         member.loses_answers = True
         self._call_later(2.0, partial(setattr, member, "loses_answers", False))
 
+    def _change_keys(self) -> None:
+        if self.keys is not None:
+            self.keys.change()
+
     def _fail_primary_work(self) -> None:
         member = self.cluster.group.primary()
         fault = self.random.choice(("is_failing", "resets_work"))
--- a/orioleplank/soak/_store.py
+++ b/orioleplank/soak/_store.py
@@ -8,6 +8,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
+from orioleplank.decision.accounts import AccountTable, ClientAccount
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.tests._simulated_instances import PROMOTION_DELAY_S, SimulatedGroup
 from orioleplank.tests._simulated_store import SimulatedStore
@@ -66,7 +67,24 @@
         for name, limits in table.services.items()
     ]
     limits = {"txIdleMs": table.transaction_idle * 1000}
-    return {"version": table.version, "routes": routes, "services": services, "limits": limits}
+    content = {"version": table.version, "routes": routes, "services": services, "limits": limits}
+    if table.accounts is None:
+        return content
+    return {**content, "tenants": _accounts_to_json(table.accounts)}
+
+
+def _accounts_to_json(table: AccountTable) -> list[dict[str, object]]:
+    keys: dict[ClientAccount, list[str]] = {}
+    for key, account in table.by_key.items():
+        keys.setdefault(account, []).append(key)
+    return [_account_to_json(account, names) for account, names in keys.items()]
+
+
+def _account_to_json(account: ClientAccount, keys: list[str]) -> dict[str, object]:
+    content = {"name": account.name, "apiKeys": keys, "priority": account.priority}
+    if account.limit is None:
+        return content
+    return {**content, "ratePerS": account.limit.rate, "burst": account.limit.burst}
 
 
 class StoreResource(Resource):
--- a/orioleplank/tests/_audited_run.py
+++ b/orioleplank/tests/_audited_run.py
@@ -21,6 +21,7 @@
     TransactionState,
     Write,
 )
+from orioleplank.tests._changing_keys import ChangingKeys
 from orioleplank.tests._gateway_cluster import CATALOGUE, JOBS, QUOTES, ROUTES
 from orioleplank.tests._simulated_instances import SimulatedGroup, SimulatedInstance
 
@@ -235,8 +236,12 @@
 class AuditedRun(Generic[ClusterT]):
     """A cluster, its callers, and the checks of replies against the work of instances."""
 
-    def __init__(self, cluster: ClusterT, random: Random, callers: int) -> None:
+    def __init__(
+        self, cluster: ClusterT, random: Random, callers: int, keys: ChangingKeys | None = None
+    ) -> None:
         self.cluster = cluster
+        # Keys with which callers identify themselves; None in a configuration without accounts.
+        self.keys = keys
         self.random = random
         self.audit = Audit()
         # By request id: the caller, its session values, when its transaction or statement
@@ -255,8 +260,8 @@
         return self._last_number
 
     def choose_key(self) -> str:
-        """Return the key with which a new session identifies its caller; empty without one."""
-        return ""
+        """Return the key of a new session, which need not be valid; empty without accounts."""
+        return self.keys.choose_key() if self.keys else ""
 
     def choose_proxy(self, alive: Sequence[Any]) -> Any:
         """Return the proxy for a new session, one of those that accept sessions."""
@@ -275,13 +280,14 @@
         caller, expected, began_at, own_values = sender
         if values != expected:
             self.audit.add_violation(f"{request} ran with {values}, its session has {expected}")
-        self.check_account(request, caller, account)
+        self._check_account(request, caller, account)
         self._check_freshness(member, request, caller, began_at, own_values)
 
-    def check_account(self, request: str, caller: AuditedCaller, account: str) -> None:
-        """Check the account under which a statement runs; callers have none unless overridden."""
-        if account:
-            self.audit.add_violation(f"{request} ran under account {account}")
+    def _check_account(self, request: str, caller: AuditedCaller, account: str) -> None:
+        """Check that a statement runs under an account that has, or lately had, the key."""
+        accounts = self.keys.recent_accounts(caller.key) if self.keys else {""}
+        if account not in accounts:
+            self.audit.add_violation(f"{request} with {caller.key} ran under account {account!r}")
 
     def _check_freshness(
         self,
--- a/orioleplank/tests/_random_faults.py
+++ b/orioleplank/tests/_random_faults.py
@@ -10,7 +10,7 @@
 
 from orioleplank.decision.instances import DbRole, InstanceState
 from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
-from orioleplank.tests._audited_run import Audit, AuditedCaller, AuditedRun
+from orioleplank.tests._audited_run import Audit, AuditedRun
 from orioleplank.tests._changing_keys import ChangingKeys
 from orioleplank.tests._gateway_cluster import GatewayCluster, GatewayNode
 from orioleplank.tests._simulated_instances import SimulatedInstance
@@ -75,8 +75,9 @@
         # Names of the proxies that are shutting down.
         self._stopping: set[str] = set()
         cluster = GatewayCluster(seed, proxies, connection_limit, mechanisms, sync_replicas)
-        super().__init__(cluster, Random(seed), callers)
-        self._keys = ChangingKeys(cluster, self.random) if with_accounts else None
+        random = Random(seed)
+        keys = ChangingKeys(cluster, random) if with_accounts else None
+        super().__init__(cluster, random, callers, keys)
 
     def run(self) -> Audit:
         """Inject faults, end them, check that callers are served again, and return the audit."""
@@ -95,17 +96,6 @@
         self.check_invariants()
         return self.audit
 
-    def choose_key(self) -> str:
-        """Return a key that is or was configured, or another one; empty without accounts."""
-        return self._keys.choose_key() if self._keys else ""
-
-    def check_account(self, request: str, caller: AuditedCaller, account: str) -> None:
-        """Check that a statement runs under an account that has, or lately had, the key."""
-        if self._keys is None:
-            super().check_account(request, caller, account)
-        elif account not in self._keys.recent_accounts(caller.key):
-            self.audit.add_violation(f"{request} with {caller.key} ran under account {account!r}")
-
     def choose_proxy(self, alive: Sequence[GatewayNode]) -> GatewayNode:
         """Return a random proxy; mostly a stopping one while there is one."""
         stopping = [node for node in alive if node.name in self._stopping]
@@ -156,8 +146,8 @@
             faults += (self._stop_proxies,) * STOP_WEIGHT
         if self._with_failing_work:
             faults += (self._fail_work,) * FAILING_WORK_WEIGHT
-        if self._keys is not None:
-            faults += (self._keys.change,) * KEY_CHANGE_WEIGHT
+        if self.keys is not None:
+            faults += (self.keys.change,) * KEY_CHANGE_WEIGHT
         fault_at = 1.0
         while fault_at < FAULTS_S - 6.0:
             self.cluster.simulator.call_later(fault_at, self.random.choice(faults))
