Idle connections are replaced one at a time

Cause: at the connection limit a pool closed all idle connections for waiters of other accounts at once and opened as many.

Change: at the limit one connection is opened in the place of an idle one at a time; requests whose account has a connection go on meanwhile. Below the limit nothing changes.

Ruled out: a longer life of idle connections; at the limit one has to go for each that comes.

--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -38,6 +38,10 @@
 # it lags. Repeated reads from the whole fleet would overload it.
 LAG_BACKOFF_MIN_S = 0.1
 LAG_BACKOFF_MAX_S = 0.8
+# How many connections are opened at the same time in the place of idle ones of other accounts. Each
+# occupies a slot of the instance: with more, an instance with many accounts would be busy with new
+# connections while requests that need none wait.
+MAX_CONCURRENT_REPLACEMENTS = 1
 # Weight of the newest reply in the moving average of the latency.
 LATENCY_WEIGHT = 0.2
 # Latency assumed for an instance that has not replied yet, in seconds.
@@ -329,7 +333,7 @@
 
         At the limit an idle connection is closed instead, since no waiter can use it.
         """
-        if not len(self._waiters) or not self._has_room:
+        if not len(self._waiters) or (self._is_at_limit and not self._may_replace_idle):
             return
         covered = Counter(self._opening)
         for request in self._waiters.requests:
@@ -344,17 +348,21 @@
                 return
 
     @property
-    def _has_room(self) -> bool:
-        """True if a connection may be opened, possibly in the place of an idle one."""
-        return bool(self._idle) or self.size < max(1, self._connection_limit(self.entry))
+    def _is_at_limit(self) -> bool:
+        return self.size >= max(1, self._connection_limit(self.entry))
+
+    @property
+    def _may_replace_idle(self) -> bool:
+        """True if an idle connection may be closed for one of another account."""
+        return bool(self._idle) and self._opening.total() < MAX_CONCURRENT_REPLACEMENTS
 
     def _make_room(self) -> bool:
         """Close idle connections at the limit; return whether a connection may be opened."""
-        while self.size >= max(1, self._connection_limit(self.entry)):
-            if not self._idle:
-                return False
+        if self._is_at_limit and not self._may_replace_idle:
+            return False
+        while self._is_at_limit and self._idle:
             self._idle.pop(0).link.close()
-        return True
+        return not self._is_at_limit
 
     def _open_connection(self, account: str) -> None:
         self._opening[account] += 1
--- a/orioleplank/gateway/tests/test_pool.py
+++ b/orioleplank/gateway/tests/test_pool.py
@@ -193,3 +193,18 @@
     def test_probe_uses_the_connection_of_any_account(self) -> None:
         self._use_once("a")
         self.assertEqual("a", self._acquire("", is_probe=True)[0].link.account)
+
+    # Otherwise a queue of many accounts would close all idle connections at once, and the instance
+    # would be busy with opening others.
+    def test_idle_connections_are_replaced_one_after_the_other(self) -> None:
+        for account in ("a", "b", "c"):
+            self._use_once(account)
+        waiting = [self._acquire(account) for account in ("d", "e", "f")]
+        self.assertEqual((["d"], ["b", "c"]), ([a for _, a in self.dialing], self._open_accounts()))
+        for _ in range(3):
+            self._open_all()
+            for served in waiting:
+                if served and served[0] is not None:
+                    self.pool.release(served[0])
+                    served[0] = None
+        self.assertEqual([1, 1, 1], [len(served) for served in waiting])
