A limit on statements in progress is learned from latency and BUSY

Cause: a proxy sends an instance as many statements at once as it has connections. Instances take very different numbers well, some slow down long before they are full, and the two owners of an instance with 70 connections together exceed its slots and queue, which it answers with BUSY.

Change: ConcurrencyLimit, a decision free of I/O. Nothing uses the limit yet; the switches of both mechanisms are there.

--- a/orioleplank/decision/admission/__init__.py
+++ b/orioleplank/decision/admission/__init__.py
@@ -1,5 +1,9 @@
 """Admission control: whether a statement may queue or start, or is refused at once."""
 
+from orioleplank.decision.admission._concurrency_limit import (
+    ConcurrencyLimit,
+    StatementResult,
+)
 from orioleplank.decision.admission._queue_admission import (
     AdmissionDecision,
     AdmissionRefused,
@@ -15,8 +19,10 @@
     "AdmissionDecision",
     "AdmissionRefused",
     "Admitted",
+    "ConcurrencyLimit",
     "QueueLoad",
     "ShutdownSchedule",
+    "StatementResult",
     "decide_admission",
     "find_expiring_waiters",
     "update_mean_hold_time",
--- a/orioleplank/decision/mechanisms.py
+++ b/orioleplank/decision/mechanisms.py
@@ -49,6 +49,10 @@
     ACCOUNT_AFFINITY = "account-affinity"
     # The report of a failed primary is not awaited.
     UNAWAITED_REPORT = "unawaited-report"
+    # The number of statements in progress at an instance has a limit that is learned.
+    CONCURRENCY_LIMIT = "concurrency-limit"
+    # Connection owners tell their load, by which reads and owners are chosen.
+    OWNER_LOAD = "owner-load"
 
 
 class MechanismSwitches(Struct, frozen=True):
