A pool starts statements only below the learned limit

Cause: the pool handed out connections up to its share, whatever the instance takes well, so statements queued at the instance and not in the order of the pool's queue.

Change: RunningStatements counts the statements in progress of a pool by connection and holds its limit. A request gets a connection only below it; a waiter is served when a statement ends, also one inside a transaction. Statements inside transactions, commits and rollbacks count and are not held back; probes neither wait nor count; idle transactions do not count. No connection is opened for a waiter that may not start. The expected wait is the longer of the one for connections and the one for the limit. Forwarding links are not limited: their owners limit. A statement that was abandoned here teaches nothing. With "concurrency-limit" off the behaviour is the former one.

Ruled out: counting connections in use instead of statements, since idle transactions would use up the limit; a timer for each pool for the end of a measurement (arrivals and the housekeeping tick serve the waiters).

--- a/orioleplank/decision/admission/_concurrency_limit.py
+++ b/orioleplank/decision/admission/_concurrency_limit.py
@@ -121,9 +121,9 @@
         samples = Samples(now)
         return cls(slots, samples, samples, float(slots), used_at=now)
 
-    def allowed(self, ceiling: int) -> int:
+    def allowed(self, ceiling: int, now: float) -> int:
         """Return how many statements may be in progress now, at most `ceiling`."""
-        return self.usual(ceiling) if self.measuring_since is None else 1
+        return 1 if self._is_measuring(now) else self.usual(ceiling)
 
     def usual(self, ceiling: int) -> int:
         """Return the limit without its short reductions for measurements."""
@@ -136,7 +136,7 @@
         connections.
         """
         forgotten = self._forget(now)
-        if running < forgotten.allowed(ceiling):
+        if running < forgotten.allowed(ceiling, now):
             return forgotten
         reached = replace(forgotten, was_reached=True, used_at=now)
         return reached._begin_measuring(now)
@@ -198,6 +198,9 @@
         valid_s = UNLOADED_VALID_BELOW_SLOTS_S if self._is_below_slots else UNLOADED_VALID_S
         return now - self.unloaded_at > valid_s
 
+    def _is_measuring(self, now: float) -> bool:
+        return self.measuring_since is not None and now - self.measuring_since < MAX_MEASURING_S
+
     def _begin_measuring(self, now: float) -> ConcurrencyLimit:
         """Measure the unloaded latency if it is out of date; only called while the limit is used.
 
@@ -214,7 +217,7 @@
 
         At least one sample of it is taken in, so that a slow instance is not judged by old figures.
         """
-        if self.measuring_since is None or now - self.measuring_since < MAX_MEASURING_S:
+        if self.measuring_since is None or self._is_measuring(now):
             return self
         latency = self.unloaded_latency
         if self.unloaded.count:
--- a/orioleplank/decision/admission/tests/_simulated_load.py
+++ b/orioleplank/decision/admission/tests/_simulated_load.py
@@ -131,7 +131,11 @@
     @property
     def allowed(self) -> int:
         """The number of statements that may be in progress."""
-        return self._limit.allowed(self._connections) if self._is_limited else self._connections
+        return (
+            self._limit.allowed(self._connections, self._clock.now)
+            if self._is_limited
+            else self._connections
+        )
 
     @property
     def usual(self) -> int:
--- a/orioleplank/decision/admission/tests/test_concurrency_limit.py
+++ b/orioleplank/decision/admission/tests/test_concurrency_limit.py
@@ -42,20 +42,20 @@
     """Single steps."""
 
     def test_limit_starts_at_the_slots(self) -> None:
-        self.assertEqual(SLOTS, ConcurrencyLimit.begin(SLOTS, 0.0).allowed(CEILING))
+        self.assertEqual(SLOTS, ConcurrencyLimit.begin(SLOTS, 0.0).usual(CEILING))
 
     def test_limit_rises_while_it_is_used_and_latency_is_unloaded(self) -> None:
         limit, now = _learn_unloaded(0.01)
         for _ in range(3):
-            limit, now = _run_window(limit, now, 0.011, running=limit.allowed(CEILING))
-        self.assertGreater(limit.allowed(CEILING), SLOTS)
+            limit, now = _run_window(limit, now, 0.011, running=limit.usual(CEILING))
+        self.assertGreater(limit.usual(CEILING), SLOTS)
 
     def test_limit_that_is_not_used_does_not_rise(self) -> None:
         """Otherwise a quiet hour would leave a limit that protects nothing in the next burst."""
         limit, now = _learn_unloaded(0.01)
         for _ in range(10):
             limit, now = _run_window(limit, now, 0.01, running=2)
-        self.assertEqual(SLOTS, limit.allowed(CEILING))
+        self.assertEqual(SLOTS, limit.usual(CEILING))
 
     def test_limit_falls_when_latency_is_far_above_the_unloaded_one(self) -> None:
         limit, now = _learn_unloaded(0.01)
@@ -66,7 +66,7 @@
         limit = ConcurrencyLimit.begin(10, 0.0)
         for _ in range(8):
             limit = limit.end_statement(StatementResult.OVERLOADED, 0.0, False, CEILING, 1.0)
-        self.assertEqual(7, limit.allowed(CEILING))
+        self.assertEqual(7, limit.usual(CEILING))
 
     def test_fast_failures_are_no_sign_of_speed(self) -> None:
         """An instance that fails its work at once would otherwise be given more and more."""
@@ -75,7 +75,7 @@
         for _ in range(20):
             limit, now = _run_window(limit, now, 0.0001, 5, StatementResult.NO_SAMPLE)
         self.assertEqual(unloaded, limit.unloaded_latency)
-        self.assertEqual(SLOTS, limit.allowed(CEILING))
+        self.assertEqual(SLOTS, limit.usual(CEILING))
 
     def test_unused_limit_returns_to_the_slots(self) -> None:
         limit = ConcurrencyLimit.begin(SLOTS, 0.0)
@@ -83,22 +83,27 @@
             limit = limit.end_statement(
                 StatementResult.OVERLOADED, 0.0, False, CEILING, float(second)
             )
-        self.assertEqual(1, limit.allowed(CEILING))
+        self.assertEqual(1, limit.usual(CEILING))
         limit = limit.start_statement(0, CEILING, 120.0)
-        self.assertEqual(SLOTS - 1, limit.allowed(CEILING))
+        self.assertEqual(SLOTS - 1, limit.usual(CEILING))
 
     def test_outdated_unloaded_latency_is_measured_with_one_statement_at_a_time(self) -> None:
         limit, now = _learn_unloaded(0.01)
         limit = limit.start_statement(SLOTS, CEILING, now + 60.0)
-        self.assertEqual(1, limit.allowed(CEILING))
+        self.assertEqual(1, limit.allowed(CEILING, now + 60.01))
         self.assertEqual(SLOTS, limit.usual(CEILING))
 
+    def test_statement_that_hangs_does_not_prolong_a_measurement(self) -> None:
+        limit, now = _learn_unloaded(0.01)
+        limit = limit.start_statement(SLOTS, CEILING, now + 60.0)
+        self.assertEqual(SLOTS, limit.allowed(CEILING, now + 61.0))
+
     def test_measurement_ends_while_the_instance_answers_nothing_useful(self) -> None:
         """Otherwise failures alone would keep the limit at one."""
         limit, now = _learn_unloaded(0.01)
         limit = limit.start_statement(SLOTS, CEILING, now + 60.0)
         limit = limit.end_statement(StatementResult.NO_SAMPLE, 0.0, True, CEILING, now + 61.0)
-        self.assertEqual(SLOTS, limit.allowed(CEILING))
+        self.assertEqual(SLOTS, limit.allowed(CEILING, now + 61.0))
 
     @given(
         st.lists(
@@ -120,7 +125,7 @@
             now += pause
             limit = limit.start_statement(running, ceiling, now)
             limit = limit.end_statement(result, latency, running == 1, ceiling, now)
-            self.assertTrue(1 <= limit.allowed(ceiling) <= ceiling)
+            self.assertTrue(1 <= limit.allowed(ceiling, now) <= ceiling)
 
 
 class TestConstantSpeed(testtools.TestCase):
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -240,7 +240,10 @@
                 pool.entry = current
         if current is not None and current.id not in self.pools:
             self.pools[current.id] = self._build_pool(
-                current, self._connector.open, self._connector.connection_limit
+                current,
+                self._connector.open,
+                self._connector.connection_limit,
+                self._connector.holds_connections,
             )
         self._event_log.log_event(
             EventType.INSTANCE,
@@ -254,13 +257,23 @@
         )
 
     def _build_pool(
-        self, entry: InstanceEntry, dial: Dial, connection_limit: ConnectionLimit
+        self,
+        entry: InstanceEntry,
+        dial: Dial,
+        connection_limit: ConnectionLimit,
+        limits_statements: Callable[[InstanceEntry], bool] = lambda _: True,
     ) -> InstancePool:
         def report_problem(instance: str) -> None:
             self.on_instance_problem(instance)
 
         return InstancePool(
-            entry, dial, self.now, connection_limit, report_problem, self.mechanisms
+            entry,
+            dial,
+            self.now,
+            connection_limit,
+            report_problem,
+            self.mechanisms,
+            limits_statements,
         )
 
     def primary_accepts_work(self, instance: str) -> bool:
@@ -295,6 +308,11 @@
             self._own_connection_pools[instance] = pool
         return pool
 
+    def serve_waiters(self) -> None:
+        """Serve requests that may start because time has passed, such as after a measurement."""
+        for pool in (*self.pools.values(), *self._own_connection_pools.values()):
+            pool.serve_waiters()
+
     def close_unused_connections(self) -> None:
         """Close idle own connections to instances to which statements are normally forwarded."""
         for pool in self._own_connection_pools.values():
--- a/orioleplank/gateway/_forwarding_server.py
+++ b/orioleplank/gateway/_forwarding_server.py
@@ -279,10 +279,10 @@
         timeout: float,
         is_latency_sample: bool,
     ) -> ResponseFrame:
-        assert link_state.pool is not None
+        assert link_state.pool is not None and link_state.connection is not None
         try:
             reply = await self._executor.await_reply(
-                link_state.pool, pending_reply, timeout, is_latency_sample
+                link_state.pool, link_state.connection, pending_reply, timeout, is_latency_sample
             )
         except NO_REPLY_ERRORS as error:
             self._discard_connection(link_state)
--- a/orioleplank/gateway/_instance_connector.py
+++ b/orioleplank/gateway/_instance_connector.py
@@ -91,6 +91,10 @@
             self._paths[entry.id] = path
         return path
 
+    def holds_connections(self, entry: InstanceEntry) -> bool:
+        """Return whether this proxy has connections of its own, rather than forwarding links."""
+        return isinstance(self.connection_path(entry), DirectPath)
+
     def connection_owners(self, entry: InstanceEntry) -> tuple[str, ...]:
         """Return the connection owners of an instance; empty if every proxy connects itself."""
         limits = self._services.get(entry.service)
--- a/orioleplank/gateway/_instance_executor.py
+++ b/orioleplank/gateway/_instance_executor.py
@@ -30,6 +30,7 @@
     RequestOptions,
 )
 from orioleplank.gateway._pool import InstancePool
+from orioleplank.gateway._running_statements import judge_error, judge_reply
 from orioleplank.gateway._wait_queue import QueueTooLongError
 
 T = TypeVar("T")
@@ -138,20 +139,28 @@
     async def await_reply(
         self,
         pool: InstancePool,
+        connection: PooledConnection,
         pending_reply: Deferred[Reply],
         seconds: float,
         is_latency_sample: bool = True,
     ) -> Reply:
         """Wait for a reply and record it in the pool; raise one of `NO_REPLY_ERRORS` on failure.
 
-        With `is_latency_sample` the time until the reply counts towards the pool's latency.
+        The statement counts as in progress at the instance until then. With `is_latency_sample`
+        the time until the reply counts towards the pool's latency.
         """
         sent_at = self.cluster_state.now()
+        pool.statements.start(connection)
         try:
             reply = await self.with_timeout(pending_reply, seconds)
-        except NO_REPLY_ERRORS:
+        except NO_REPLY_ERRORS as error:
+            pool.statements.end(connection, judge_error(error))
             pool.record_failure()
             raise
+        pool.statements.end(connection, judge_reply(reply, is_latency_sample))
+        if reply.state is not TransactionState.IDLE:
+            # The connection is not released, but its statement makes room for a waiter.
+            pool.serve_waiters()
         pool.record_reply(self.cluster_state.now() - sent_at if is_latency_sample else None)
         pool.record_position(reply.position)
         return reply
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -26,6 +26,7 @@
     InstanceRefusedError,
     InstanceUnreachableError,
 )
+from orioleplank.gateway._running_statements import RunningStatements
 from orioleplank.gateway._wait_queue import QueueTooLongError, WaitQueue
 
 # Delay before a connection is opened again after a failure, in seconds; doubled on each failure.
@@ -54,9 +55,11 @@
     """Connections, or forwarding links, of this proxy to one incarnation of an instance.
 
     Opens them on demand up to `connection_limit`, queues requests for them, and records what the
-    replies and failures show about the instance. A connection belongs to one account; at the limit
-    an idle connection of another account is closed for a request that has none. A proxy that
-    forwards statements may have a second pool of the same instance, for connections of its own.
+    replies and failures show about the instance. Where `limits_statements` returns true, requests
+    also wait while as many statements are in progress as the instance takes well. A connection
+    belongs to one account; at the limit an idle connection of another account is closed for a
+    request that has none. A proxy that forwards statements may have a second pool of the same
+    instance, for connections of its own.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         connection_limit: Callable[[InstanceEntry], int],
         on_problem: Callable[[str], None],
         mechanisms: MechanismSwitches = ALL_ON,
+        limits_statements: Callable[[InstanceEntry], bool] = lambda _: True,
     ) -> None:
         self._mechanisms = mechanisms
         self.entry = entry
@@ -84,6 +88,14 @@
         # Numbers of connections that are being opened, by the account's name.
         self._opening: Counter[str] = Counter()
         self._waiters = WaitQueue(now, mechanisms)
+        is_limited = mechanisms.is_on(Mechanism.CONCURRENCY_LIMIT)
+        # The statements in progress, and the limit on them.
+        self.statements = RunningStatements(
+            entry.slots,
+            now,
+            lambda: max(1, connection_limit(self.entry)),
+            lambda: is_limited and limits_statements(self.entry),
+        )
         self._closed = False
         self._retry_at = 0.0
         self._dial_failures = 0
@@ -113,6 +125,11 @@
         """Connections of this proxy that are in use, plus requests that wait for one."""
         return len(self._in_use) + len(self._waiters)
 
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for a connection or for the limit on statements."""
+        return len(self._waiters)
+
     @property
     def size(self) -> int:
         """Number of connections that are open or being opened."""
@@ -213,6 +230,8 @@
         if self._closed:
             error = InstanceUnreachableError("take connection", self.entry.id, "it is gone")
             return fail(error)
+        if self._can_any_start:
+            self.serve_waiters()
         connection = self._take_idle(request)
         if connection is not None:
             return succeed(connection)
@@ -220,7 +239,8 @@
             error = InstanceUnreachableError("take connection", self.entry.id, "it was unreachable")
             return fail(error)
         admission = decide_admission(
-            self._queue_load(request).expected_wait, request.remaining_time
+            self._queue_load(self._waiters.count_ahead(request)).expected_wait,
+            request.remaining_time,
         )
         refuses_early = self._mechanisms.is_on(Mechanism.EARLY_REFUSAL)
         if isinstance(admission, AdmissionRefused) and refuses_early and not request.is_probe:
@@ -234,6 +254,7 @@
         taken_at = self._in_use.pop(connection, None)
         if taken_at is None:
             return
+        self.statements.remove(connection)
         self.last_released_at = self._now()
         self._mean_hold_time = update_mean_hold_time(
             self._mean_hold_time, self.last_released_at - taken_at
@@ -245,7 +266,7 @@
             connection.link.close()
         else:
             self._idle.append(connection)
-        self._serve_waiters()
+        self.serve_waiters()
 
     def discard(self, connection: PooledConnection) -> None:
         """Close a connection whose state is in doubt."""
@@ -287,7 +308,7 @@
 
     def _take_idle(self, request: ConnectionRequest) -> PooledConnection | None:
         usable = [c for c in reversed(self._idle) if request.may_use(c.link.account)]
-        if not usable:
+        if not usable or not self._may_start(request):
             return None
 
         def setup_cost(connection: PooledConnection) -> tuple[int, bool]:
@@ -298,15 +319,23 @@
         self._idle.remove(best)
         best.last_session_id = request.session_id
         self._in_use[best] = self._now()
+        if not request.is_probe:
+            self.statements.start(best)
         return best
 
     def _has_idle(self, request: ConnectionRequest) -> bool:
-        return any(request.may_use(connection.link.account) for connection in self._idle)
+        return self._may_start(request) and any(
+            request.may_use(connection.link.account) for connection in self._idle
+        )
 
-    def _queue_load(self, request: ConnectionRequest) -> QueueLoad:
-        """Return the load of the queue for a new request."""
-        waiters_ahead = self._waiters.count_ahead(request)
-        return QueueLoad(waiters_ahead, self._connection_limit(self.entry), self._mean_hold_time)
+    def _may_start(self, request: ConnectionRequest) -> bool:
+        return request.is_probe or self.statements.room > 0
+
+    def _queue_load(self, waiters_ahead: int) -> QueueLoad:
+        """Return the load of the queue for a request with this many waiters ahead."""
+        return self.statements.longer_queue(
+            QueueLoad(waiters_ahead, self._connection_limit(self.entry), self._mean_hold_time)
+        )
 
     def _may_get_connection(self) -> bool:
         """Return whether a connection may become free or may be opened soon."""
@@ -315,14 +344,19 @@
     def _open_needed_connections(self) -> None:
         """Open a connection for each waiter for which none is being opened, in their order.
 
-        At the limit an idle connection is closed instead, since no waiter can use it.
+        At the limit an idle connection is closed instead, since no waiter can use it. None is
+        opened for a waiter whose statement the limit on statements would not let start.
         """
-        if not len(self._waiters) or not self._has_room:
+        if not self._can_any_start or not self._has_room:
             return
-        covered = Counter(self._opening)
+        covered, room = Counter(self._opening), self.statements.room
         for request in self._waiters.requests:
             if self._now() < self._retry_at or self._closed:
                 return
+            if not request.is_probe:
+                room -= 1
+                if room < 0:
+                    continue
             account = request.account.name
             if covered[account] > 0:
                 covered[account] -= 1
@@ -331,6 +365,11 @@
             else:
                 return
 
+    @property
+    def _can_any_start(self) -> bool:
+        """True if a waiter could start its statement on a connection."""
+        return len(self._waiters) > 0 and (self.statements.room > 0 or self._waiters.has_probe)
+
     @property
     def _has_room(self) -> bool:
         """True if a connection may be opened, possibly in the place of an idle one."""
@@ -364,7 +403,7 @@
             link.close()
             return
         self._idle.append(PooledConnection(link, generation=generation))
-        self._serve_waiters()
+        self.serve_waiters()
 
     def _handle_dial_failure(self, failure: Failure, account: str) -> None:
         self._opening[account] -= 1
@@ -380,15 +419,15 @@
             assert failure.value is not None
             self._waiters.fail_all(failure.value)
 
-    def _serve_waiters(self) -> None:
-        while self._idle:
+    def serve_waiters(self) -> None:
+        """Serve the waiters that may start, refuse those that would wait for too long."""
+        while self._idle and self._can_any_start:
             waiter = self._waiters.pop_first(self._has_idle)
             if waiter is None:
                 break
             connection = self._take_idle(waiter.request)
             assert connection is not None
             waiter.result.callback(connection)
-        self._waiters.refuse_expiring(
-            self.entry.id, self._connection_limit(self.entry), self._mean_hold_time
-        )
+        load = self._queue_load(0)
+        self._waiters.refuse_expiring(self.entry.id, load.connections, load.mean_hold_time)
         self._open_needed_connections()
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -117,7 +117,7 @@
         pending_reply = acquired.link.run(request.id, statement, name, placement.min_position)
         try:
             timeout = max(MIN_ATTEMPT_S, attempt_end - self.cluster_state.now())
-            reply = await self.await_reply(pool, pending_reply, timeout)
+            reply = await self.await_reply(pool, acquired, pending_reply, timeout)
         except NO_REPLY_ERRORS as error:
             pool.discard(acquired)
             return _refuse_unanswered(error, pool, "run read")
@@ -304,7 +304,9 @@
         sent_at = self.cluster_state.lease_clock()
         pending_reply = acquired.link.run(request.id, statement, name, None)
         try:
-            reply = await self.await_reply(pool, pending_reply, self.remaining_time(request))
+            reply = await self.await_reply(
+                pool, acquired, pending_reply, self.remaining_time(request)
+            )
         except NO_REPLY_ERRORS as error:
             pool.discard(acquired)
             return _refuse_unanswered(error, pool, "run write"), False
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -136,7 +136,7 @@
         pending_reply = connection.link.run(request.id, statement, name, None)
         try:
             reply = await statements.await_reply(
-                pool, pending_reply, statements.remaining_time(request)
+                pool, connection, pending_reply, statements.remaining_time(request)
             )
         except NO_REPLY_ERRORS as error:
             self._discard_connection(transaction)
@@ -185,7 +185,7 @@
         try:
             timeout = max(MIN_ATTEMPT_S, attempt_end - self._cluster_state.now())
             reply = await self._statements.await_reply(
-                pool, pending_reply, timeout, is_latency_sample=False
+                pool, acquired, pending_reply, timeout, is_latency_sample=False
             )
         except NO_REPLY_ERRORS as error:
             pool.discard(acquired)
@@ -282,7 +282,7 @@
             connection.link.set_next_request_options(self._build_options(request))
             pending_reply = connection.link.commit(request.id)
             reply = await self._statements.await_reply(
-                pool, pending_reply, self._statements.remaining_time(request)
+                pool, connection, pending_reply, self._statements.remaining_time(request)
             )
             self._statements.record_primary_position(request, pool.entry.id, sent_at, reply)
             has_no_slot = reply.failure is not None and reply.failure.code is FailureCode.BUSY
@@ -310,7 +310,7 @@
         try:
             pending_reply = connection.link.roll_back()
             reply = await self._statements.await_reply(
-                pool, pending_reply, ROLLBACK_TIMEOUT_S, is_latency_sample=False
+                pool, connection, pending_reply, ROLLBACK_TIMEOUT_S, is_latency_sample=False
             )
         except NO_REPLY_ERRORS:
             pool.discard(connection)
--- a/orioleplank/gateway/_wait_queue.py
+++ b/orioleplank/gateway/_wait_queue.py
@@ -72,6 +72,11 @@
         """The waiting requests, in the order of service."""
         return [waiter.request for waiter in sorted(self._queue)]
 
+    @property
+    def has_probe(self) -> bool:
+        """True while a probe is among the waiting requests."""
+        return any(waiter.request.is_probe for waiter in self._queue)
+
     def count_ahead(self, request: ConnectionRequest) -> int:
         """Return how many waiters are served before a new request."""
         deadline = self._now() + request.remaining_time
