Owners tell their load in the responses to forwarded statements

Cause: a proxy that forwards knows only its own latency and queue; it cannot tell an owner with a long queue from an idle one.

Change: Answered, NotSent and Unanswered carry waiting, running, limit and expected wait (in milliseconds) in one field at the end with a default. A sender keeps the newest by instance and owner with the time of receipt, counts what it sent since, and the mean time to a response without the wait at the owner. Nothing uses it yet.

Ruled out: a message of its own, which would cost one for each pair of proxy and instance; the load in seconds as a float (9 bytes alone).

Measured: the field adds at most 9 bytes to a frame (300 waiting, 5 s wait). Frames are decoded by the types of the previous version, and theirs by these. Tests of frames, owners' loads, routing and forwarding passed.

--- a/orioleplank/decision/routing/__init__.py
+++ b/orioleplank/decision/routing/__init__.py
@@ -13,6 +13,7 @@
     owner_connection_limit,
     select_owners,
 )
+from orioleplank.decision.routing._owner_load import OwnerLoad, OwnerNews, update_news
 from orioleplank.decision.routing._placement import (
     NoInstanceAvailable,
     Placement,
@@ -28,6 +29,8 @@
     "DirectPath",
     "ForwardingPath",
     "NoInstanceAvailable",
+    "OwnerLoad",
+    "OwnerNews",
     "Placement",
     "ReadCandidate",
     "ReadRequirement",
@@ -40,4 +43,5 @@
     "owner_connection_limit",
     "place_read",
     "select_owners",
+    "update_news",
 ]
--- a/orioleplank/gateway/_forwarding_client.py
+++ b/orioleplank/gateway/_forwarding_client.py
@@ -50,6 +50,7 @@
     RequestOptions,
 )
 from orioleplank.gateway._owner_channel import OWNER_AVOIDANCE_S, OwnerChannel
+from orioleplank.gateway._owner_loads import OwnerLoads
 
 # Reason given when a statement is not sent because all owners are avoided.
 NO_OWNER_REASON = "no owner of its connections is reached"
@@ -66,6 +67,8 @@
         self._now = now
         self._by_address: dict[str, OwnerChannel] = {}
         self._numbers = count(1)
+        # The loads that the owners told.
+        self.owner_loads = OwnerLoads(now)
         # The channel to this proxy itself; None until its forwarding server is built.
         self.loopback_channel: OwnerChannel | None = None
         # Until when an owner is avoided for an instance, in seconds, by (instance, owner).
@@ -269,6 +272,12 @@
     def _request_response(self, owner: ProxyRecord, frame: Any) -> Deferred[ResponseFrame]:
         self._pending_request = (owner, frame.correlation_id, self._forwarding.now())
         pending_response = self._forwarding.channel(owner).send_request(frame)
+        loads, sent_at = self._forwarding.owner_loads, self._forwarding.now()
+        loads.record_sent(self._entry.id, owner.name, frame)
+
+        def record_load(response: ResponseFrame) -> ResponseFrame:
+            loads.record_response(self._entry.id, owner.name, frame, response, sent_at)
+            return response
 
         def clear_pending_request(response: Any) -> Any:
             if (
@@ -278,7 +287,7 @@
                 self._pending_request = None
             return response
 
-        return pending_response.addCallback(clear_pending_request)
+        return pending_response.addCallback(record_load).addCallback(clear_pending_request)
 
     def _handle_reply(self, response: ResponseFrame, owner: ProxyRecord) -> Reply:
         match response:
--- a/orioleplank/gateway/_forwarding_server.py
+++ b/orioleplank/gateway/_forwarding_server.py
@@ -49,6 +49,7 @@
 )
 from orioleplank.gateway._instance_prober import InstanceProber
 from orioleplank.gateway._interfaces import InstanceUnreachableError, RequestOptions
+from orioleplank.gateway._owner_loads import encode_load
 from orioleplank.gateway._pool import InstancePool
 
 # Part of the timeout that is reserved for returning a "not sent" response, in seconds: twice the
@@ -250,7 +251,8 @@
                 is_unreachable = isinstance(error, InstanceUnreachableError)
                 reason = _explain(error, "all are in use")
                 retry_after = getattr(error, "retry_after", None)
-                return NotSent(request.correlation_id, reason, is_unreachable, retry_after)
+                load = encode_load(pool)
+                return NotSent(request.correlation_id, reason, is_unreachable, retry_after, load)
             finally:
                 link_state.pending_acquisition = None
         assert link_state.pool is not None and link_state.connection is not None
@@ -279,16 +281,19 @@
         timeout: float,
         is_latency_sample: bool,
     ) -> ResponseFrame:
-        assert link_state.pool is not None and link_state.connection is not None
+        pool, connection = link_state.pool, link_state.connection
+        assert pool is not None and connection is not None
         try:
             reply = await self._executor.await_reply(
-                link_state.pool, link_state.connection, pending_reply, timeout, is_latency_sample
+                pool, connection, pending_reply, timeout, is_latency_sample
             )
         except NO_REPLY_ERRORS as error:
             self._discard_connection(link_state)
-            return Unanswered(correlation_id, _explain(error, "its time is over"))
+            return Unanswered(
+                correlation_id, _explain(error, "its time is over"), encode_load(pool)
+            )
         self._update_after_reply(link_state, reply)
-        return encode_reply(correlation_id, reply)
+        return encode_reply(correlation_id, reply, encode_load(pool))
 
     def _update_after_reply(self, link_state: _LinkState, reply: Reply) -> None:
         link_state.in_transaction = reply.state is not TransactionState.IDLE
--- a/orioleplank/gateway/_frames.py
+++ b/orioleplank/gateway/_frames.py
@@ -30,6 +30,10 @@
 # Largest frame, in bytes: the largest caller message plus the other fields of the frame.
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 
+# Load of the owner's connections to the instance: the number of requests that wait, the number of
+# statements in progress, the limit on them, and the expected wait in milliseconds.
+LoadFields = tuple[int, int, int, int]
+
 
 class Frame(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base of all frames; the class name is the tag that identifies a frame's type."""
@@ -125,6 +129,8 @@
     position: tuple[int, int] | None
     # Seconds after which a retry may succeed; None if unknown, and in frames of older versions.
     retry_after: float | None = None
+    # Load of the owner; None in frames of older versions.
+    load: LoadFields | None = None
 
 
 class Reported(Frame, frozen=True):
@@ -147,6 +153,8 @@
     is_unreachable: bool
     # Seconds after which a retry may succeed; None if unknown.
     retry_after: float | None = None
+    # Load of the owner; None if it is not the reason, and in frames of older versions.
+    load: LoadFields | None = None
 
 
 class Unanswered(Frame, frozen=True):
@@ -154,6 +162,8 @@
 
     correlation_id: int
     reason: str
+    # Load of the owner; None in frames of older versions.
+    load: LoadFields | None = None
 
 
 RequestFrame = (
@@ -210,8 +220,8 @@
     return Read(frame.arguments) if frame.mode is AccessMode.READ else Write(frame.arguments)
 
 
-def encode_reply(correlation_id: int, reply: Reply) -> Answered:
-    """Encode a reply."""
+def encode_reply(correlation_id: int, reply: Reply, load: LoadFields | None = None) -> Answered:
+    """Encode a reply, with the load of the owner."""
     failure = (reply.failure.code, reply.failure.detail) if reply.failure else None
     retry_after = reply.failure.retry_after if reply.failure else None
     position = encode_position(reply.position)
@@ -223,6 +233,7 @@
         reply.state,
         position,
         retry_after,
+        load,
     )
 
 
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -72,7 +72,7 @@
         mechanisms: MechanismSwitches = ALL_ON,
         limits_statements: Callable[[InstanceEntry], bool] = lambda _: True,
     ) -> None:
-        self._mechanisms = mechanisms
+        self.mechanisms = mechanisms
         self.entry = entry
         self._dial = dial
         self._now = now
@@ -130,6 +130,13 @@
         """Number of requests that wait for a connection or for the limit on statements."""
         return len(self._waiters)
 
+    @property
+    def expected_wait(self) -> float:
+        """Expected time until a new request of the lowest priority would start, in seconds."""
+        if not len(self._waiters) and self.statements.room > 0 and self._has_room:
+            return 0.0
+        return self._queue_load(len(self._waiters)).expected_wait
+
     @property
     def size(self) -> int:
         """Number of connections that are open or being opened."""
@@ -189,7 +196,7 @@
         True during the lag backoff for positions beyond the last reported one. Reads that accept
         older data are still sent to the instance.
         """
-        backs_off = self._mechanisms.is_on(Mechanism.LAG_BACKOFF)
+        backs_off = self.mechanisms.is_on(Mechanism.LAG_BACKOFF)
         if not backs_off or self._now() >= self._lag_backoff_until:
             return False
         return self._reported_position is None or position > self._reported_position
@@ -242,7 +249,7 @@
             self._queue_load(self._waiters.count_ahead(request)).expected_wait,
             request.remaining_time,
         )
-        refuses_early = self._mechanisms.is_on(Mechanism.EARLY_REFUSAL)
+        refuses_early = self.mechanisms.is_on(Mechanism.EARLY_REFUSAL)
         if isinstance(admission, AdmissionRefused) and refuses_early and not request.is_probe:
             return fail(QueueTooLongError(self.entry.id, admission.retry_after))
         result = self._waiters.enqueue(request)
--- a/orioleplank/gateway/tests/test_frames.py
+++ b/orioleplank/gateway/tests/test_frames.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import msgspec
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
@@ -24,7 +25,10 @@
 from orioleplank.gateway._channels import ChannelProtocol
 from orioleplank.gateway._frames import (
     MAX_FRAME_BYTES,
+    Answered,
+    NotSent,
     RunAsked,
+    Unanswered,
     decode_frame,
     decode_reply,
     decode_statement,
@@ -79,6 +83,73 @@
             self.assertEqual(frame, decode_frame(encode_frame(frame)))
 
 
+class _PreviousFrame(msgspec.Struct, frozen=True, array_like=True):
+    """Base of the frames of the previous version, which have the same tags."""
+
+
+class _PreviousAnswered(_PreviousFrame, frozen=True, tag="Answered"):
+    correlation_id: int
+    rows: tuple[str, ...]
+    signature: str
+    failure: tuple[FailureCode, str] | None
+    state: TransactionState
+    position: tuple[int, int] | None
+    retry_after: float | None = None
+
+
+class _PreviousNotSent(_PreviousFrame, frozen=True, tag="NotSent"):
+    correlation_id: int
+    reason: str
+    is_unreachable: bool
+    retry_after: float | None = None
+
+
+class _PreviousUnanswered(_PreviousFrame, frozen=True, tag="Unanswered"):
+    correlation_id: int
+    reason: str
+
+
+class TestOwnerLoad(testtools.TestCase):
+    """The load in responses, beside proxies of the previous version, which do not know it."""
+
+    load = (3, 5, 6, 40)
+
+    def _responses(self) -> tuple[Any, ...]:
+        return (
+            encode_reply(7, Reply(("a",), "s"), self.load),
+            NotSent(8, "full", False, 0.5, self.load),
+            Unanswered(9, "late", self.load),
+        )
+
+    def test_load_is_unchanged_after_encoding_and_decoding(self) -> None:
+        for response in self._responses():
+            self.assertEqual(response, decode_frame(encode_frame(response)))
+
+    def test_previous_version_decodes_responses_with_a_load(self) -> None:
+        previous: Any = msgspec.msgpack.Decoder(
+            _PreviousAnswered | _PreviousNotSent | _PreviousUnanswered
+        )
+        decoded = [previous.decode(encode_frame(response)) for response in self._responses()]
+        self.assertEqual([7, 8, 9], [frame.correlation_id for frame in decoded])
+
+    def test_responses_of_the_previous_version_have_no_load(self) -> None:
+        answered = _PreviousAnswered(7, (), "s", None, TransactionState.IDLE, None)
+        for frame in (
+            answered,
+            _PreviousNotSent(8, "full", False),
+            _PreviousUnanswered(9, "late"),
+        ):
+            decoded = decode_frame(msgspec.msgpack.encode(frame))
+            assert isinstance(decoded, Answered | NotSent | Unanswered)
+            self.assertIsNone(decoded.load)
+
+    def test_load_adds_few_bytes(self) -> None:
+        """Links between proxies carry 5 Mbit/s, and traffic between regions costs money."""
+        with_load = encode_frame(encode_reply(7, Reply(("a",), "s"), (300, 26, 26, 5_000)))
+        without = encode_frame(encode_reply(7, Reply(("a",), "s")))
+        self.assertLessEqual(len(with_load) - len(without), 9)
+
+
 class _RecordingHandler:
     def __init__(self) -> None:
         self.frames: list[bytes] = []
--- /dev/null
+++ b/orioleplank/tests/test_gateway_owner_load.py
@@ -0,0 +1,63 @@
+"""Loads of connection owners: what senders learn from responses and do with it, on virtual time."""
+
+from __future__ import annotations
+
+import testtools
+
+from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
+from orioleplank.decision.routing import OwnerNews
+from orioleplank.decision.session import Write
+from orioleplank.tests._gateway_cluster import QUOTES, GatewayCluster, GatewayNode
+
+START_S = 4.0
+# So few connections for so many proxies that owners hold them.
+PROXIES = 9
+CONNECTIONS = 16
+
+
+def _start_cluster(mechanisms: MechanismSwitches = ALL_ON) -> GatewayCluster:
+    cluster = GatewayCluster(1, PROXIES, CONNECTIONS, mechanisms)
+    cluster.run_for(START_S)
+    return cluster
+
+
+def _non_owner(cluster: GatewayCluster, instance: str) -> GatewayNode:
+    """Return a proxy that owns no connections to an instance."""
+    owners = cluster.proxies[0].gateway.cluster_state.connection_owners(instance)
+    return next(node for node in cluster.proxies if node.name not in owners)
+
+
+def _known_news(cluster: GatewayCluster, node: GatewayNode, instance: str) -> list[OwnerNews]:
+    """Return what a proxy knows of the owners of an instance."""
+    loads = node.gateway.forwarding_client.owner_loads
+    owners = cluster.proxies[0].gateway.cluster_state.connection_owners(instance)
+    known = (loads.news(instance, owner) for owner in owners)
+    return [news for news in known if news is not None]
+
+
+class TestNewsOfOwners(testtools.TestCase):
+    def test_sender_knows_the_load_after_a_response(self) -> None:
+        cluster = _start_cluster()
+        node = _non_owner(cluster, "db-a")
+        cluster.send_and_wait(cluster.open_session(node, QUOTES), Write("q1 oak"))
+        news = _known_news(cluster, node, "db-a")
+        self.assertEqual(1, len(news))
+        self.assertEqual(0, news[0].load.waiting)
+        self.assertGreaterEqual(news[0].load.limit, 1)
+        self.assertGreater(news[0].base_time, 0.0)
+
+    def test_burst_is_seen_as_a_queue(self) -> None:
+        cluster = _start_cluster()
+        node = _non_owner(cluster, "db-a")
+        for number in range(40):
+            cluster.send_request(cluster.open_session(node, QUOTES), Write(f"q{number} oak"))
+        cluster.run_for(0.015)
+        news = _known_news(cluster, node, "db-a")
+        self.assertGreater(max(n.load.waiting for n in news), 0)
+        self.assertGreater(max(n.expected_wait for n in news), 0.0)
+
+    def test_switched_off_owners_tell_nothing(self) -> None:
+        cluster = _start_cluster(MechanismSwitches(frozenset({Mechanism.OWNER_LOAD})))
+        node = _non_owner(cluster, "db-a")
+        cluster.send_and_wait(cluster.open_session(node, QUOTES), Write("q1 oak"))
+        self.assertEqual([], _known_news(cluster, node, "db-a"))
