Reads and owners are chosen by the news of the owners' queues

Cause: many proxies forward to the two owners of an instance. A proxy placed reads by its own queue and latency, and sent all statements to the first owner that answers, however long its queue.

Change: a read's expected time at an instance is the wait at the owner that would be used, plus the mean time without a wait; news counts the less the older it is, and without it the former estimate holds. Between the two best instances with news a proxy chooses at random, the second one with a share from one half (equal times) to none (twice the time). Between the two owners a statement stays at the preferred one unless the other's expected wait is shorter by more than 0.05 s; then most senders move, in proportion to the waits. The random numbers are seeded by the proxy's name and passed in. In a fleet without owners, and with "owner-load" off, choices are the former ones.

Ruled out: always the best instance by news (all senders move at once); a share for the second-best at any ratio (traffic between zones).

--- a/orioleplank/decision/routing/__init__.py
+++ b/orioleplank/decision/routing/__init__.py
@@ -13,7 +13,12 @@
     owner_connection_limit,
     select_owners,
 )
-from orioleplank.decision.routing._owner_load import OwnerLoad, OwnerNews, update_news
+from orioleplank.decision.routing._owner_load import (
+    OwnerEstimate,
+    OwnerLoad,
+    OwnerNews,
+    update_news,
+)
 from orioleplank.decision.routing._placement import (
     NoInstanceAvailable,
     Placement,
@@ -29,6 +34,7 @@
     "DirectPath",
     "ForwardingPath",
     "NoInstanceAvailable",
+    "OwnerEstimate",
     "OwnerLoad",
     "OwnerNews",
     "Placement",
--- a/orioleplank/decision/routing/_connection_owners.py
+++ b/orioleplank/decision/routing/_connection_owners.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
+from random import Random
 
 from msgspec import Struct
 
@@ -30,6 +31,10 @@
 # consider themselves owners after a change of the fleet.
 OWNER_SHARE = 0.38
 NON_OWNER_SHARE = 0.1
+# Expected waits at the two owners that differ by less than this, in seconds, leave a statement at
+# the one that it prefers: at the other one its account may need a new connection, which costs a
+# slot tens of milliseconds.
+OWNER_WAIT_MARGIN_S = 0.05
 
 
 class DirectPath(Struct, frozen=True):
@@ -130,7 +135,24 @@
 
 
 def choose_owner(
-    path: ForwardingPath, is_avoided: Callable[[ProxyRecord], bool]
+    path: ForwardingPath,
+    is_avoided: Callable[[ProxyRecord], bool],
+    expected_wait: Callable[[ProxyRecord], float] = lambda _: 0.0,
+    random: Random | None = None,
 ) -> ProxyRecord | None:
-    """Return the first owner for which `is_avoided` is false; None when there is none."""
-    return next((owner for owner in path.owners if not is_avoided(owner)), None)
+    """Return the first owner for which `is_avoided` is false; None when there is none.
+
+    While the second owner has a clearly shorter `expected_wait`, in seconds, it is preferred. With
+    `random`, senders move in proportion to the waits: they have the same news, and must not all
+    move at once.
+    """
+    usable = [owner for owner in path.owners[:OWNER_COUNT] if not is_avoided(owner)]
+    if len(usable) < OWNER_COUNT:
+        return next((owner for owner in path.owners if not is_avoided(owner)), None)
+    first_wait, second_wait = (expected_wait(owner) for owner in usable)
+    if first_wait <= second_wait + OWNER_WAIT_MARGIN_S:
+        return usable[0]
+    total = first_wait + second_wait + 2 * OWNER_WAIT_MARGIN_S
+    second_share = (first_wait + OWNER_WAIT_MARGIN_S) / total
+    moves = random is None or random.random() < second_share
+    return usable[1] if moves else usable[0]
--- a/orioleplank/decision/routing/_owner_load.py
+++ b/orioleplank/decision/routing/_owner_load.py
@@ -31,6 +31,19 @@
     expected_wait: float
 
 
+class OwnerEstimate(Struct, frozen=True):
+    """Expected time of a statement through an owner, and how much it counts."""
+
+    # Wait at the owner, service and the time on the way, in seconds.
+    time: float = 0.0
+    # From 0 (no news) to 1 (new news).
+    weight: float = 0.0
+
+    def combine(self, own_estimate: float) -> float:
+        """Return the expected time, given what this proxy expects without news, in seconds."""
+        return own_estimate + (self.time - own_estimate) * self.weight
+
+
 class OwnerNews(Struct, frozen=True):
     """The newest load of an owner, and what this proxy has added to it."""
 
@@ -50,6 +63,12 @@
         """Return how much the news counts: 1 when it is new, towards 0 as it gets old."""
         return math.pow(0.5, max(0.0, now - self.received_at) / NEWS_HALF_LIFE_S)
 
+    def estimate(self, now: float) -> OwnerEstimate:
+        """Return the expected time of a statement through the owner."""
+        if not self.base_time:
+            return OwnerEstimate()
+        return OwnerEstimate(self.base_time + self.expected_wait, self.weight(now))
+
     @property
     def expected_wait(self) -> float:
         """Expected wait of a further request at the owner, as if no time had passed, in seconds."""
--- a/orioleplank/decision/routing/_placement.py
+++ b/orioleplank/decision/routing/_placement.py
@@ -2,20 +2,26 @@
 
 Instances may be slow or busy, and traffic between availability zones costs time and money. An
 instance in the proxy's own zone is preferred unless it is slower than an instance in another zone
-by more than the penalty for crossing zones.
+by more than the penalty for crossing zones. Many proxies may have the same news of the owners'
+queues; they choose at random between two instances of similar times, so as not to move at once.
 """
 
 from __future__ import annotations
 
 from collections.abc import Sequence
+from random import Random
 
 from msgspec import Struct
 
 from orioleplank.decision._position import Position
+from orioleplank.decision.routing._owner_load import OwnerEstimate
 
 # Added to the expected time of an instance in another availability zone: twice the round-trip time,
 # because traffic between zones costs money as well as time.
 CROSS_ZONE_PENALTY_S = 0.05
+# From this ratio of the expected times on the second-best instance is not chosen. Below it, its
+# share falls from one half at equal times.
+MAX_TIME_RATIO = 2.0
 
 
 class ReadCandidate(Struct, frozen=True):
@@ -34,6 +40,8 @@
     latency: float
     # True when its log has probably not reached the position that the read requires.
     is_lagging: bool = False
+    # What the connection owner that would be used has told; without weight if it told nothing.
+    owner_estimate: OwnerEstimate = OwnerEstimate()
 
 
 class ReadRequirement(Struct, frozen=True):
@@ -61,15 +69,33 @@
 Placement = SelectedInstance | NoInstanceAvailable
 
 
-def place_read(candidates: Sequence[ReadCandidate], requirement: ReadRequirement) -> Placement:
-    """Choose the eligible candidate with the shortest expected time; the lower id breaks ties."""
+def place_read(
+    candidates: Sequence[ReadCandidate],
+    requirement: ReadRequirement,
+    random: Random | None = None,
+) -> Placement:
+    """Choose the eligible candidate with the shortest expected time; the lower id breaks ties.
+
+    With `random` and news of an owner, the second-best one is chosen at times too.
+    """
     eligible = [candidate for candidate in candidates if _may_serve(candidate, requirement)]
     if not eligible:
         return NoInstanceAvailable(_explain(candidates, requirement))
-    best = min(eligible, key=_expected_time)
+    best = _choose(sorted(eligible, key=_expected_time)[:2], random)
     return SelectedInstance(best.id, None if best.is_primary else requirement.min_position)
 
 
+def _choose(best: Sequence[ReadCandidate], random: Random | None) -> ReadCandidate:
+    """Choose between the two best candidates, or take the only one."""
+    has_news = any(candidate.owner_estimate.weight > 0 for candidate in best)
+    if random is None or len(best) < 2 or not has_news:
+        return best[0]
+    first_time, second_time = (_expected_time(candidate)[0] for candidate in best)
+    ratio = second_time / max(first_time, 1e-6)
+    second_share = 0.5 * max(0.0, MAX_TIME_RATIO - ratio) / (MAX_TIME_RATIO - 1.0)
+    return best[1] if random.random() < second_share else best[0]
+
+
 def _may_serve(candidate: ReadCandidate, requirement: ReadRequirement) -> bool:
     if candidate.is_primary:
         return True
@@ -79,7 +105,8 @@
 def _expected_time(candidate: ReadCandidate) -> tuple[float, str]:
     load = candidate.in_flight / max(1, candidate.slots)
     zone_penalty = 0.0 if candidate.in_same_zone else CROSS_ZONE_PENALTY_S
-    return candidate.latency * (1.0 + load) + zone_penalty, candidate.id
+    own_estimate = candidate.latency * (1.0 + load)
+    return candidate.owner_estimate.combine(own_estimate) + zone_penalty, candidate.id
 
 
 def _explain(candidates: Sequence[ReadCandidate], requirement: ReadRequirement) -> str:
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -27,7 +27,7 @@
     ProxyRecord,
     ViewVersions,
 )
-from orioleplank.decision.routing import DirectPath
+from orioleplank.decision.routing import DirectPath, OwnerEstimate
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._instance_connector import ConnectionLimit, Dial, InstanceConnector
 from orioleplank.gateway._interfaces import TunnelRoute
@@ -324,6 +324,10 @@
         entry = self.directory.entry(instance)
         return self._connector.connection_owners(entry) if entry else ()
 
+    def owner_estimate(self, entry: InstanceEntry, account: str) -> OwnerEstimate:
+        """Return what the connection owner of an instance that would be used has told."""
+        return self._connector.owner_estimate(entry, account)
+
     def use_tunnel(self, instance: str, tunnel_route: TunnelRoute, peer: str) -> None:
         """Open connections to an instance through a tunnel of a peer for a limited time."""
         self._connector.use_tunnel(instance, tunnel_route)
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -99,8 +99,16 @@
         self.forwarding_client = forwarding = ForwardingClient(
             settings.name, dependencies.channels, reactor.seconds
         )
+        # Of its own, and different at each proxy: choices between instances and owners follow the
+        # load, and would shift the random times of all periodic work.
+        placement_random = Random(settings.name)
         connector = InstanceConnector(
-            own_record, dependencies.dialer, forwarding, reactor.seconds, settings.mechanisms
+            own_record,
+            dependencies.dialer,
+            forwarding,
+            reactor.seconds,
+            settings.mechanisms,
+            placement_random,
         )
         self.cluster_state = ClusterState(
             reactor,
@@ -164,7 +172,7 @@
         self._primary_monitor = PrimaryMonitor(
             reactor, self.cluster_state, event_log, self._prober, self._failovers, own_record
         )
-        statements = StatementExecutor(self.cluster_state, reactor, settings.zone)
+        statements = StatementExecutor(self.cluster_state, reactor, settings.zone, placement_random)
         self.forwarding_server = ForwardingServer(
             self.cluster_state, statements, self._prober, event_log
         )
--- a/orioleplank/gateway/_instance_connector.py
+++ b/orioleplank/gateway/_instance_connector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from random import Random
 
 from twisted.internet.defer import Deferred, succeed
 
@@ -13,6 +14,7 @@
     ConnectionPath,
     DirectPath,
     ForwardingPath,
+    OwnerEstimate,
     choose_connection_path,
     choose_owner,
     direct_path,
@@ -48,8 +50,10 @@
         forwarding: ForwardingClient,
         now: Callable[[], float],
         mechanisms: MechanismSwitches = ALL_ON,
+        random: Random | None = None,
     ) -> None:
         self._mechanisms = mechanisms
+        self._random = random
         self._own_record = own_record
         self._dialer = dialer
         self._forwarding = forwarding
@@ -151,17 +155,42 @@
     def _build_forwarding_link(
         self, entry: InstanceEntry, on_unreachable: Callable[[], None]
     ) -> InstanceLink:
-        def select_owner(account: str) -> ProxyRecord | None:
-            path = self.connection_path(entry)
-            owners = path.owners if isinstance(path, ForwardingPath) else ()
-            if self._mechanisms.is_on(Mechanism.ACCOUNT_AFFINITY):
-                owners = order_by_account(owners, account)
-            candidates = ForwardingPath((*owners, self._own_record))
-            return choose_owner(
-                candidates, lambda owner: self._forwarding.is_avoided(entry.id, owner)
-            )
-
-        return ForwardingLink(entry, self._forwarding, select_owner, on_unreachable)
+        return ForwardingLink(
+            entry,
+            self._forwarding,
+            lambda account: self._select_owner(entry, account, self._random),
+            on_unreachable,
+        )
+
+    def _select_owner(
+        self, entry: InstanceEntry, account: str, random: Random | None
+    ) -> ProxyRecord | None:
+        path = self.connection_path(entry)
+        owners = path.owners if isinstance(path, ForwardingPath) else ()
+        if self._mechanisms.is_on(Mechanism.ACCOUNT_AFFINITY):
+            owners = order_by_account(owners, account)
+        return choose_owner(
+            ForwardingPath((*owners, self._own_record)),
+            lambda owner: self._forwarding.is_avoided(entry.id, owner),
+            lambda owner: self._expected_wait(entry.id, owner),
+            random,
+        )
+
+    def _expected_wait(self, instance: str, owner: ProxyRecord) -> float:
+        """Return the expected wait at an owner by its news, in seconds; 0 without news."""
+        news = self._forwarding.owner_loads.news(instance, owner.name)
+        if news is None or not self._mechanisms.is_on(Mechanism.OWNER_LOAD):
+            return 0.0
+        return news.expected_wait * news.weight(self._now())
+
+    def owner_estimate(self, entry: InstanceEntry, account: str) -> OwnerEstimate:
+        """Return what the owner that a statement would be sent to has told of its load."""
+        uses_news = self._mechanisms.is_on(Mechanism.OWNER_LOAD)
+        if not uses_news or self.holds_connections(entry):
+            return OwnerEstimate()
+        owner = self._select_owner(entry, account, None)
+        news = self._forwarding.owner_loads.news(entry.id, owner.name) if owner else None
+        return news.estimate(self._now()) if news is not None else OwnerEstimate()
 
     # Tunnels.
 
--- a/orioleplank/gateway/_instance_executor.py
+++ b/orioleplank/gateway/_instance_executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from random import Random
 from typing import Any, TypeVar
 
 from msgspec import Struct
@@ -71,8 +72,16 @@
 class InstanceExecutor:
     """Gets connections to instances, sets them up, and awaits replies on them."""
 
-    def __init__(self, cluster_state: ClusterState, reactor: Any, zone: str) -> None:
+    def __init__(
+        self,
+        cluster_state: ClusterState,
+        reactor: Any,
+        zone: str,
+        random: Random | None = None,
+    ) -> None:
         self.cluster_state = cluster_state
+        # For the choice between instances of similar expected times; None for always the best.
+        self.random = random
         self.reactor = reactor
         self.zone = zone
 
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -15,6 +15,7 @@
 from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.routing import (
     NoInstanceAvailable,
+    OwnerEstimate,
     ReadCandidate,
     ReadRequirement,
     SelectedInstance,
@@ -148,11 +149,11 @@
         primary = lease.primary if lease else ""
         requirement = ReadRequirement(self._needed_position(request))
         candidates = [
-            self._build_candidate(entry, entry.id == primary, requirement)
+            self._build_candidate(entry, entry.id == primary, requirement, request.account.name)
             for entry in cluster_state.directory.entries_of_service(route.service)
             if not avoided.contains(entry.id) and self._accepts_work(entry.id, primary)
         ]
-        placement = place_read(candidates, requirement)
+        placement = place_read(candidates, requirement, self.random)
         if isinstance(placement, NoInstanceAvailable) and lease is not None:
             return NoInstanceAvailable(f"primary {primary} takes no work now; {placement.reason}")
         return placement
@@ -182,7 +183,11 @@
         return self.cluster_state.directory.accepts_work(instance)
 
     def _build_candidate(
-        self, entry: InstanceEntry, is_primary: bool, requirement: ReadRequirement
+        self,
+        entry: InstanceEntry,
+        is_primary: bool,
+        requirement: ReadRequirement,
+        account: str,
     ) -> ReadCandidate:
         pool, mechanisms = self.cluster_state.pools[entry.id], self.cluster_state.mechanisms
         weighs_latency = mechanisms.is_on(Mechanism.LATENCY_PREFERENCE)
@@ -195,6 +200,11 @@
             pool.latency if weighs_latency else INITIAL_LATENCY_S,
             requirement.min_position is not None
             and pool.is_likely_behind(requirement.min_position),
+            owner_estimate=(
+                self.cluster_state.owner_estimate(entry, account)
+                if weighs_latency
+                else OwnerEstimate()
+            ),
         )
 
     def usable_lease(self, request: Request) -> Lease | None:
--- a/orioleplank/tests/test_gateway_owner_load.py
+++ b/orioleplank/tests/test_gateway_owner_load.py
@@ -7,6 +7,7 @@
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.decision.routing import OwnerNews
 from orioleplank.decision.session import Write
+from orioleplank.gateway._frames import NotSent
 from orioleplank.tests._gateway_cluster import QUOTES, GatewayCluster, GatewayNode
 
 START_S = 4.0
@@ -61,3 +62,30 @@
         node = _non_owner(cluster, "db-a")
         cluster.send_and_wait(cluster.open_session(node, QUOTES), Write("q1 oak"))
         self.assertEqual([], _known_news(cluster, node, "db-a"))
+
+
+class TestUseOfNews(testtools.TestCase):
+    """A sender that knows of a long queue at the owner that it prefers."""
+
+    def _owners_with_news(self, mechanisms: MechanismSwitches) -> set[str]:
+        """Return the owners that answered after news of a long queue at the preferred one."""
+        cluster = _start_cluster(mechanisms)
+        node = _non_owner(cluster, "db-a")
+        caller = cluster.open_session(node, QUOTES)
+        cluster.send_and_wait(caller, Write("q1 oak"))
+        loads = node.gateway.forwarding_client.owner_loads
+        owners = cluster.proxies[0].gateway.cluster_state.connection_owners("db-a")[:2]
+        preferred = next((o for o in owners if loads.news("db-a", o) is not None), owners[0])
+        full = NotSent(1, "full", False, None, (50, 5, 5, 800))
+        for _ in range(4):
+            now = cluster.simulator.now
+            loads.record_response("db-a", preferred, None, full, now)
+            cluster.send_and_wait(caller, Write("q2 oak"))
+        return {owner for owner in owners if loads.news("db-a", owner) is not None}
+
+    def test_statement_goes_to_the_other_owner(self) -> None:
+        self.assertEqual(2, len(self._owners_with_news(ALL_ON)))
+
+    def test_switched_off_the_preferred_owner_is_kept(self) -> None:
+        switches = MechanismSwitches(frozenset({Mechanism.OWNER_LOAD}))
+        self.assertEqual(1, len(self._owners_with_news(switches)))
