Limits on statements are shown as gauges and logged; slow instances as a fault

Cause: an operator could not see how many statements a proxy lets run at an instance, and no random run had an instance that is slow but reachable.

Change: gauges of limit, running and waiting by instance, set at each housekeeping tick; event 1210 when a limit falls below half of the slots, and when it has reached the slots again. An unused limit returns to the slots fully; rounded down it had stayed one below them.

Soaks were not run.

--- a/orioleplank/decision/admission/_concurrency_limit.py
+++ b/orioleplank/decision/admission/_concurrency_limit.py
@@ -278,7 +278,9 @@
         if idle < WINDOW_S:
             return self
         remaining = 0.5 ** (idle / FORGET_HALF_LIFE_S)
-        value = self.slots + (self.value - self.slots) * remaining
+        difference = (self.value - self.slots) * remaining
+        # The last half is dropped: rounded down, the limit would stay one below the slots.
+        value = self.slots + (difference if abs(difference) > 0.5 else 0.0)
         return replace(self, value=value, used_at=now)
 
 
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -308,6 +308,12 @@
             self._own_connection_pools[instance] = pool
         return pool
 
+    def limited_pools(self) -> list[tuple[InstancePool, int]]:
+        """Return the pools with a limit on statements, each with its limit."""
+        pools = (*self.pools.values(), *self._own_connection_pools.values())
+        limits = ((pool, pool.statements.limit) for pool in pools)
+        return [(pool, limit) for pool, limit in limits if limit is not None]
+
     def serve_waiters(self) -> None:
         """Serve requests that may start because time has passed, such as after a measurement."""
         for pool in (*self.pools.values(), *self._own_connection_pools.values()):
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -25,6 +25,7 @@
 from orioleplank.gateway._instance_prober import InstanceProber
 from orioleplank.gateway._interfaces import Dialer, PromotionService, Store
 from orioleplank.gateway._lease_release import LeaseReleaseCoordinator
+from orioleplank.gateway._limit_reports import LimitReports
 from orioleplank.gateway._loopback_channel import LoopbackChannelDialer
 from orioleplank.gateway._metrics import Metrics
 from orioleplank.gateway._notifier import sleep
@@ -180,6 +181,7 @@
         forwarding.loopback_channel = OwnerChannel(
             settings.peer_address, loopback_dialer, reactor.seconds
         )
+        self._limit_reports = LimitReports(self.cluster_state, event_log, self.metrics)
         self.sessions = SessionTable(self.cluster_state, statements, event_log, self.metrics)
         self._shutdown = GracefulShutdown(
             reactor, self.cluster_state, self.sessions, self.forwarding_server
@@ -277,6 +279,7 @@
                 self._fleet_membership.expire_lost_proxies()
                 self.cluster_state.close_unused_connections()
                 self.cluster_state.serve_waiters()
+                self._limit_reports.update()
                 if self._platform_watcher.is_store_unreachable:
                     self._view_subscriber.fetch_from_any_peer()
                 idle_limit_s = self.cluster_state.routes.transaction_idle
--- a/orioleplank/gateway/_metrics.py
+++ b/orioleplank/gateway/_metrics.py
@@ -29,6 +29,16 @@
         self.counts[labels] += 1
 
 
+class Gauge:
+    """Present values by the values of its labels."""
+
+    def __init__(self, name: str, documentation: str, label_names: tuple[str, ...]) -> None:
+        self.name = name
+        self.documentation = documentation
+        self.label_names = label_names
+        self.values: dict[tuple[str, ...], float] = {}
+
+
 class Histogram:
     """Numbers of observations by bucket, and their sum, by the values of its labels."""
 
@@ -82,6 +92,21 @@
             "Statements that an instance answered.",
             ("service", "instance"),
         )
+        self.limit = Gauge(
+            "orioleplank_statement_limit",
+            "Statements that may be in progress at an instance.",
+            ("service", "instance"),
+        )
+        self.running = Gauge(
+            "orioleplank_statements_running",
+            "Statements in progress at an instance.",
+            ("service", "instance"),
+        )
+        self.waiting = Gauge(
+            "orioleplank_statements_waiting",
+            "Requests that wait for an instance.",
+            ("service", "instance"),
+        )
 
     @property
     def counters(self) -> tuple[Counter, ...]:
@@ -93,6 +118,24 @@
         """All histograms."""
         return (self.seconds,)
 
+    @property
+    def gauges(self) -> tuple[Gauge, ...]:
+        """All gauges."""
+        return (self.limit, self.running, self.waiting)
+
+    def clear_limits(self) -> None:
+        """Remove the values of all instances, before they are set again."""
+        for gauge in self.gauges:
+            gauge.values.clear()
+
+    def set_limit(
+        self, service: str, instance: str, limit: int, running: int, waiting: int
+    ) -> None:
+        """Set the limit on statements at an instance, and how many run and wait."""
+        self.limit.values[service, instance] = limit
+        self.running.values[service, instance] = running
+        self.waiting.values[service, instance] = waiting
+
     def record_statement(
         self, request: Request, statement: Statement, outcome: Outcome, elapsed: float
     ) -> None:
--- a/orioleplank/gateway/_metrics_page.py
+++ b/orioleplank/gateway/_metrics_page.py
@@ -6,10 +6,15 @@
 from itertools import accumulate
 
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily, Metric
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
 from prometheus_client.registry import Collector
 
-from orioleplank.gateway._metrics import Counter, Histogram, Metrics
+from orioleplank.gateway._metrics import Counter, Gauge, Histogram, Metrics
 from orioleplank.http import Response
 
 
@@ -28,6 +33,8 @@
         """Convert each metric."""
         for counter in self._metrics.counters:
             yield _convert_counter(counter)
+        for gauge in self._metrics.gauges:
+            yield _convert_gauge(gauge)
         for histogram in self._metrics.histograms:
             yield _convert_histogram(histogram)
 
@@ -41,6 +48,13 @@
     return family
 
 
+def _convert_gauge(gauge: Gauge) -> Metric:
+    family = GaugeMetricFamily(gauge.name, gauge.documentation, labels=list(gauge.label_names))
+    for labels, value in gauge.values.items():
+        family.add_metric(labels, value)
+    return family
+
+
 def _convert_histogram(histogram: Histogram) -> Metric:
     family = HistogramMetricFamily(
         histogram.name, histogram.documentation, labels=list(histogram.label_names)
--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -155,6 +155,7 @@
             "replica-deaf": self._drop_entries,
             "answers-lost": self._lose_answers,
             "instance-full": self._exhaust_connections,
+            "instance-slow": self._slow_down_instance,
             "configuration-changes": self.cluster.change_routes,
             "odd-entry-written": self._write_odd_entry,
             "proxy-asked-twice": self._terminate_twice,
@@ -300,5 +301,10 @@
         member.is_full = True
         self._call_later(0.7, partial(setattr, member, "is_full", False))
 
+    def _slow_down_instance(self) -> None:
+        member = self.random.choice(list(self.cluster.group.members.values()))
+        member.slowness = 2.0 + 18.0 * self.random.random()
+        self._call_later(6.0, partial(setattr, member, "slowness", 1.0))
+
     def _call_later(self, seconds: float, call: Callable[[], object]) -> None:
         self.cluster.simulator.call_later(seconds, call)
--- a/orioleplank/tests/_simulated_instances.py
+++ b/orioleplank/tests/_simulated_instances.py
@@ -60,6 +60,8 @@
     is_full: bool = False
     # True while every statement that it runs fails.
     is_failing: bool = False
+    # Factor of the time that each statement takes.
+    slowness: float = 1.0
     directory_entry: InstanceEntry = field(init=False)
 
     @property
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -14,6 +14,7 @@
 from orioleplank.gateway._outcome import Outcome, refuse
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.tests._random_faults import RandomFaultRun
+from orioleplank.tests._slow_instances import SlowInstanceRun
 
 SEEDS = range(20261204, 20261212)
 # Runs with fewer than two connections per proxy, so that connection owners forward statements.
@@ -27,6 +28,8 @@
 SYNC_SEEDS = (20261205, 20261207, 20261210, 20261211, 20261212)
 # Runs in which primaries and coordinators are back before a promotion takes effect.
 FAST_RESTART_SEEDS = range(20261205, 20261209)
+# Runs in which instances also turn slow.
+SLOW_SEEDS = range(20261205, 20261209)
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -72,6 +75,13 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_slow_instances(self) -> None:
+        for seed in SLOW_SEEDS:
+            with self.subTest(seed=seed):
+                audit = SlowInstanceRun(seed, proxies=7, callers=14, connection_limit=12).run()
+                self.assertEqual([], audit.violations[:5])
+                self.assertGreater(audit.answered, 300)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
