--- a/orioleplank/decision/admission/tests/test_concurrency_limit.py
+++ b/orioleplank/decision/admission/tests/test_concurrency_limit.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import testtools
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from orioleplank.decision.admission import ConcurrencyLimit, StatementResult
@@ -105,6 +105,7 @@
         limit = limit.end_statement(StatementResult.NO_SAMPLE, 0.0, True, CEILING, now + 61.0)
         self.assertEqual(SLOTS, limit.allowed(CEILING, now + 61.0))
 
+    @settings(deadline=None)
     @given(
         st.lists(
             st.tuples(
