The unloaded latency is not measured while the connections are the limit

Change: no measurement while the limit is at the number of connections, where it would change nothing.

Ruled out: a longer validity for such owners; the measurement would still cost without a use.

--- a/orioleplank/decision/admission/_concurrency_limit.py
+++ b/orioleplank/decision/admission/_concurrency_limit.py
@@ -144,7 +144,7 @@
         if running < forgotten.allowed(ceiling, now):
             return forgotten
         reached = replace(forgotten, was_reached=True, used_at=now)
-        return reached._begin_measuring(now)
+        return reached._begin_measuring(ceiling, now)
 
     def end_statement(
         self, result: StatementResult, latency: float, was_alone: bool, ceiling: int, now: float
@@ -206,13 +206,16 @@
     def _is_measuring(self, now: float) -> bool:
         return self.measuring_since is not None and now - self.measuring_since < MAX_MEASURING_S
 
-    def _begin_measuring(self, now: float) -> ConcurrencyLimit:
+    def _begin_measuring(self, ceiling: int, now: float) -> ConcurrencyLimit:
         """Measure the unloaded latency if it is out of date; only called while the limit is used.
 
-        Before the first window there is nothing that a measurement could correct.
+        Before the first window there is nothing that a measurement could correct, and while the
+        connections are the limit nothing that it could change.
         """
         if self.measuring_since is not None or not self.unloaded_latency:
             return self
+        if self.value >= ceiling:
+            return self
         if not self._is_outdated(now):
             return self
         return replace(self, measuring_since=now, unloaded=Samples(now))
--- a/orioleplank/decision/admission/tests/test_concurrency_limit.py
+++ b/orioleplank/decision/admission/tests/test_concurrency_limit.py
@@ -93,6 +93,12 @@
         self.assertEqual(1, limit.allowed(CEILING, now + 60.01))
         self.assertEqual(SLOTS, limit.usual(CEILING))
 
+    def test_nothing_is_measured_while_the_connections_are_the_limit(self) -> None:
+        """A proxy with few connections would leave slots idle for a figure that it does not use."""
+        limit, now = _learn_unloaded(0.01)
+        limit = limit.start_statement(3, 3, now + 60.0)
+        self.assertEqual(3, limit.allowed(3, now + 60.0))
+
     def test_statement_that_hangs_does_not_prolong_a_measurement(self) -> None:
         limit, now = _learn_unloaded(0.01)
         limit = limit.start_statement(SLOTS, CEILING, now + 60.0)
