Placement by news under load; old mean times are replaced by a new answer

Cause: placement by news was tested by single choices. Under a simulated load an instance that had been slow was used again too late, since the mean time without a wait kept 80% of its old value at each answer, however old that was.

Change: the weight of a new answer grows with the age of the news before it. With "concurrency-limit" off, owners tell their connections as the limit.

Ruled out: decay towards a fixed first value as for a pool's own latency; the first value says nothing of a fast instance.

--- a/orioleplank/decision/admission/tests/_simulated_load.py
+++ b/orioleplank/decision/admission/tests/_simulated_load.py
@@ -124,11 +124,20 @@
         self._connections = connections
         self._is_limited = is_limited
         self._limit = ConcurrencyLimit.begin(slots, clock.now)
-        self._queue: deque[float] = deque()
+        # Time of arrival of each waiting statement, in seconds, and the call at its end.
+        self._queue: deque[tuple[float, Callable[[bool], None]]] = deque()
         self._running = 0
         self._mean_time = 0.03
         self.outcomes = Outcomes()
 
+    @property
+    def load(self) -> tuple[int, int, int, float]:
+        """The numbers of waiting and running statements, the limit, and the expected wait."""
+        waiting, limit = len(self._queue), self.usual
+        has_room = not waiting and self._running < limit
+        wait = 0.0 if has_room else QueueLoad(waiting, limit, self._mean_time).expected_wait
+        return waiting, self._running, limit, wait
+
     @property
     def allowed(self) -> int:
         """The number of statements that may be in progress."""
@@ -143,22 +152,26 @@
         """The limit without its short reductions for measurements."""
         return self._limit.usual(self._connections) if self._is_limited else self._connections
 
-    def arrive(self) -> None:
-        """Take in a statement, or refuse it because it would wait for too long."""
+    def arrive(self, on_end: Callable[[bool], None] = lambda _: None) -> None:
+        """Take in a statement, or refuse it because it would wait for too long.
+
+        `on_end` is told whether it ran.
+        """
         load = QueueLoad(len(self._queue), self.usual, self._mean_time)
         has_room = self._running < self.allowed and not self._queue
         refusal = decide_admission(load.expected_wait, DEADLINE_S)
         if not has_room and isinstance(refusal, AdmissionRefused):
             self.outcomes.refused += 1
+            on_end(False)
             return
-        self._queue.append(self._clock.now)
+        self._queue.append((self._clock.now, on_end))
         self._serve()
 
     def _serve(self) -> None:
         while self._queue and self._running < self.allowed:
-            self._start(self._queue.popleft())
+            self._start(*self._queue.popleft())
 
-    def _start(self, arrived_at: float) -> None:
+    def _start(self, arrived_at: float, on_end: Callable[[bool], None]) -> None:
         self._running += 1
         started_at, was_alone = self._clock.now, self._running == 1
         self._limit = self._limit.start_statement(self._running, self._connections, started_at)
@@ -176,6 +189,7 @@
                 self.outcomes.served.append((now, now - arrived_at))
             else:
                 self.outcomes.busy += 1
+            on_end(has_run)
             # A busy answer takes a round trip; without it the loop below would not end.
             self._clock.call_at(now + 0.001, self._serve)
 
--- a/orioleplank/decision/routing/_owner_load.py
+++ b/orioleplank/decision/routing/_owner_load.py
@@ -15,7 +15,7 @@
 # Time in which news loses half of its weight, in seconds: a queue of statements of 3 ms to 35 ms
 # changes completely within a few tenths of a second.
 NEWS_HALF_LIFE_S = 0.25
-# Weight of the newest response in the mean time without a wait.
+# Weight of the newest response in the mean time without a wait, while the news before it is new.
 BASE_TIME_WEIGHT = 0.2
 
 
@@ -99,4 +99,6 @@
     sample = max(0.0, elapsed - load.expected_wait)
     if news is None or not news.base_time:
         return OwnerNews(load, now, sample)
-    return OwnerNews(load, now, news.base_time + (sample - news.base_time) * BASE_TIME_WEIGHT)
+    # Otherwise an instance that was slow would be avoided until many samples have been taken.
+    sample_weight = 1.0 - (1.0 - BASE_TIME_WEIGHT) * news.weight(now)
+    return OwnerNews(load, now, news.base_time + (sample - news.base_time) * sample_weight)
--- a/orioleplank/decision/routing/tests/test_owner_load.py
+++ b/orioleplank/decision/routing/tests/test_owner_load.py
@@ -33,6 +33,11 @@
         news = OwnerNews(_BUSY, 0.0, 0.02).add_sent()
         self.assertAlmostEqual(0.11, news.expected_wait)
 
+    def test_old_base_time_is_replaced_by_a_new_sample(self) -> None:
+        """An instance that was slow and recovered is used again after one good answer."""
+        news = update_news(OwnerNews(_IDLE, 0.0, 0.3), _IDLE, 0.02, 3.0)
+        self.assertLess(news.base_time, 0.03)
+
     def test_base_time_excludes_the_wait_at_the_owner(self) -> None:
         news = update_news(None, _BUSY, 0.13, 0.0)
         self.assertAlmostEqual(0.03, news.base_time)
--- a/orioleplank/gateway/_owner_loads.py
+++ b/orioleplank/gateway/_owner_loads.py
@@ -23,9 +23,9 @@
 
 def encode_load(pool: InstancePool) -> LoadFields | None:
     """Return the load of a pool for a response; None if this proxy does not tell it."""
-    limit = pool.statements.limit
-    if limit is None or not pool.mechanisms.is_on(Mechanism.OWNER_LOAD):
+    if not pool.mechanisms.is_on(Mechanism.OWNER_LOAD):
         return None
+    limit = pool.statements.limit or pool.statements.connections
     wait_ms = round(pool.expected_wait * 1000)
     return (pool.waiting, len(pool.statements), limit, wait_ms)
 
--- a/orioleplank/gateway/_running_statements.py
+++ b/orioleplank/gateway/_running_statements.py
@@ -60,6 +60,11 @@
         """The limit without its short reductions for measurements; None without a limit."""
         return self._limit.usual(self._connection_limit()) if self._is_limited() else None
 
+    @property
+    def connections(self) -> int:
+        """The number of connections that the pool may have."""
+        return self._connection_limit()
+
     @property
     def room(self) -> int:
         """How many more statements may start now."""
