--- a/orioleplank/decision/admission/_concurrency_limit.py
+++ b/orioleplank/decision/admission/_concurrency_limit.py
@@ -2,9 +2,10 @@
 
 Load pattern: instances of one service differ in speed, some slow down long before all their slots
 are used, some are slow for seconds or warm up, and an instance answers BUSY when several proxies
-fill its queue. The limit rises by one statement while it is used and the latency stays near the
+fill its queue. The limit rises by a constant while it is used and the latency stays near the
 unloaded latency. It falls by a factor when the instance has no room, does not answer, or answers
-far above the unloaded latency. Several proxies that do so at one instance converge to equal shares.
+well above the unloaded latency. Several proxies that do so at one instance converge to equal
+shares.
 """
 
 from __future__ import annotations
@@ -18,7 +19,8 @@
 # same for all proxies, so that one with more statements does not raise its limit more often.
 WINDOW_S = 0.25
 WINDOW_SAMPLES = 25
-# A window without enough samples ends after this time, in seconds, and is not evaluated.
+# A window without enough samples ends after this time, in seconds; it is evaluated if it has half
+# of them.
 MAX_WINDOW_S = 2.0
 # Weight of the newest window in the short-term latency: single windows vary by a fifth.
 WINDOW_WEIGHT = 0.5
