--- a/orioleplank/decision/routing/__init__.py
+++ b/orioleplank/decision/routing/__init__.py
@@ -13,6 +13,12 @@
     owner_connection_limit,
     select_owners,
 )
+from orioleplank.decision.routing._owner_load import (
+    OwnerEstimate,
+    OwnerLoad,
+    OwnerNews,
+    update_news,
+)
 from orioleplank.decision.routing._placement import (
     NoInstanceAvailable,
     Placement,
@@ -28,6 +34,9 @@
     "DirectPath",
     "ForwardingPath",
     "NoInstanceAvailable",
+    "OwnerEstimate",
+    "OwnerLoad",
+    "OwnerNews",
     "Placement",
     "ReadCandidate",
     "ReadRequirement",
@@ -40,4 +49,5 @@
     "owner_connection_limit",
     "place_read",
     "select_owners",
+    "update_news",
 ]
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -27,7 +27,7 @@
     ProxyRecord,
     ViewVersions,
 )
-from orioleplank.decision.routing import DirectPath
+from orioleplank.decision.routing import DirectPath, OwnerEstimate
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._instance_connector import ConnectionLimit, Dial, InstanceConnector
 from orioleplank.gateway._interfaces import TunnelRoute
@@ -233,7 +233,10 @@
                 pool.entry = current
         if current is not None and current.id not in self.pools:
             self.pools[current.id] = self._build_pool(
-                current, self._connector.open, self._connector.connection_limit
+                current,
+                self._connector.open,
+                self._connector.connection_limit,
+                self._connector.holds_connections,
             )
         self._event_log.log_event(
             EventType.INSTANCE,
@@ -247,13 +250,23 @@
         )
 
     def _build_pool(
-        self, entry: InstanceEntry, dial: Dial, connection_limit: ConnectionLimit
+        self,
+        entry: InstanceEntry,
+        dial: Dial,
+        connection_limit: ConnectionLimit,
+        limits_statements: Callable[[InstanceEntry], bool] = lambda _: True,
     ) -> InstancePool:
         def report_problem(instance: str) -> None:
             self.on_instance_problem(instance)
 
         return InstancePool(
-            entry, dial, self.now, connection_limit, report_problem, self.mechanisms
+            entry,
+            dial,
+            self.now,
+            connection_limit,
+            report_problem,
+            self.mechanisms,
+            limits_statements,
         )
 
     def primary_accepts_work(self, instance: str) -> bool:
@@ -288,6 +301,17 @@
             self._own_connection_pools[instance] = pool
         return pool
 
+    def limited_pools(self) -> list[tuple[InstancePool, int]]:
+        """Return the pools with a limit on statements, each with its limit."""
+        pools = (*self.pools.values(), *self._own_connection_pools.values())
+        limits = ((pool, pool.statements.limit) for pool in pools)
+        return [(pool, limit) for pool, limit in limits if limit is not None]
+
+    def serve_waiters(self) -> None:
+        """Serve requests that may start because time has passed, such as after a measurement."""
+        for pool in (*self.pools.values(), *self._own_connection_pools.values()):
+            pool.serve_waiters()
+
     def close_unused_connections(self) -> None:
         """Close idle own connections to instances to which statements are normally forwarded."""
         for pool in self._own_connection_pools.values():
@@ -299,6 +323,10 @@
         entry = self.directory.entry(instance)
         return self._connector.connection_owners(entry) if entry else ()
 
+    def owner_estimate(self, entry: InstanceEntry, account: str) -> OwnerEstimate:
+        """Return what the connection owner of an instance that would be used has told."""
+        return self._connector.owner_estimate(entry, account)
+
     def use_tunnel(self, instance: str, tunnel_route: TunnelRoute, peer: str) -> None:
         """Open connections to an instance through a tunnel of a peer for a limited time."""
         self._connector.use_tunnel(instance, tunnel_route)
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -25,6 +25,7 @@
 from orioleplank.gateway._instance_prober import InstanceProber
 from orioleplank.gateway._interfaces import Dialer, PromotionService, Store
 from orioleplank.gateway._lease_release import LeaseReleaseCoordinator
+from orioleplank.gateway._limit_reports import LimitReports
 from orioleplank.gateway._loopback_channel import LoopbackChannelDialer
 from orioleplank.gateway._metrics import Metrics
 from orioleplank.gateway._notifier import sleep
@@ -99,8 +100,16 @@
         self.forwarding_client = forwarding = ForwardingClient(
             settings.name, dependencies.channels, reactor.seconds
         )
+        # Of its own, and different at each proxy: choices between instances and owners follow the
+        # load, and would shift the random times of all periodic work.
+        placement_random = Random(settings.name)
         connector = InstanceConnector(
-            own_record, dependencies.dialer, forwarding, reactor.seconds, settings.mechanisms
+            own_record,
+            dependencies.dialer,
+            forwarding,
+            reactor.seconds,
+            settings.mechanisms,
+            placement_random,
         )
         self.cluster_state = ClusterState(
             reactor,
@@ -164,7 +173,7 @@
         self._primary_monitor = PrimaryMonitor(
             reactor, self.cluster_state, event_log, self._prober, self._failovers, own_record
         )
-        statements = StatementExecutor(self.cluster_state, reactor, settings.zone)
+        statements = StatementExecutor(self.cluster_state, reactor, settings.zone, placement_random)
         self.forwarding_server = ForwardingServer(
             self.cluster_state, statements, self._prober, event_log
         )
@@ -172,6 +181,7 @@
         forwarding.loopback_channel = OwnerChannel(
             settings.peer_address, loopback_dialer, reactor.seconds
         )
+        self._limit_reports = LimitReports(self.cluster_state, event_log, self.metrics)
         self.sessions = SessionTable(self.cluster_state, statements, event_log, self.metrics)
         self._shutdown = GracefulShutdown(
             reactor, self.cluster_state, self.sessions, self.forwarding_server
@@ -268,6 +278,8 @@
                 self._platform_watcher.expire_instances()
                 self._fleet_membership.expire_lost_proxies()
                 self.cluster_state.close_unused_connections()
+                self.cluster_state.serve_waiters()
+                self._limit_reports.update()
                 if self._platform_watcher.is_store_unreachable:
                     self._view_subscriber.fetch_from_any_peer()
                 idle_limit_s = self.cluster_state.routes.transaction_idle
--- a/orioleplank/tests/_simulated_instances.py
+++ b/orioleplank/tests/_simulated_instances.py
@@ -64,6 +64,8 @@
     is_failing: bool = False
     # True while it resets the connection on which a statement arrives.
     resets_work: bool = False
+    # Factor of the time that each statement takes.
+    slowness: float = 1.0
     directory_entry: InstanceEntry = field(init=False)
 
     @property
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -15,6 +15,7 @@
 from orioleplank.gateway._outcome import Outcome, refuse
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.tests._random_faults import RandomFaultRun
+from orioleplank.tests._slow_instances import SlowInstanceRun
 
 SEEDS = range(20261204, 20261212)
 # Runs with fewer than two connections per proxy, so that connection owners forward statements.
@@ -32,6 +33,8 @@
 ACCOUNT_SEEDS = range(20261205, 20261208)
 # Runs in which instances fail or reset all their work.
 FAILING_WORK_SEEDS = range(20261205, 20261208)
+# Runs in which instances also turn slow.
+SLOW_SEEDS = range(20261205, 20261209)
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -93,6 +96,13 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_slow_instances(self) -> None:
+        for seed in SLOW_SEEDS:
+            with self.subTest(seed=seed):
+                audit = SlowInstanceRun(seed, proxies=7, callers=14, connection_limit=12).run()
+                self.assertEqual([], audit.violations[:5])
+                self.assertGreater(audit.answered, 300)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
