Refused reads log each candidate and the reason against it

Cause: event 1400 of a refused read named the last attempt only, so that it did not show why the other instances were left out.

The audit test that removes minimum positions patches the method at its new place.

Ruled out: one event per candidate, since request lines are limited per second.

--- a/orioleplank/decision/routing/__init__.py
+++ b/orioleplank/decision/routing/__init__.py
@@ -19,6 +19,7 @@
     ReadCandidate,
     ReadRequirement,
     SelectedInstance,
+    explain_candidate,
     place_read,
 )
 
@@ -36,6 +37,7 @@
     "choose_connection_path",
     "choose_owner",
     "direct_path",
+    "explain_candidate",
     "order_by_account",
     "owner_connection_limit",
     "place_read",
--- a/orioleplank/decision/routing/_placement.py
+++ b/orioleplank/decision/routing/_placement.py
@@ -76,6 +76,17 @@
     return requirement.min_position is not None and not candidate.is_lagging
 
 
+def explain_candidate(candidate: ReadCandidate, requirement: ReadRequirement) -> str:
+    """Return why a candidate does not serve a read now; why none is known if it may."""
+    if candidate.is_primary:
+        return "may serve it as the primary"
+    if requirement.min_position is None:
+        return "no position is recent enough for a replica"
+    if candidate.is_lagging:
+        return f"lags behind {requirement.min_position}"
+    return f"may serve it at {requirement.min_position}"
+
+
 def _expected_time(candidate: ReadCandidate) -> tuple[float, str]:
     load = candidate.in_flight / max(1, candidate.slots)
     zone_penalty = 0.0 if candidate.in_same_zone else CROSS_ZONE_PENALTY_S
--- a/orioleplank/gateway/_outcome.py
+++ b/orioleplank/gateway/_outcome.py
@@ -24,6 +24,13 @@
     step: str
     # Id of the instance concerned; empty if there is none.
     instance: str = ""
+    # For a read: each instance that was considered, and the reason against it.
+    candidates: tuple[str, ...] = ()
+
+    @property
+    def reason(self) -> str:
+        """The text of the failure without who refused and the step."""
+        return self.failure.detail.partition(": ")[2]
 
     @property
     def has_retry_after(self) -> bool:
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -401,6 +401,7 @@
             step=outcome.step,
             why=outcome.failure.detail,
             instance=outcome.instance,
+            candidates=outcome.candidates,
             elapsed=round(cluster_state.now() - pending.arrived_at, 4),
             routes=cluster_state.routes.version,
             primary=lease.primary if lease else None,
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -6,21 +6,16 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from twisted.internet.defer import CancelledError
 from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
-from orioleplank.decision import ZERO_POSITION, Position
 from orioleplank.decision.group import Lease
-from orioleplank.decision.instances import Consistency, InstanceEntry
-from orioleplank.decision.mechanisms import Mechanism
-from orioleplank.decision.routing import (
-    NoInstanceAvailable,
-    ReadCandidate,
-    ReadRequirement,
-    SelectedInstance,
-    place_read,
-)
+from orioleplank.decision.routing import NoInstanceAvailable, SelectedInstance
 from orioleplank.decision.session import NOT_EXECUTED_CODES, ExecutableStatement, FailureCode, Reply
+from orioleplank.gateway._avoided_instances import AvoidedInstances
+from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._instance_executor import (
     NO_REPLY_ERRORS,
@@ -31,15 +26,14 @@
 )
 from orioleplank.gateway._interfaces import RequestOptions
 from orioleplank.gateway._outcome import Completed, Outcome, Refused, refuse
-from orioleplank.gateway._pool import INITIAL_LATENCY_S, InstancePool
+from orioleplank.gateway._pool import InstancePool
+from orioleplank.gateway._read_placement import ReadPlacer, accepts_work
 from orioleplank.gateway._wait_queue import QueueTooLongError
 
 # Share of the remaining time that one attempt may take, which leaves time for another attempt.
 ATTEMPT_TIME_SHARE = 0.5
 # Least remaining time for which an attempt is made, in seconds: one round trip between regions.
 MIN_ATTEMPT_S = 0.03
-# How long a statement avoids an instance that failed or refused it, in seconds.
-INSTANCE_AVOIDANCE_S = 0.1
 # How long statements wait for an unresponsive primary, in seconds. This leaves time for indirect
 # probes, and for finding a tunnel to the primary or starting a failover.
 PRIMARY_RECOVERY_WAIT_S = 1.5
@@ -50,41 +44,30 @@
 COMMIT_CONFIRM_TIMEOUT_S = 1.5
 
 
-class AvoidedInstances:
-    """Instances that a statement avoids for `INSTANCE_AVOIDANCE_S` after a failure or refusal."""
-
-    def __init__(self, executor: InstanceExecutor) -> None:
-        self._now = executor.cluster_state.now
-        self._avoided_until: dict[str, float] = {}
-
-    def add(self, instance: str) -> None:
-        """Avoid an instance for `INSTANCE_AVOIDANCE_S`."""
-        self._avoided_until[instance] = self._now() + INSTANCE_AVOIDANCE_S
-
-    def contains(self, instance: str) -> bool:
-        """Return whether an instance is avoided now."""
-        return self._now() < self._avoided_until.get(instance, 0.0)
-
-    @property
-    def has_any(self) -> bool:
-        """True when an instance is avoided now, so that a short wait may make it available."""
-        return any(self._now() < avoided_until for avoided_until in self._avoided_until.values())
-
-
 class StatementExecutor(InstanceExecutor):
     """Runs reads and writes that are outside a transaction.
 
     Failed attempts are repeated within the route's timeout when this is safe.
     """
 
+    def __init__(self, cluster_state: ClusterState, reactor: Any, zone: str) -> None:
+        super().__init__(cluster_state, reactor, zone)
+        self.reads = ReadPlacer(self)
+
     # Reads.
 
     async def run_read(self, request: Request, statement: ExecutableStatement) -> Outcome:
         """Run a read outside a transaction; it may be attempted at several instances."""
         avoided = AvoidedInstances(self)
+        outcome = await self._run_read_attempts(request, statement, avoided)
+        return self.reads.add_explanation(request, avoided, outcome)
+
+    async def _run_read_attempts(
+        self, request: Request, statement: ExecutableStatement, avoided: AvoidedInstances
+    ) -> Outcome:
         last_refusal = refuse(FailureCode.BUSY, "place read", "its time is over")
         while self.remaining_time(request) > MIN_ATTEMPT_S:
-            placement = self.select_instance(request, avoided)
+            placement = self.reads.select_instance(request, avoided)
             if isinstance(placement, NoInstanceAvailable):
                 if last_refusal.has_retry_after:
                     return last_refusal
@@ -99,7 +82,7 @@
             if isinstance(outcome, Completed):
                 return outcome
             last_refusal = outcome
-            avoided.add(placement.id)
+            avoided.add(placement.id, outcome)
         return last_refusal
 
     async def _attempt_read(
@@ -137,25 +120,7 @@
         detail = f"{pool.entry.id} {failure.detail}"
         return refuse(failure.code, "run read", detail, pool.entry.id, failure.retry_after)
 
-    # Placement.
-
-    def select_instance(
-        self, request: Request, avoided: AvoidedInstances
-    ) -> SelectedInstance | NoInstanceAvailable:
-        """Select an instance for a read or a read-only transaction."""
-        cluster_state, route = self.cluster_state, request.route
-        lease = self.usable_lease(request)
-        primary = lease.primary if lease else ""
-        requirement = ReadRequirement(self._needed_position(request))
-        candidates = [
-            self._build_candidate(entry, entry.id == primary, requirement)
-            for entry in cluster_state.directory.entries_of_service(route.service)
-            if not avoided.contains(entry.id) and self._accepts_work(entry.id, primary)
-        ]
-        placement = place_read(candidates, requirement)
-        if isinstance(placement, NoInstanceAvailable) and lease is not None:
-            return NoInstanceAvailable(f"primary {primary} takes no work now; {placement.reason}")
-        return placement
+    # Availability.
 
     def explain_no_primary(self, request: Request) -> str:
         """Return why no work can be sent to the primary now."""
@@ -174,70 +139,6 @@
             return f"acknowledged commits may only be at {awaited}, which do not answer"
         return "no primary is in force for the service"
 
-    def _accepts_work(self, instance: str, primary: str) -> bool:
-        if instance not in self.cluster_state.pools:
-            return False
-        if instance == primary:
-            return self.cluster_state.primary_accepts_work(instance)
-        return self.cluster_state.directory.accepts_work(instance)
-
-    def _build_candidate(
-        self, entry: InstanceEntry, is_primary: bool, requirement: ReadRequirement
-    ) -> ReadCandidate:
-        pool, mechanisms = self.cluster_state.pools[entry.id], self.cluster_state.mechanisms
-        weighs_latency = mechanisms.is_on(Mechanism.LATENCY_PREFERENCE)
-        return ReadCandidate(
-            entry.id,
-            entry.zone == self.zone or not mechanisms.is_on(Mechanism.ZONE_PREFERENCE),
-            is_primary,
-            entry.slots,
-            pool.in_flight if weighs_latency else 0,
-            pool.latency if weighs_latency else INITIAL_LATENCY_S,
-            requirement.min_position is not None
-            and pool.is_likely_behind(requirement.min_position),
-        )
-
-    def usable_lease(self, request: Request) -> Lease | None:
-        """Return the lease on the primary if it allows a read of this route there, or None.
-
-        The lease must cover the oldest acceptable time of the route, and its term must not be
-        older than the session's position.
-        """
-        lease = self.cluster_state.lease(request.route.service)
-        if lease is None or request.session.position.term > lease.term:
-            return None
-        return lease if lease.is_valid_at(self._oldest_acceptable_time(request)) else None
-
-    def _oldest_acceptable_time(self, request: Request) -> float:
-        if request.route.consistency is Consistency.PRIMARY:
-            return request.received_at
-        return request.received_at - request.route.max_age
-
-    def _needed_position(self, request: Request) -> Position | None:
-        """Return the log position that a replica must have reached for this request.
-
-        None means that no replica may serve it, only the primary.
-        """
-        route, session_position = request.route, request.session.position
-        if route.consistency is Consistency.PRIMARY:
-            return None
-        min_position = self.cluster_state.positions.find_minimum(
-            route.service, self._oldest_acceptable_time(request)
-        )
-        if (
-            min_position is None
-            or route.consistency is Consistency.BOUNDED_STALENESS
-            or session_position == ZERO_POSITION
-        ):
-            return min_position
-        # The last entries of an earlier term may have been lost in a failover, so positions of
-        # different terms cannot be compared and only the primary may serve the read.
-        return (
-            max(min_position, session_position)
-            if session_position.term == min_position.term
-            else None
-        )
-
     def may_become_available(self, request: Request, avoided: AvoidedInstances) -> bool:
         """Return whether an instance may become available soon, so that a short wait may help."""
         lease = self.cluster_state.lease(request.route.service)
@@ -283,7 +184,9 @@
         lease = self.cluster_state.lease(request.route.service)
         if lease is None or not lease.is_valid_at(self.cluster_state.lease_clock()):
             return None
-        if avoided.contains(lease.primary) or not self._accepts_work(lease.primary, lease.primary):
+        if avoided.contains(lease.primary) or not accepts_work(
+            self.cluster_state, lease.primary, lease.primary
+        ):
             return None
         return lease
 
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -18,6 +18,7 @@
     TransactionState,
     is_write,
 )
+from orioleplank.gateway._avoided_instances import AvoidedInstances
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._instance_executor import NO_REPLY_ERRORS, Request
 from orioleplank.gateway._interfaces import RequestOptions
@@ -27,7 +28,6 @@
     ATTEMPT_TIME_SHARE,
     INSTANCE_RECHECK_INTERVAL_S,
     MIN_ATTEMPT_S,
-    AvoidedInstances,
     StatementExecutor,
 )
 
@@ -74,14 +74,21 @@
     ) -> tuple[Outcome, bool]:
         """Run a statement; return the outcome and whether the transaction remains open."""
         if transaction.connection is None:
-            return await self._run_first(transaction, request, statement)
+            request = replace(request, received_at=transaction.began_at)
+            avoided = AvoidedInstances(self._statements)
+            outcome, remains_open = await self._run_first(transaction, request, statement, avoided)
+            if transaction.read_only:
+                outcome = self._statements.reads.add_explanation(request, avoided, outcome)
+            return outcome, remains_open
         return await self._run_next(transaction, request, statement)
 
     async def _run_first(
-        self, transaction: Transaction, request: Request, statement: ExecutableStatement
+        self,
+        transaction: Transaction,
+        request: Request,
+        statement: ExecutableStatement,
+        avoided: AvoidedInstances,
     ) -> tuple[Outcome, bool]:
-        request = replace(request, received_at=transaction.began_at)
-        avoided = AvoidedInstances(self._statements)
         last_refusal = refuse(FailureCode.BUSY, "begin transaction", "its time is over")
         while self._statements.remaining_time(request) > MIN_ATTEMPT_S:
             begin_failure = await self._begin(transaction, request, avoided)
@@ -104,7 +111,7 @@
             if remains_open or isinstance(outcome, Completed) or not _may_retry_elsewhere(outcome):
                 return outcome, remains_open
             last_refusal = outcome
-            avoided.add(instance)
+            avoided.add(instance, outcome)
         return last_refusal, False
 
     async def _run_next(
@@ -164,7 +171,7 @@
     ) -> Refused | NoInstanceAvailable | None:
         """Begin at an instance; return None on success, else why it could not begin."""
         if transaction.read_only:
-            placement = self._statements.select_instance(request, avoided)
+            placement = self._statements.reads.select_instance(request, avoided)
             if isinstance(placement, NoInstanceAvailable):
                 return placement
             instance, min_position = placement.id, placement.min_position
@@ -179,7 +186,7 @@
         attempt_end = self._cluster_state.now() + timeout
         acquired = await self._statements.acquire_prepared_connection(pool, request, None, timeout)
         if not isinstance(acquired, PooledConnection):
-            avoided.add(instance)
+            avoided.add(instance, acquired)
             return acquired
         pending_reply = acquired.link.begin(transaction.read_only, min_position)
         try:
@@ -189,9 +196,10 @@
             )
         except NO_REPLY_ERRORS as error:
             pool.discard(acquired)
-            avoided.add(instance)
             detail = f"{instance} did not answer: {type(error).__name__}"
-            return refuse(FailureCode.BUSY, "begin transaction", detail, instance)
+            refusal = refuse(FailureCode.BUSY, "begin transaction", detail, instance)
+            avoided.add(instance, refusal)
+            return refusal
         if reply.failure is not None or reply.state is not TransactionState.OPEN:
             return self._refuse_begin(pool, acquired, reply, avoided)
         pool.record_caught_up()
@@ -206,16 +214,9 @@
         avoided: AvoidedInstances,
     ) -> Refused:
         self._statements.release_after_reply(pool, connection, reply)
-        avoided.add(pool.entry.id)
-        if reply.failure is None:
-            return refuse(FailureCode.BUSY, "begin transaction", "it did not begin", pool.entry.id)
-        if reply.failure.code is FailureCode.LAGGING:
-            pool.record_lagging()
-        if reply.failure.code is FailureCode.READ_ONLY:
-            pool.record_primary_role_denied()
-        detail = f"{pool.entry.id} {reply.failure.code.value} {reply.failure.detail}"
-        retry_after = reply.failure.retry_after
-        return refuse(FailureCode.BUSY, "begin transaction", detail, pool.entry.id, retry_after)
+        refusal = _build_begin_refusal(pool, reply)
+        avoided.add(pool.entry.id, refusal)
+        return refusal
 
     def _attach_connection(
         self,
@@ -360,6 +361,19 @@
         return transaction.pool.entry.id if transaction.pool else ""
 
 
+def _build_begin_refusal(pool: InstancePool, reply: Reply) -> Refused:
+    """Record a failed reply to a begin in the pool, and return the refusal for the caller."""
+    if reply.failure is None:
+        return refuse(FailureCode.BUSY, "begin transaction", "it did not begin", pool.entry.id)
+    if reply.failure.code is FailureCode.LAGGING:
+        pool.record_lagging()
+    if reply.failure.code is FailureCode.READ_ONLY:
+        pool.record_primary_role_denied()
+    detail = f"{pool.entry.id} {reply.failure.code.value} {reply.failure.detail}"
+    retry_after = reply.failure.retry_after
+    return refuse(FailureCode.BUSY, "begin transaction", detail, pool.entry.id, retry_after)
+
+
 def _may_retry_elsewhere(outcome: Refused) -> bool:
     """Return whether the first statement certainly did not run, so that it may run elsewhere."""
     return outcome.failure.code in NOT_EXECUTED_CODES
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -9,7 +9,7 @@
 from orioleplank.decision import ZERO_POSITION, Position
 from orioleplank.decision.instances import Consistency
 from orioleplank.decision.session import FailureCode
-from orioleplank.gateway import _instance_executor, _statements
+from orioleplank.gateway import _instance_executor, _read_placement, _statements
 from orioleplank.gateway._instance_executor import Request
 from orioleplank.gateway._outcome import Outcome, refuse
 from orioleplank.gateway._pool import InstancePool
@@ -86,7 +86,7 @@
 
     def test_audit_finds_violations_without_minimum_positions(self) -> None:
         with mock.patch.object(
-            _statements.StatementExecutor, "_needed_position", _require_no_position
+            _read_placement.ReadPlacer, "_needed_position", _require_no_position
         ):
             self.assertNotEqual([], RandomFaultRun(20261204).run().violations)
 
@@ -95,7 +95,7 @@
             self.assertNotEqual([], RandomFaultRun(20261205).run().violations)
 
 
-def _require_no_position(statements: object, request: Request) -> Position | None:
+def _require_no_position(placer: object, request: Request) -> Position | None:
     return None if request.route.consistency is Consistency.PRIMARY else ZERO_POSITION
 
 
