Reads wait for a replica that will have their position in time

Cause: a read that the primary's full queue refused with a time to retry was given up, although both idle replicas would have had its position 0.4 s later.

Change: a replica whose position is predicted is a candidate with its wait added to its expected time. A read waits if that is sooner than the primary or the only way, and if the wait leaves time for the read; otherwise it is refused at once, with the earliest useful time to retry. The wait ends early when a replica is reported to have the position, and the instances are compared again every 0.1 s. Reads for the same position are sent over 0.05 s, by request id. An instance that refused with a time to retry is asked again by the same read only if nothing else can serve it. The lag backoff holds where there is no prediction. Switch: lag-prediction. Metric: orioleplank_replica_waits.

Ruled out: waking all waiting reads on each reply, since replies of the primary would wake them every few milliseconds; a fixed doubling after each wrong prediction, which kept reads from a replica that was a few milliseconds later than predicted.

--- a/orioleplank/decision/mechanisms.py
+++ b/orioleplank/decision/mechanisms.py
@@ -30,6 +30,8 @@
     POSITION_EXCHANGE = "position-exchange"
     # Reads that need a newer position avoid a replica that was behind.
     LAG_BACKOFF = "lag-backoff"
+    # Reads wait for a replica that is expected to have their position in time.
+    LAG_PREDICTION = "lag-prediction"
     # Other proxies ping one that is silent before it is retired.
     INDIRECT_PINGS = "indirect-pings"
     # A planned switchover is postponed while a proxy is silent.
--- a/orioleplank/decision/routing/_placement.py
+++ b/orioleplank/decision/routing/_placement.py
@@ -1,5 +1,9 @@
 """Chooses the instance that is expected to respond first to a read.
 
+Load pattern: the queue of the primary is full while idle replicas lack the newest entries of the
+log. A read waits for a replica that will have its position soon, if that is sooner than the primary
+and leaves time for the read itself.
+
 Instances may be slow or busy, and traffic between availability zones costs time and money. An
 instance in the proxy's own zone is preferred unless it is slower than an instance in another zone
 by more than the penalty for crossing zones.
@@ -16,6 +20,9 @@
 # Added to the expected time of an instance in another availability zone: twice the round-trip time,
 # because traffic between zones costs money as well as time.
 CROSS_ZONE_PENALTY_S = 0.05
+# Least time that has to be left for a read after its wait for a replica, in seconds: one round trip
+# between regions.
+MIN_READ_TIME_S = 0.03
 
 
 class ReadCandidate(Struct, frozen=True):
@@ -34,6 +41,8 @@
     latency: float
     # True when its log has probably not reached the position that the read requires.
     is_lagging: bool = False
+    # Seconds until its log is expected to have that position; 0 where this is not predicted.
+    wait: float = 0.0
 
 
 class ReadRequirement(Struct, frozen=True):
@@ -41,6 +50,8 @@
 
     # Position that the log must have reached; None when only the primary can serve the read.
     min_position: Position | None
+    # Seconds until it has to be answered.
+    time_left: float = float("inf")
 
 
 class SelectedInstance(Struct, frozen=True):
@@ -51,29 +62,66 @@
     min_position: Position | None
 
 
+class ReplicaExpected(Struct, frozen=True):
+    """The read waits until a replica has the position that it requires."""
+
+    id: str
+    min_position: Position
+    # Seconds until the replica is expected to have it.
+    wait: float
+
+
 class NoInstanceAvailable(Struct, frozen=True):
-    """No instance can serve the read now."""
+    """No instance can serve the read now, or will be able to in time."""
 
     # Explanation for the caller.
     reason: str
+    # Seconds after which a read with the same requirement could be in time; None if unknown.
+    retry_after: float | None = None
 
 
-Placement = SelectedInstance | NoInstanceAvailable
+Placement = SelectedInstance | ReplicaExpected | NoInstanceAvailable
 
 
 def place_read(candidates: Sequence[ReadCandidate], requirement: ReadRequirement) -> Placement:
     """Choose the eligible candidate with the shortest expected time; the lower id breaks ties."""
     eligible = [candidate for candidate in candidates if _may_serve(candidate, requirement)]
     if not eligible:
-        return NoInstanceAvailable(_explain(candidates, requirement))
+        retry_after = _find_retry_time(candidates, requirement)
+        return NoInstanceAvailable(_explain(candidates, requirement), retry_after)
     best = min(eligible, key=_expected_time)
-    return SelectedInstance(best.id, None if best.is_primary else requirement.min_position)
+    if best.is_primary:
+        return SelectedInstance(best.id, None)
+    if best.wait > 0 and requirement.min_position is not None:
+        return ReplicaExpected(best.id, requirement.min_position, best.wait)
+    return SelectedInstance(best.id, requirement.min_position)
 
 
 def _may_serve(candidate: ReadCandidate, requirement: ReadRequirement) -> bool:
     if candidate.is_primary:
         return True
-    return requirement.min_position is not None and not candidate.is_lagging
+    if requirement.min_position is None or candidate.is_lagging:
+        return False
+    return not _is_too_late(candidate, requirement)
+
+
+def _is_too_late(candidate: ReadCandidate, requirement: ReadRequirement) -> bool:
+    """Return whether a wait for the replica would leave no time for the read itself."""
+    return candidate.wait > 0 and _completion_time(candidate) > requirement.time_left
+
+
+def _find_retry_time(
+    candidates: Sequence[ReadCandidate], requirement: ReadRequirement
+) -> float | None:
+    """Return by how much the soonest replica is too late; None if none is expected."""
+    if requirement.min_position is None:
+        return None
+    late = [c for c in candidates if not c.is_lagging and _is_too_late(c, requirement)]
+    return min((_completion_time(c) - requirement.time_left for c in late), default=None)
+
+
+def _completion_time(candidate: ReadCandidate) -> float:
+    return candidate.wait + max(MIN_READ_TIME_S, _service_time(candidate))
 
 
 def explain_candidate(candidate: ReadCandidate, requirement: ReadRequirement) -> str:
@@ -84,13 +132,20 @@
         return "no position is recent enough for a replica"
     if candidate.is_lagging:
         return f"lags behind {requirement.min_position}"
+    if candidate.wait > 0:
+        late = ", too late" if _is_too_late(candidate, requirement) else ""
+        return f"has {requirement.min_position} in {candidate.wait:.2f} s{late}"
     return f"may serve it at {requirement.min_position}"
 
 
+def _service_time(candidate: ReadCandidate) -> float:
+    """Return the expected duration of a read there, its queue included."""
+    return candidate.latency * (1.0 + candidate.in_flight / max(1, candidate.slots))
+
+
 def _expected_time(candidate: ReadCandidate) -> tuple[float, str]:
-    load = candidate.in_flight / max(1, candidate.slots)
     zone_penalty = 0.0 if candidate.in_same_zone else CROSS_ZONE_PENALTY_S
-    return candidate.latency * (1.0 + load) + zone_penalty, candidate.id
+    return candidate.wait + _service_time(candidate) + zone_penalty, candidate.id
 
 
 def _explain(candidates: Sequence[ReadCandidate], requirement: ReadRequirement) -> str:
@@ -98,4 +153,7 @@
         return "no instance of the service answers here"
     if requirement.min_position is None:
         return "no position is recent enough for a replica"
+    waits = [c.wait for c in candidates if not c.is_lagging and c.wait > 0]
+    if waits:
+        return f"a replica is expected to have its position in {min(waits):.2f} s, too late"
     return "every replica that answers here lags"
--- a/orioleplank/decision/routing/_replica_lag.py
+++ b/orioleplank/decision/routing/_replica_lag.py
@@ -22,8 +22,11 @@
 # seconds. The time spans several commits of a service with 10 writes a second.
 STALL_TIME_S = 0.5
 STALL_RATE = 0.25
+# Added to the predicted time, in seconds: differences between message delays, which otherwise send
+# a read a few milliseconds too early.
+PREDICTION_MARGIN_S = 0.02
 # A replica that lacked a position although it was expected to have it is asked again for it after
-# this time, in seconds; doubled each time until a prediction holds.
+# this time, in seconds; doubled each time until its log has grown.
 MISS_DELAY_MIN_S = 0.05
 MISS_DELAY_MAX_S = 0.8
 
@@ -57,6 +60,8 @@
             is_recent = reported_at < newest.reported_at + REPORT_INTERVAL_S
             if reported_at < newest.reported_at or (is_recent and position < newest.position):
                 return
+            if position > newest.position:
+                self._miss_delay = MISS_DELAY_MIN_S
         report = PositionReport(
             reported_at, position, _complete_until(reported_at, position, history)
         )
@@ -78,10 +83,6 @@
         self._next_attempt_at = now + self._miss_delay
         self._miss_delay = min(MISS_DELAY_MAX_S, 2 * self._miss_delay)
 
-    def record_hit(self) -> None:
-        """Record that the replica had a position that it was expected to have."""
-        self._miss_delay = MISS_DELAY_MIN_S
-
     def has(self, position: Position) -> bool:
         """Return whether the replica has reported a position or a later one."""
         return self.newest is not None and self.newest.position >= position
@@ -100,7 +101,7 @@
         if reached_at is None or complete_until is None:
             return None
         lag = newest.reported_at - complete_until
-        return max(reached_at + lag, self._next_attempt_at)
+        return max(reached_at + lag + PREDICTION_MARGIN_S, self._next_attempt_at)
 
     @property
     def _has_stalled(self) -> bool:
--- a/orioleplank/gateway/_avoided_instances.py
+++ b/orioleplank/gateway/_avoided_instances.py
@@ -17,6 +17,8 @@
         self._avoided_until: dict[str, float] = {}
         # The latest refusal or failure at each instance.
         self.refusals: dict[str, Refused] = {}
+        # True once the statement has waited for a replica.
+        self.has_waited = False
 
     def add(self, instance: str, refusal: Refused | None = None) -> None:
         """Avoid an instance for `INSTANCE_AVOIDANCE_S`."""
@@ -24,6 +26,11 @@
         if refusal is not None:
             self.refusals[instance] = refusal
 
+    @property
+    def full(self) -> frozenset[str]:
+        """Instances whose latest refusal stated when to retry, because many wait there."""
+        return frozenset(name for name, r in self.refusals.items() if r.has_retry_after)
+
     def contains(self, instance: str) -> bool:
         """Return whether an instance is avoided now."""
         return self._now() < self._avoided_until.get(instance, 0.0)
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -165,6 +165,7 @@
             reactor, self.cluster_state, event_log, self._prober, self._failovers, own_record
         )
         statements = StatementExecutor(self.cluster_state, reactor, settings.zone)
+        statements.reads.on_wait_ended = self.metrics.replica_waits.increment
         self.forwarding_server = ForwardingServer(
             self.cluster_state, statements, self._prober, event_log
         )
--- a/orioleplank/gateway/_metrics.py
+++ b/orioleplank/gateway/_metrics.py
@@ -82,11 +82,22 @@
             "Statements that an instance answered.",
             ("service", "instance"),
         )
+        self.replica_waits = Counter(
+            "orioleplank_replica_waits",
+            "Reads that waited for a replica, by who answered or the code of the refusal.",
+            ("service", "outcome"),
+        )
 
     @property
     def counters(self) -> tuple[Counter, ...]:
         """All counters."""
-        return (self.statements, self.events, self.store_calls, self.served_by)
+        return (
+            self.statements,
+            self.events,
+            self.store_calls,
+            self.served_by,
+            self.replica_waits,
+        )
 
     @property
     def histograms(self) -> tuple[Histogram, ...]:
--- a/orioleplank/gateway/_replica_progress.py
+++ b/orioleplank/gateway/_replica_progress.py
@@ -19,6 +19,8 @@
     # Service of the replica.
     service: str
     position: Position
+    # Id of the primary, which has every position; empty if none is relied on.
+    primary: str
     # Fires when a replica of the service is reported to have the position.
     reported: Deferred[None]
 
@@ -44,8 +46,8 @@
         reports = self._reports_of(pool)
         reports.add(self._cluster_state.lease_clock(), position, history)
         for waiter in tuple(self._waiters):
-            is_there = waiter.service == service and reports.has(waiter.position)
-            if is_there and not waiter.reported.called:
+            is_replica = waiter.service == service and waiter.primary != pool.entry.id
+            if is_replica and reports.has(waiter.position) and not waiter.reported.called:
                 waiter.reported.callback(None)
 
     def _reports_of(self, pool: InstancePool) -> ReplicaReports:
@@ -57,9 +59,9 @@
         history = self._cluster_state.positions.known_history(pool.entry.service)
         return pool.reports.expected_at(position, history, self._cluster_state.lease_clock())
 
-    async def wait(self, service: str, position: Position, seconds: float) -> None:
+    async def wait(self, service: str, primary: str, position: Position, seconds: float) -> None:
         """Return after `seconds`, or as soon as a replica is reported to have the position."""
-        waiter = _Waiter(service, position, Deferred())
+        waiter = _Waiter(service, position, primary, Deferred())
         self._waiters.append(waiter)
         timer = self._reactor.callLater(max(0.0, seconds), _wake, waiter.reported)
         try:
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -60,18 +60,23 @@
         """Run a read outside a transaction; it may be attempted at several instances."""
         avoided = AvoidedInstances(self)
         outcome = await self._run_read_attempts(request, statement, avoided)
-        return self.reads.add_explanation(request, avoided, outcome)
+        return self.reads.finish(request, avoided, outcome)
 
     async def _run_read_attempts(
         self, request: Request, statement: ExecutableStatement, avoided: AvoidedInstances
     ) -> Outcome:
         last_refusal = refuse(FailureCode.BUSY, "place read", "its time is over")
         while self.remaining_time(request) > MIN_ATTEMPT_S:
-            placement = self.reads.select_instance(request, avoided)
+            placement = await self.reads.await_instance(request, avoided)
             if isinstance(placement, NoInstanceAvailable):
-                if last_refusal.has_retry_after:
+                if last_refusal.instance and last_refusal.has_retry_after:
                     return last_refusal
-                last_refusal = refuse(FailureCode.BUSY, "place read", placement.reason)
+                last_refusal = refuse(
+                    FailureCode.BUSY,
+                    "place read",
+                    placement.reason,
+                    retry_after=placement.retry_after,
+                )
                 if not self.may_become_available(request, avoided):
                     return last_refusal
                 await self.cluster_state.changed.wait(
@@ -82,7 +87,10 @@
             if isinstance(outcome, Completed):
                 return outcome
             last_refusal = outcome
-            avoided.add(placement.id, outcome)
+            if outcome.failure.code is FailureCode.LAGGING:
+                self.reads.avoid_lagging(request, avoided, placement.id, outcome)
+            else:
+                avoided.add(placement.id, outcome)
         return last_refusal
 
     async def _attempt_read(
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -78,7 +78,7 @@
             avoided = AvoidedInstances(self._statements)
             outcome, remains_open = await self._run_first(transaction, request, statement, avoided)
             if transaction.read_only:
-                outcome = self._statements.reads.add_explanation(request, avoided, outcome)
+                outcome = self._statements.reads.finish(request, avoided, outcome)
             return outcome, remains_open
         return await self._run_next(transaction, request, statement)
 
@@ -93,9 +93,14 @@
         while self._statements.remaining_time(request) > MIN_ATTEMPT_S:
             begin_failure = await self._begin(transaction, request, avoided)
             if isinstance(begin_failure, NoInstanceAvailable):
-                if last_refusal.has_retry_after:
+                if last_refusal.instance and last_refusal.has_retry_after:
                     return last_refusal, False
-                last_refusal = refuse(FailureCode.BUSY, "begin transaction", begin_failure.reason)
+                last_refusal = refuse(
+                    FailureCode.BUSY,
+                    "begin transaction",
+                    begin_failure.reason,
+                    retry_after=begin_failure.retry_after,
+                )
                 if not self._statements.may_become_available(request, avoided):
                     return last_refusal, False
                 remaining = self._statements.remaining_time(request)
@@ -171,7 +176,7 @@
     ) -> Refused | NoInstanceAvailable | None:
         """Begin at an instance; return None on success, else why it could not begin."""
         if transaction.read_only:
-            placement = self._statements.reads.select_instance(request, avoided)
+            placement = await self._statements.reads.await_instance(request, avoided)
             if isinstance(placement, NoInstanceAvailable):
                 return placement
             instance, min_position = placement.id, placement.min_position
@@ -201,13 +206,14 @@
             avoided.add(instance, refusal)
             return refusal
         if reply.failure is not None or reply.state is not TransactionState.OPEN:
-            return self._refuse_begin(pool, acquired, reply, avoided)
+            return self._refuse_begin(request, pool, acquired, reply, avoided)
         pool.record_caught_up()
         self._attach_connection(transaction, pool, acquired, lease, request.route.service)
         return None
 
     def _refuse_begin(
         self,
+        request: Request,
         pool: InstancePool,
         connection: PooledConnection,
         reply: Reply,
@@ -215,7 +221,10 @@
     ) -> Refused:
         self._statements.release_after_reply(pool, connection, reply)
         refusal = _build_begin_refusal(pool, reply)
-        avoided.add(pool.entry.id, refusal)
+        if reply.failure is not None and reply.failure.code is FailureCode.LAGGING:
+            self._statements.reads.avoid_lagging(request, avoided, pool.entry.id, refusal)
+        else:
+            avoided.add(pool.entry.id, refusal)
         return refusal
 
     def _attach_connection(
--- a/orioleplank/tests/_simulated_instances.py
+++ b/orioleplank/tests/_simulated_instances.py
@@ -58,6 +58,8 @@
     loses_answers: bool = False
     # True while it answers BUSY to all statements.
     is_full: bool = False
+    # Seconds after which it tells readers to retry while it refuses all reads; 0 while it does not.
+    refuses_reads_for: float = 0.0
     # True while every statement that it runs fails.
     is_failing: bool = False
     directory_entry: InstanceEntry = field(init=False)
--- a/orioleplank/tests/_simulated_links.py
+++ b/orioleplank/tests/_simulated_links.py
@@ -185,6 +185,8 @@
             prepared_statement = self._prepared.get(prepared_name)
             if prepared_statement is None:
                 return self._fail(FailureCode.UNKNOWN_NAME)
+        if isinstance(statement, Read) and self._member.refuses_reads_for:
+            return self._refuse_read()
         refusal = self._find_refusal(statement, prepared_statement, min_position)
         if refusal is not None:
             return self._fail(refusal)
@@ -213,6 +215,11 @@
             self._group.commit(member, {item: value})
         return self._reply((), f"sig-{request_id}")
 
+    def _refuse_read(self) -> Reply:
+        """Answer as a connection owner does whose queue is full."""
+        failure = Failure(FailureCode.BUSY, "too many wait", self._member.refuses_reads_for)
+        return Reply((), "-", failure, self._state, self._member.position)
+
     def _find_refusal(
         self,
         statement: ExecutableStatement,
--- a/orioleplank/tests/test_gateway_reads.py
+++ b/orioleplank/tests/test_gateway_reads.py
@@ -6,10 +6,17 @@
 
 import testtools
 
-from orioleplank.decision.session import Read, Write
+from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
+from orioleplank.decision.session import Begin, Commit, Read, Write
 from orioleplank.gateway import EventType
 from orioleplank.tests._gateway_cluster import CATALOGUE, JOBS, GatewayCluster, GatewayNode
-from orioleplank.tests._gateway_helpers import start_cluster
+from orioleplank.tests._gateway_helpers import START_S, start_cluster
+from orioleplank.tests._read_load import ReadLoad, ReadRecord, refused, served, worst_time
+from orioleplank.tests._simulated_instances import SERVICE
+
+REPLICAS = ("db-b", "db-c")
+# Statement timeout of the routes, in seconds.
+ROUTE_TIMEOUT_S = 1.0
 
 
 def _refused_requests(node: GatewayNode) -> list[dict[str, Any]]:
@@ -53,3 +60,130 @@
         _fill_all(cluster)
         cluster.send_and_wait(cluster.open_session(node, JOBS), Write("k oak"))
         self.assertEqual((), _refused_requests(node)[-1]["candidates"])
+
+
+def _start_load(
+    replica_lag: float, mechanisms: MechanismSwitches = ALL_ON, proxies: int = 3
+) -> tuple[GatewayCluster, ReadLoad]:
+    """Return a cluster under load whose replicas have lagged for longer than reads accept."""
+    cluster = GatewayCluster(1, proxies, mechanisms=mechanisms)
+    cluster.run_for(START_S)
+    for name in REPLICAS:
+        cluster.group.members[name].lag = replica_lag
+    load = ReadLoad(cluster)
+    load.start()
+    cluster.run_for(6.0)
+    return cluster, load
+
+
+def _run_reads(cluster: GatewayCluster, load: ReadLoad, seconds: float) -> list[ReadRecord]:
+    """Return the reads sent in the next `seconds`, once they have been answered."""
+    start = cluster.simulator.now
+    cluster.run_for(seconds + ROUTE_TIMEOUT_S + 0.1)
+    return load.sent_between(start, start + seconds)
+
+
+def _refuse_reads(cluster: GatewayCluster) -> None:
+    cluster.group.members["db-a"].refuses_reads_for = 0.1
+
+
+class TestFullPrimary(testtools.TestCase):
+    """The primary refuses reads since too many wait there, and both replicas are 2.9 s behind.
+
+    The route allows 2.5 s. Without the prediction, reads are refused with a time to retry although
+    both replicas would have their position in 0.4 s.
+    """
+
+    def test_reads_wait_for_a_replica(self) -> None:
+        cluster, load = _start_load(2.9)
+        _refuse_reads(cluster)
+        reads = _run_reads(cluster, load, 4.0)
+        self.assertGreater(len(served(reads)), 0.99 * len(reads))
+        self.assertLess(worst_time(served(reads)), 0.8)
+
+    def test_reads_are_refused_with_the_prediction_switched_off(self) -> None:
+        switches = MechanismSwitches(frozenset({Mechanism.LAG_PREDICTION}))
+        cluster, load = _start_load(2.9, switches)
+        _refuse_reads(cluster)
+        reads = _run_reads(cluster, load, 4.0)
+        self.assertGreater(len(refused(reads)), 0.5 * len(reads))
+
+    def test_replicas_that_recover_serve_at_once(self) -> None:
+        cluster, load = _start_load(2.9)
+        _refuse_reads(cluster)
+        cluster.run_for(2.0)
+        for name in REPLICAS:
+            cluster.group.members[name].lag = 0.003
+            cluster.group.catch_up(name)
+        cluster.run_for(1.0)
+        reads = _run_reads(cluster, load, 2.0)
+        self.assertEqual(len(reads), len(served(reads)))
+        self.assertLess(worst_time(reads), 0.15)
+
+    def test_replica_that_receives_nothing_is_not_waited_for(self) -> None:
+        cluster, load = _start_load(2.9)
+        cluster.group.members["db-b"].drops_entries = True
+        cluster.run_for(3.0)
+        _refuse_reads(cluster)
+        reads = _run_reads(cluster, load, 3.0)
+        self.assertGreater(len(served(reads)), 0.98 * len(reads))
+        self.assertLess(worst_time(served(reads)), 0.8)
+
+    def test_reads_are_refused_promptly_if_no_replica_receives_anything(self) -> None:
+        cluster, load = _start_load(0.003)
+        for name in REPLICAS:
+            cluster.group.members[name].drops_entries = True
+        cluster.run_for(3.5)
+        _refuse_reads(cluster)
+        reads = _run_reads(cluster, load, 2.0)
+        self.assertEqual([], served(reads))
+        times = sorted(read.elapsed for read in reads)
+        self.assertLess(times[len(times) // 2], 0.1)
+
+    def test_reads_are_refused_at_once_if_replicas_come_too_late(self) -> None:
+        cluster, load = _start_load(4.5)
+        cluster.run_for(1.0)
+        _refuse_reads(cluster)
+        reads = _run_reads(cluster, load, 2.0)
+        self.assertEqual([], served(reads))
+        self.assertLess(worst_time(reads), 0.3)
+        for read in reads:
+            assert read.reply is not None and read.reply.failure is not None
+            self.assertIn("retry after", read.reply.failure.detail)
+
+    def test_waits_are_counted_by_their_end(self) -> None:
+        cluster, load = _start_load(2.9)
+        _refuse_reads(cluster)
+        _run_reads(cluster, load, 1.0)
+        counts = cluster.proxies[0].gateway.metrics.replica_waits.counts
+        self.assertGreater(counts[(SERVICE, "replica")], 50)
+
+    def test_read_only_transactions_wait_for_a_replica(self) -> None:
+        cluster, _ = _start_load(2.9)
+        cluster.group.members["db-a"].is_full = True
+        caller = cluster.open_session(cluster.proxies[1], JOBS)
+        cluster.send_and_wait(caller, Begin(True))
+        self.assertIsNone(cluster.send_and_wait(caller, Read("k")).failure)
+        self.assertIsNone(cluster.send_and_wait(caller, Commit()).failure)
+
+
+class TestWaves(testtools.TestCase):
+    """Many proxies with the same prediction do not all send reads to a replica at once."""
+
+    def test_reads_that_wait_for_the_same_position_are_spread(self) -> None:
+        cluster, load = _start_load(2.9, proxies=8)
+        _refuse_reads(cluster)
+        load.stop()
+        cluster.run_for(0.05)
+        before = len(cluster.group.executions)
+        sent = 0
+        for node in cluster.proxies:
+            for _ in range(5):
+                cluster.send_request(cluster.open_session(node, JOBS), Read("k"))
+                sent += 1
+        cluster.run_for(1.2)
+        at_replicas = [e for e in cluster.group.executions[before:] if e.instance in REPLICAS]
+        times = [e.executed_at for e in at_replicas]
+        most = max(sum(1 for other in times if t <= other < t + 0.01) for t in times)
+        self.assertGreater(len(times), 0.9 * sent)
+        self.assertLess(most, sent / 2)
