Random-fault runs with replicas that lag by seconds

Cause: the runs lagged one replica by at most 1.1 s, so that no read waited for a replica.

The test asserts that more than 100 reads waited. A further test replaces the check of the position at the replica by a wrong prediction and expects violations.

--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -8,11 +8,14 @@
 
 from orioleplank.decision import ZERO_POSITION, Position
 from orioleplank.decision.instances import Consistency
+from orioleplank.decision.routing import Placement, ReplicaExpected, SelectedInstance
 from orioleplank.decision.session import FailureCode
 from orioleplank.gateway import _instance_executor, _read_placement, _statements
+from orioleplank.gateway._avoided_instances import AvoidedInstances
 from orioleplank.gateway._instance_executor import Request
 from orioleplank.gateway._outcome import Outcome, refuse
 from orioleplank.gateway._pool import InstancePool
+from orioleplank.tests._lag_faults import LongLagRun
 from orioleplank.tests._random_faults import RandomFaultRun
 
 SEEDS = range(20261204, 20261212)
@@ -27,6 +30,8 @@
 SYNC_SEEDS = (20261205, 20261207, 20261210, 20261211, 20261212)
 # Runs in which primaries and coordinators are back before a promotion takes effect.
 FAST_RESTART_SEEDS = range(20261205, 20261209)
+# Runs in which replicas also lag by seconds while the primary refuses reads.
+LONG_LAG_SEEDS = range(20261204, 20261210)
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -72,12 +77,24 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_replicas_that_lag_by_seconds(self) -> None:
+        waits = _WaitCounter()
+        with mock.patch.object(_read_placement.ReadPlacer, "finish", waits.finish):
+            for seed in LONG_LAG_SEEDS:
+                with self.subTest(seed=seed):
+                    audit = LongLagRun(seed).run()
+                    self.assertEqual([], audit.violations[:5])
+                    self.assertGreater(audit.answered, 300)
+        # Without reads that waited, the runs would not have tested them.
+        self.assertGreater(waits.count, 100)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
 
     They are mixed session values without connection setup, stale reads at replicas without minimum
-    positions, and refusals of requests that ran if unanswered requests are refused as busy.
+    positions, stale reads after a wait if the predicted time replaces the check at the replica, and
+    refusals of requests that ran if unanswered requests are refused as busy.
     """
 
     def test_audit_finds_violations_without_connection_setup(self) -> None:
@@ -90,11 +107,44 @@
         ):
             self.assertNotEqual([], RandomFaultRun(20261204).run().violations)
 
+    def test_audit_finds_violations_if_a_wrong_prediction_replaces_the_check(self) -> None:
+        select_instance = _read_placement.ReadPlacer.select_instance
+
+        def trust_prediction(
+            placer: _read_placement.ReadPlacer, request: Request, avoided: AvoidedInstances
+        ) -> Placement:
+            placement = select_instance(placer, request, avoided)
+            if isinstance(placement, ReplicaExpected):
+                return SelectedInstance(placement.id, ZERO_POSITION)
+            return placement
+
+        with mock.patch.object(_read_placement.ReadPlacer, "select_instance", trust_prediction):
+            self.assertNotEqual([], LongLagRun(20261204).run().violations)
+
     def test_audit_finds_violations_if_unanswered_requests_are_refused_as_busy(self) -> None:
         with mock.patch.object(_statements, "_refuse_unanswered", _refuse_as_busy):
             self.assertNotEqual([], RandomFaultRun(20261205).run().violations)
 
 
+class _WaitCounter:
+    """Counts the reads that waited for a replica, over all processes of a run."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        finish = _read_placement.ReadPlacer.finish
+
+        def count_and_finish(
+            placer: _read_placement.ReadPlacer,
+            request: Request,
+            avoided: AvoidedInstances,
+            outcome: Outcome,
+        ) -> Outcome:
+            self.count += avoided.has_waited
+            return finish(placer, request, avoided, outcome)
+
+        self.finish = count_and_finish
+
+
 def _require_no_position(placer: object, request: Request) -> Position | None:
     return None if request.route.consistency is Consistency.PRIMARY else ZERO_POSITION
 
