Positions known from a primary stay usable after its lease

Cause: reads that accept some age were refused with "no position is recent enough for a replica" from the moment the leases on a primary were released.

Change: PositionTracker keeps the positions of the latest primary when its lease ends, and those of the term before while a lease of the next term is in force. Two promotions make them void, since the second may bring back commits that the first rolled back; so does an unknown term. A position counts as the primary's only if the instance was the primary, of the same term, when the statement was sent: a replica that was promoted while it worked on a read could report a position from before its promotion. Switch: earlier-positions.

ReplicaReports keeps a list of at most 32 reports instead of a deque, whose first block is 600 bytes for each instance that a proxy knows. New test with a queue that is full of writes.

Ruled out: positions of any earlier term; comparing a session's position of another term.

The audit of the random faults finds violations if any earlier position counts.

--- a/orioleplank/decision/group/_positions.py
+++ b/orioleplank/decision/group/_positions.py
@@ -53,6 +53,11 @@
         """The newest position; None when no position is known."""
         return self._observations[-1] if self._observations else None
 
+    @property
+    def term(self) -> int:
+        """The term of the newest position; 0 when no position is known."""
+        return self._observations[-1].position.term if self._observations else 0
+
     def lowest_position_since(self, cutoff: float) -> Position | None:
         """Return the lowest position that contains every commit acknowledged before `cutoff`.
 
@@ -69,7 +74,7 @@
         None for a position of another term, and when no position is known. For a position beyond
         the known ones it is the time of the newest, for one before them the time of the oldest.
         """
-        if not self._has_term_of(position):
+        if position.term != self.term:
             return None
         previous: ObservedPosition | None = None
         for observation in self._observations:
@@ -83,7 +88,7 @@
 
         None for a position of another term, and for one before the oldest known.
         """
-        if not self._has_term_of(position):
+        if position.term != self.term:
             return None
         following: ObservedPosition | None = None
         for observation in reversed(self._observations):
@@ -94,10 +99,6 @@
             following = observation
         return None
 
-    def _has_term_of(self, position: Position) -> bool:
-        newest = self.newest
-        return newest is not None and newest.position.term == position.term
-
     def _is_redundant(self, requested_at: float, position: Position) -> bool:
         newest = self._observations[-1]
         if position < newest.position:
--- a/orioleplank/decision/mechanisms.py
+++ b/orioleplank/decision/mechanisms.py
@@ -32,6 +32,8 @@
     LAG_BACKOFF = "lag-backoff"
     # Reads wait for a replica that is expected to have their position in time.
     LAG_PREDICTION = "lag-prediction"
+    # Positions known from a primary are used after its lease has ended.
+    EARLIER_POSITIONS = "earlier-positions"
     # Other proxies ping one that is silent before it is retired.
     INDIRECT_PINGS = "indirect-pings"
     # A planned switchover is postponed while a proxy is silent.
--- a/orioleplank/decision/routing/_replica_lag.py
+++ b/orioleplank/decision/routing/_replica_lag.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 from msgspec import Struct
 
 from orioleplank.decision._position import Position
@@ -42,10 +40,16 @@
 
 
 class ReplicaReports:
-    """The latest position reports of one incarnation of an instance."""
+    """The latest position reports of one incarnation of an instance.
+
+    Small while there are none, since a proxy knows far more instances than it reads from.
+    """
+
+    __slots__ = ("_miss_delay", "_next_attempt_at", "_reports")
 
     def __init__(self) -> None:
-        self._reports: deque[PositionReport] = deque()
+        # Oldest first.
+        self._reports: list[PositionReport] = []
         self._miss_delay = MISS_DELAY_MIN_S
         self._next_attempt_at = float("-inf")
 
@@ -65,11 +69,11 @@
         report = PositionReport(
             reported_at, position, _complete_until(reported_at, position, history)
         )
-        if self._may_replace_newest(reported_at):
+        if self._may_drop_newest:
             self._reports.pop()
         self._reports.append(report)
         while self._reports[0].reported_at < reported_at - REPORT_LIFETIME_S:
-            self._reports.popleft()
+            self._reports.pop(0)
 
     @property
     def newest(self) -> PositionReport | None:
@@ -118,10 +122,12 @@
         reports = (report for report in reversed(self._reports) if report.reported_at <= time)
         return next(reports, None)
 
-    def _may_replace_newest(self, reported_at: float) -> bool:
+    @property
+    def _may_drop_newest(self) -> bool:
+        """True if the newest report follows the one before it too closely to be kept."""
         if len(self._reports) < 2:
             return False
-        return reported_at < self._reports[-2].reported_at + REPORT_INTERVAL_S
+        return self._reports[-1].reported_at < self._reports[-2].reported_at + REPORT_INTERVAL_S
 
 
 def _complete_until(
--- a/orioleplank/decision/routing/tests/test_replica_lag.py
+++ b/orioleplank/decision/routing/tests/test_replica_lag.py
@@ -155,3 +155,13 @@
         reports.add(1.0, Position(TERM, 20), history)
         reports.add(1.5, Position(TERM, 19), history)
         self.assertFalse(reports.has(Position(TERM, 20)))
+
+
+class TestMemory(testtools.TestCase):
+    """A busy replica must not cost memory for each of its replies."""
+
+    def test_few_reports_are_kept(self) -> None:
+        reports, history = ReplicaReports(), PositionHistory()
+        for number in range(10_000):
+            reports.add(number * 0.001, Position(TERM, number), history)
+        self.assertLessEqual(len(reports._reports), 32)
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -87,7 +87,7 @@
         self.retired_at: dict[str, float] = {}
         # When the replacement of each primary in progress was first seen, by service.
         self.move_times = MoveTimes()
-        self.positions = PositionTracker(self.lease, self.now)
+        self.positions = PositionTracker(self.lease, self.now, mechanisms)
         # None until this proxy shuts down.
         self.shutdown: ShutdownSchedule | None = None
         # Notified whenever the cluster state changes.
--- a/orioleplank/gateway/_position_tracker.py
+++ b/orioleplank/gateway/_position_tracker.py
@@ -1,4 +1,9 @@
-"""Log positions of the primaries that this proxy has observed or learned from other proxies."""
+"""Log positions of the primaries that this proxy has observed or learned from other proxies.
+
+A position that a primary reported under a lease that was valid at time `t` contains every commit
+acknowledged before `t` that no later promotion rolled back. It stays usable without a lease, and
+after the next promotion; docs/design/reads-under-load.md says why.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +11,7 @@
 
 from orioleplank.decision import Position
 from orioleplank.decision.group import Lease, ObservedPosition, PositionHistory
+from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.decision.membership import PrimaryPosition
 
 # Id and term of a primary: the positions of its log count as long as both are the same.
@@ -13,14 +19,22 @@
 
 
 class PositionTracker:
-    """The known positions by service; they are void once the service has another primary."""
-
-    def __init__(self, find_lease: Callable[[str], Lease | None], now: Callable[[], float]) -> None:
+    """The known positions by service, of the latest primary and of the one before it."""
+
+    def __init__(
+        self,
+        find_lease: Callable[[str], Lease | None],
+        now: Callable[[], float],
+        mechanisms: MechanismSwitches = ALL_ON,
+    ) -> None:
         self._find_lease = find_lease
         self._now = now
+        self._mechanisms = mechanisms
         # When a read last required a position of a service, in seconds of the monotonic clock.
         self.required_at: dict[str, float] = {}
         self._histories: dict[str, tuple[_Primary, PositionHistory]] = {}
+        # Positions of the primary of the term before the latest one.
+        self._earlier_histories: dict[str, PositionHistory] = {}
 
     def record(self, lease: Lease, service: str, requested_at: float, position: Position) -> None:
         """Add the position in a primary's response to a request sent at `requested_at`.
@@ -53,19 +67,49 @@
         """
         self.required_at[service] = self._now()
         lease = self._find_lease(service)
-        return self._history(lease, service).lowest_position_since(cutoff) if lease else None
+        position = self._history(lease, service).lowest_position_since(cutoff) if lease else None
+        if position is not None or not self._mechanisms.is_on(Mechanism.EARLIER_POSITIONS):
+            return position
+        return self._find_earlier(service, lease, cutoff)
+
+    def _find_earlier(self, service: str, lease: Lease | None, cutoff: float) -> Position | None:
+        """Return a position of the previous term, or of the latest one while there is no lease.
 
-    def known_history(self, service: str) -> PositionHistory:
-        """Return the known positions of a service's latest primary, whether or not it has a lease.
+        Without a lease another promotion may be in progress, so the term before the latest one does
+        not count: between it and the present term there may be two promotions.
+        """
+        if lease is not None:
+            history = self._earlier_histories.get(service)
+        else:
+            history = self._latest_history(service)
+        return history.lowest_position_since(cutoff) if history is not None else None
+
+    def known_history(self, service: str, term: int) -> PositionHistory:
+        """Return the known positions of a term, whether or not there is a lease.
 
-        They say when the primary had which position, which holds also after its lease has ended.
+        They say when the primary had which position. Empty for a term that is not known.
         """
-        return self._histories.get(service, (("", 0), PositionHistory()))[1]
+        known = (self._latest_history(service), self._earlier_histories.get(service))
+        matching = (history for history in known if history is not None and history.term == term)
+        return next(matching, PositionHistory())
+
+    def _latest_history(self, service: str) -> PositionHistory | None:
+        known = self._histories.get(service)
+        return known[1] if known is not None else None
 
     def _history(self, lease: Lease, service: str) -> PositionHistory:
         primary = (lease.primary, lease.term)
         known_primary, history = self._histories.get(service, (("", 0), PositionHistory()))
-        if known_primary != primary:
-            history = PositionHistory()
-            self._histories[service] = (primary, history)
-        return history
+        if known_primary == primary:
+            return history
+        self._earlier_histories.pop(service, None)
+        if _follows_directly(lease.term, known_primary[1]):
+            self._earlier_histories[service] = history
+        latest = PositionHistory()
+        self._histories[service] = (primary, latest)
+        return latest
+
+
+def _follows_directly(term: int, earlier_term: int) -> bool:
+    """Return whether one promotion began `term` after `earlier_term`; 0 is an unknown term."""
+    return earlier_term > 0 and term == earlier_term + 1
--- a/orioleplank/gateway/_replica_progress.py
+++ b/orioleplank/gateway/_replica_progress.py
@@ -42,7 +42,7 @@
         if position is None:
             return
         service = pool.entry.service
-        history = self._cluster_state.positions.known_history(service)
+        history = self._cluster_state.positions.known_history(service, position.term)
         reports = self._reports_of(pool)
         reports.add(self._cluster_state.lease_clock(), position, history)
         for waiter in tuple(self._waiters):
@@ -56,7 +56,8 @@
 
     def expected_at(self, pool: InstancePool, position: Position) -> float | None:
         """Return when an instance will have a position, in seconds of the lease clock, or None."""
-        history = self._cluster_state.positions.known_history(pool.entry.service)
+        service = pool.entry.service
+        history = self._cluster_state.positions.known_history(service, position.term)
         return pool.reports.expected_at(position, history, self._cluster_state.lease_clock())
 
     async def wait(self, service: str, primary: str, position: Position, seconds: float) -> None:
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -8,6 +8,7 @@
 
 from typing import Any
 
+from msgspec import Struct
 from twisted.internet.defer import CancelledError
 from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
@@ -44,6 +45,15 @@
 COMMIT_CONFIRM_TIMEOUT_S = 1.5
 
 
+class Sending(Struct, frozen=True):
+    """When a statement was sent."""
+
+    # In seconds of the lease clock.
+    sent_at: float
+    # Id and term of the primary that was relied on then; None without a lease.
+    primary: tuple[str, int] | None
+
+
 class StatementExecutor(InstanceExecutor):
     """Runs reads and writes that are outside a transaction.
 
@@ -104,7 +114,7 @@
         if not isinstance(acquired, PooledConnection):
             return acquired
         name = self.prepared_name(acquired, statement)
-        sent_at = self.cluster_state.lease_clock()
+        sent = self.note_sending(request)
         pending_reply = acquired.link.run(request.id, statement, name, placement.min_position)
         try:
             timeout = max(MIN_ATTEMPT_S, attempt_end - self.cluster_state.now())
@@ -113,7 +123,7 @@
             pool.discard(acquired)
             return _refuse_unanswered(error, pool, "run read")
         self.release_after_reply(pool, acquired, reply)
-        self.record_primary_position(request, placement.id, sent_at, reply)
+        self.record_primary_position(request, placement.id, sent, reply)
         return self._read_outcome(pool, reply)
 
     def _read_outcome(self, pool: InstancePool, reply: Reply) -> Outcome:
@@ -212,7 +222,7 @@
             pool.release(acquired)
             return refuse(FailureCode.BUSY, "send write", "the primary is being replaced"), True
         name = self.prepared_name(acquired, statement)
-        sent_at = self.cluster_state.lease_clock()
+        sent = self.note_sending(request)
         pending_reply = acquired.link.run(request.id, statement, name, None)
         try:
             reply = await self.await_reply(pool, pending_reply, self.remaining_time(request))
@@ -220,7 +230,7 @@
             pool.discard(acquired)
             return _refuse_unanswered(error, pool, "run write"), False
         self.release_after_reply(pool, acquired, reply)
-        self.record_primary_position(request, lease.primary, sent_at, reply)
+        self.record_primary_position(request, lease.primary, sent, reply)
         if reply.failure is None:
             return await self.confirm_commit(request, lease, reply), False
         return self._write_failure_outcome(pool, reply)
@@ -296,14 +306,26 @@
             return refuse(FailureCode.BUSY, "prepare connection", str(error), pool.entry.id)
         return connection
 
+    def note_sending(self, request: Request) -> Sending:
+        """Return the time and the primary under which a statement is sent now."""
+        lease = self.cluster_state.lease(request.route.service)
+        primary = (lease.primary, lease.term) if lease is not None else None
+        return Sending(self.cluster_state.lease_clock(), primary)
+
     def record_primary_position(
-        self, request: Request, instance: str, sent_at: float, reply: Reply
+        self, request: Request, instance: str, sent: Sending, reply: Reply
     ) -> None:
-        """Record the log position of a reply if the instance is the primary."""
+        """Record the log position of a reply if the instance is the primary.
+
+        It must have been the primary when the statement was sent: a replica may be promoted
+        meanwhile, and the position of its reply may lack commits of that time.
+        """
         lease = self.cluster_state.lease(request.route.service)
-        if lease is not None and lease.primary == instance and reply.position is not None:
+        if lease is None or lease.primary != instance or reply.position is None:
+            return
+        if sent.primary == (lease.primary, lease.term):
             self.cluster_state.positions.record(
-                lease, request.route.service, sent_at, reply.position
+                lease, request.route.service, sent.sent_at, reply.position
             )
 
 
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -144,7 +144,7 @@
             )
         transaction.has_written = transaction.has_written or is_write(statement)
         name = statements.prepared_name(connection, statement)
-        sent_at = self._cluster_state.lease_clock()
+        sent = statements.note_sending(request)
         pending_reply = connection.link.run(request.id, statement, name, None)
         try:
             reply = await statements.await_reply(
@@ -154,7 +154,7 @@
             self._discard_connection(transaction)
             detail = f"{pool.entry.id} did not answer: {type(error).__name__}"
             return refuse(FailureCode.ABORTED, "run in transaction", detail, pool.entry.id), False
-        statements.record_primary_position(request, pool.entry.id, sent_at, reply)
+        statements.record_primary_position(request, pool.entry.id, sent, reply)
         if reply.failure is None and reply.state is TransactionState.OPEN:
             return Completed(reply, pool.entry.id), True
         return await self._end_after_failure(transaction, reply), False
@@ -288,13 +288,13 @@
         pool, connection = transaction.pool, transaction.connection
         assert pool is not None and connection is not None
         while True:
-            sent_at = self._cluster_state.lease_clock()
+            sent = self._statements.note_sending(request)
             connection.link.set_next_request_options(self._build_options(request))
             pending_reply = connection.link.commit(request.id)
             reply = await self._statements.await_reply(
                 pool, pending_reply, self._statements.remaining_time(request)
             )
-            self._statements.record_primary_position(request, pool.entry.id, sent_at, reply)
+            self._statements.record_primary_position(request, pool.entry.id, sent, reply)
             has_no_slot = reply.failure is not None and reply.failure.code is FailureCode.BUSY
             if not has_no_slot or reply.state is not TransactionState.OPEN:
                 return reply
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -7,10 +7,11 @@
 import testtools
 
 from orioleplank.decision import ZERO_POSITION, Position
+from orioleplank.decision.group import Lease
 from orioleplank.decision.instances import Consistency
 from orioleplank.decision.routing import Placement, ReplicaExpected, SelectedInstance
 from orioleplank.decision.session import FailureCode
-from orioleplank.gateway import _instance_executor, _read_placement, _statements
+from orioleplank.gateway import _instance_executor, _position_tracker, _read_placement, _statements
 from orioleplank.gateway._avoided_instances import AvoidedInstances
 from orioleplank.gateway._instance_executor import Request
 from orioleplank.gateway._outcome import Outcome, refuse
@@ -93,8 +94,8 @@
     """With a mechanism disabled, the audit must find violations.
 
     They are mixed session values without connection setup, stale reads at replicas without minimum
-    positions, stale reads after a wait if the predicted time replaces the check at the replica, and
-    refusals of requests that ran if unanswered requests are refused as busy.
+    positions, if any earlier position counts, or if the predicted time of a wait replaces the check
+    at the replica, and refusals of requests that ran if unanswered requests are refused as busy.
     """
 
     def test_audit_finds_violations_without_connection_setup(self) -> None:
@@ -121,6 +122,12 @@
         with mock.patch.object(_read_placement.ReadPlacer, "select_instance", trust_prediction):
             self.assertNotEqual([], LongLagRun(20261204).run().violations)
 
+    def test_audit_finds_violations_if_any_earlier_position_counts(self) -> None:
+        with mock.patch.object(
+            _position_tracker.PositionTracker, "_find_earlier", _find_oldest_position
+        ):
+            self.assertNotEqual([], RandomFaultRun(20261204).run().violations)
+
     def test_audit_finds_violations_if_unanswered_requests_are_refused_as_busy(self) -> None:
         with mock.patch.object(_statements, "_refuse_unanswered", _refuse_as_busy):
             self.assertNotEqual([], RandomFaultRun(20261205).run().violations)
@@ -149,5 +156,13 @@
     return None if request.route.consistency is Consistency.PRIMARY else ZERO_POSITION
 
 
+def _find_oldest_position(
+    tracker: _position_tracker.PositionTracker, service: str, lease: Lease | None, cutoff: float
+) -> Position | None:
+    """Return the oldest position of the latest primary, whatever age the read accepts."""
+    history = tracker._latest_history(service)
+    return history.lowest_position_since(float("-inf")) if history is not None else None
+
+
 def _refuse_as_busy(error: Exception, pool: InstancePool, step: str) -> Outcome:
     return refuse(FailureCode.BUSY, step, "a false promise", pool.entry.id)
--- a/orioleplank/tests/test_gateway_reads.py
+++ b/orioleplank/tests/test_gateway_reads.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest import mock
 
 import testtools
 
+from orioleplank.decision import Position
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
-from orioleplank.decision.session import Begin, Commit, Read, Write
+from orioleplank.decision.session import Begin, Commit, FailureCode, Read, Reply, Write
 from orioleplank.gateway import EventType
-from orioleplank.tests._gateway_cluster import CATALOGUE, JOBS, GatewayCluster, GatewayNode
+from orioleplank.gateway._instance_executor import Request
+from orioleplank.gateway._outcome import Refused, refuse
+from orioleplank.tests._gateway_cluster import CATALOGUE, JOBS, QUOTES, GatewayCluster, GatewayNode
 from orioleplank.tests._gateway_helpers import START_S, start_cluster
 from orioleplank.tests._read_load import ReadLoad, ReadRecord, refused, served, worst_time
 from orioleplank.tests._simulated_instances import SERVICE
@@ -63,10 +67,13 @@
 
 
 def _start_load(
-    replica_lag: float, mechanisms: MechanismSwitches = ALL_ON, proxies: int = 3
+    replica_lag: float,
+    mechanisms: MechanismSwitches = ALL_ON,
+    proxies: int = 3,
+    connections: int = 30,
 ) -> tuple[GatewayCluster, ReadLoad]:
     """Return a cluster under load whose replicas have lagged for longer than reads accept."""
-    cluster = GatewayCluster(1, proxies, mechanisms=mechanisms)
+    cluster = GatewayCluster(1, proxies, connections, mechanisms)
     cluster.run_for(START_S)
     for name in REPLICAS:
         cluster.group.members[name].lag = replica_lag
@@ -167,6 +174,25 @@
         self.assertIsNone(cluster.send_and_wait(caller, Commit()).failure)
 
 
+class TestFullQueue(testtools.TestCase):
+    """Writes fill the queue for the primary's connections, and both replicas are 2.9 s behind."""
+
+    def _keep_queue_full(self, cluster: GatewayCluster, rounds: int) -> None:
+        for node in cluster.proxies:
+            for number in range(200):
+                caller = cluster.open_session(node, QUOTES)
+                cluster.send_request(caller, Write(f"q{number} oak"))
+        if rounds:
+            cluster.simulator.call_later(0.1, lambda: self._keep_queue_full(cluster, rounds - 1))
+
+    def test_reads_wait_for_a_replica(self) -> None:
+        cluster, load = _start_load(2.9, connections=9)
+        self._keep_queue_full(cluster, rounds=20)
+        reads = _run_reads(cluster, load, 1.5)
+        self.assertGreater(len(served(reads)), 0.99 * len(reads))
+        self.assertLess(worst_time(served(reads)), 0.8)
+
+
 class TestWaves(testtools.TestCase):
     """Many proxies with the same prediction do not all send reads to a replica at once."""
 
@@ -187,3 +213,78 @@
         most = max(sum(1 for other in times if t <= other < t + 0.01) for t in times)
         self.assertGreater(len(times), 0.9 * sent)
         self.assertLess(most, sent / 2)
+
+
+class TestReplacedPrimary(testtools.TestCase):
+    """Reads that accept some age while a primary is replaced, at 200 reads a second.
+
+    Without earlier positions they are refused from the moment the leases are released.
+    """
+
+    def _replace(
+        self, promotion_delay_s: float, mechanisms: MechanismSwitches = ALL_ON
+    ) -> tuple[GatewayCluster, ReadLoad, float]:
+        """Crash the primary under load; return the time of the crash besides."""
+        cluster = GatewayCluster(1, 3, mechanisms=mechanisms)
+        cluster.run_for(START_S)
+        cluster.group.promotion_delay_s = promotion_delay_s
+        load = ReadLoad(cluster)
+        load.start()
+        cluster.run_for(3.0)
+        crashed_at = cluster.simulator.now
+        cluster.crash_instance("db-a")
+        cluster.run_for(16.0)
+        load.stop()
+        cluster.run_for(1.5)
+        return cluster, load, crashed_at
+
+    def test_reads_go_on_while_the_primary_is_replaced_quickly(self) -> None:
+        _, load, crashed_at = self._replace(1.0)
+        reads = load.sent_between(crashed_at, crashed_at + 15.0)
+        self.assertGreater(len(served(reads)), 0.999 * len(reads))
+        self.assertLess(worst_time(reads), 0.1)
+
+    def test_reads_are_refused_meanwhile_with_earlier_positions_switched_off(self) -> None:
+        switches = MechanismSwitches(frozenset({Mechanism.EARLIER_POSITIONS}))
+        _, load, crashed_at = self._replace(1.0, switches)
+        reads = load.sent_between(crashed_at, crashed_at + 15.0)
+        self.assertLess(len(served(reads)), 0.999 * len(reads))
+        self.assertGreater(worst_time(served(reads)), 0.5)
+
+    def test_reads_go_on_for_as_long_as_they_accept_in_a_slow_replacement(self) -> None:
+        _, load, crashed_at = self._replace(9.0)
+        # The route accepts 2.5 s, and the newest position is at most 0.4 s old at the crash.
+        reads = load.sent_between(crashed_at, crashed_at + 2.0)
+        self.assertGreater(len(served(reads)), 0.999 * len(reads))
+        late = load.sent_between(crashed_at + 3.0, crashed_at + 6.0)
+        self.assertEqual([], served(late))
+
+
+class TestPositionsOfReplies(testtools.TestCase):
+    """A reply counts as the primary's only if the instance was the primary when it was asked."""
+
+    def test_reply_of_a_replica_that_was_promoted_meanwhile_is_not_recorded(self) -> None:
+        cluster = start_cluster()
+        node = cluster.proxies[0]
+        caller = cluster.open_session(node, JOBS)
+        cluster.send_and_wait(caller, Write("k oak"))
+        requests: list[Request] = []
+        executor = caller.session._dependencies.statements
+
+        async def keep_request(request: Request, _: object) -> Refused:
+            requests.append(request)
+            return refuse(FailureCode.BUSY, "place read", "it is not run")
+
+        with mock.patch.object(executor, "run_read", keep_request):
+            cluster.send_and_wait(caller, Read("k"))
+        sent = executor.note_sending(requests[0])
+        cluster.crash_instance("db-a")
+        cluster.run_for(8.0)
+        state = node.gateway.cluster_state
+        lease = state.lease(SERVICE)
+        assert lease is not None and lease.primary != "db-a"
+        reply = Reply(position=Position(1, 0))
+        executor.record_primary_position(requests[0], lease.primary, sent, reply)
+        history = state.positions.known_history(SERVICE, 1)
+        observed = [o for o in history._observations if o.position == Position(1, 0)]
+        self.assertEqual([], observed)
