--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -28,6 +28,10 @@
 SERVICE_CHECK_S = 5.0
 # Minimum and random part of the time between faults; most faults last longer and overlap.
 MIN_FAULT_INTERVAL_S, FAULT_INTERVAL_RANGE_S = 0.3, 2.5
+# Longest lag of replicas, in seconds: more than any route accepts plus its timeout.
+MAX_LONG_LAG_S = 4.0
+# What a primary that refuses reads would tell them to wait, in seconds.
+READ_RETRY_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +103,7 @@
             proxy.resume()
         for member in cluster.group.members.values():
             member.is_full = member.drops_entries = member.loses_answers = False
-            member.lag = 0.003
+            member.lag, member.refuses_reads_for = 0.003, 0.0
             cluster.restart_instance(member)
         await sleep(self._reactor, RECOVERY_S - SERVICE_CHECK_S)
         answered_before = self.audit.answered
@@ -152,6 +156,7 @@
             "replica-crashes": partial(self._crash_instance, DbRole.REPLICA),
             "primary-drains": self._drain_primary,
             "replica-lags": self._delay_replication,
+            "replicas-lag-by-seconds": self._delay_replicas_by_seconds,
             "replica-deaf": self._drop_entries,
             "answers-lost": self._lose_answers,
             "instance-full": self._exhaust_connections,
@@ -279,6 +284,21 @@
             member.lag = 0.1 + self.random.random()
             self._call_later(5.0, partial(setattr, member, "lag", 0.003))
 
+    def _delay_replicas_by_seconds(self) -> None:
+        """Let all replicas apply the log late while the primary refuses reads."""
+        seconds = 3.0 + 4.0 * self.random.random()
+        for member in self.cluster.group.members.values():
+            if member.alive and member.role is DbRole.REPLICA:
+                member.lag = MAX_LONG_LAG_S * self.random.random()
+                self._call_later(seconds, partial(self._end_long_lag, member))
+        primary = self.cluster.group.primary()
+        primary.refuses_reads_for = READ_RETRY_S
+        self._call_later(seconds, partial(setattr, primary, "refuses_reads_for", 0.0))
+
+    def _end_long_lag(self, member: SimulatedInstance) -> None:
+        member.lag = 0.003
+        self._accept_entries(member)
+
     def _drop_entries(self) -> None:
         member = self._choose_instance(DbRole.REPLICA)
         if member is not None:
