Waiting reads cost nothing at most replies

A replica that reports a position and still denies it would have been asked without a pause.

Change: only a position that a replica of the service reports for the first time wakes reads; the comparison is every 0.25 s. Such a replica is avoided like after other refusals.

--- a/orioleplank/gateway/_read_placement.py
+++ b/orioleplank/gateway/_read_placement.py
@@ -33,7 +33,7 @@
 MAX_EXPLANATION_LENGTH = 120
 # Longest wait for a replica before the instances are compared again, in seconds: the primary may
 # have changed, or the replica may have stalled.
-REPLICA_RECHECK_INTERVAL_S = 0.1
+REPLICA_RECHECK_INTERVAL_S = 0.25
 # Shortest wait for a replica, in seconds, so that rounding of times causes no further comparison.
 MIN_WAIT_S = 0.001
 # Reads that wait for the same position are sent over this time, in seconds, so that proxies with
@@ -63,13 +63,8 @@
                 return placement
             avoided.has_waited = True
             seconds = min(max(MIN_WAIT_S, placement.wait), REPLICA_RECHECK_INTERVAL_S)
-            lease = self.usable_lease(request)
-            await self._executor.progress.wait(
-                request.route.service,
-                lease.primary if lease else "",
-                placement.min_position,
-                seconds,
-            )
+            service, position = request.route.service, placement.min_position
+            await self._executor.progress.wait(service, position, seconds)
 
     def select_instance(self, request: Request, avoided: AvoidedInstances) -> Placement:
         """Return where a read or a read-only transaction goes now, or what it waits for.
@@ -112,13 +107,18 @@
     def avoid_lagging(
         self, request: Request, avoided: AvoidedInstances, instance: str, refusal: Refused
     ) -> None:
-        """Avoid a replica that lacked the position of a read, until it is expected to have it."""
+        """Avoid a replica that lacked the position of a read, until it is expected to have it.
+
+        Where this is not predicted, or the replica reports the position that it lacked, it is
+        avoided as after any other refusal, so that it is not asked again at once.
+        """
         pool, position = self._cluster_state.pools.get(instance), self._needed_position(request)
         if pool is None or position is None or not self._predicts_lag:
             avoided.add(instance, refusal)
             return
         pool.reports.record_miss(self._cluster_state.lease_clock())
-        if self._executor.progress.expected_at(pool, position) is None:
+        is_expected = self._executor.progress.expected_at(pool, position) is not None
+        if not is_expected or pool.reports.has(position):
             avoided.add(instance, refusal)
         else:
             avoided.refusals[instance] = refusal
--- a/orioleplank/gateway/_replica_progress.py
+++ b/orioleplank/gateway/_replica_progress.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 from twisted.internet.defer import Deferred
 
-from orioleplank.decision import Position
+from orioleplank.decision import ZERO_POSITION, Position
 from orioleplank.decision.routing import ReplicaReports
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._pool import InstancePool
@@ -16,11 +16,7 @@
 class _Waiter(Struct, eq=False):
     """A read that waits until a replica has a position."""
 
-    # Service of the replica.
-    service: str
     position: Position
-    # Id of the primary, which has every position; empty if none is relied on.
-    primary: str
     # Fires when a replica of the service is reported to have the position.
     reported: Deferred[None]
 
@@ -31,7 +27,10 @@
     def __init__(self, cluster_state: ClusterState, reactor: Any) -> None:
         self._cluster_state = cluster_state
         self._reactor = reactor
-        self._waiters: list[_Waiter] = []
+        # Reads that wait, by service of the replica.
+        self._waiters: dict[str, set[_Waiter]] = {}
+        # Highest position that a replica reported, by service.
+        self._highest: dict[str, Position] = {}
 
     def record(self, pool: InstancePool, position: Position | None) -> None:
         """Record the position in a reply that has just arrived, if it states one.
@@ -43,11 +42,21 @@
             return
         service = pool.entry.service
         history = self._cluster_state.positions.known_history(service, position.term)
-        reports = self._reports_of(pool)
-        reports.add(self._cluster_state.lease_clock(), position, history)
-        for waiter in tuple(self._waiters):
-            is_replica = waiter.service == service and waiter.primary != pool.entry.id
-            if is_replica and reports.has(waiter.position) and not waiter.reported.called:
+        self._reports_of(pool).add(self._cluster_state.lease_clock(), position, history)
+        lease = self._cluster_state.lease(service)
+        if lease is None or lease.primary != pool.entry.id:
+            self._wake_waiters(service, position)
+
+    def _wake_waiters(self, service: str, position: Position) -> None:
+        """Wake the reads for a position that a replica has reported for the first time.
+
+        Most replies report a known position and cost nothing here, however many reads wait.
+        """
+        if position <= self._highest.get(service, ZERO_POSITION):
+            return
+        self._highest[service] = position
+        for waiter in tuple(self._waiters.get(service, ())):
+            if waiter.position <= position and not waiter.reported.called:
                 waiter.reported.callback(None)
 
     def _reports_of(self, pool: InstancePool) -> ReplicaReports:
@@ -60,15 +69,16 @@
         history = self._cluster_state.positions.known_history(service, position.term)
         return pool.reports.expected_at(position, history, self._cluster_state.lease_clock())
 
-    async def wait(self, service: str, primary: str, position: Position, seconds: float) -> None:
+    async def wait(self, service: str, position: Position, seconds: float) -> None:
         """Return after `seconds`, or as soon as a replica is reported to have the position."""
-        waiter = _Waiter(service, position, primary, Deferred())
-        self._waiters.append(waiter)
+        waiter = _Waiter(position, Deferred())
+        waiters = self._waiters.setdefault(service, set())
+        waiters.add(waiter)
         timer = self._reactor.callLater(max(0.0, seconds), _wake, waiter.reported)
         try:
             await waiter.reported
         finally:
-            self._waiters.remove(waiter)
+            waiters.discard(waiter)
             if timer.active():
                 timer.cancel()
 
--- a/orioleplank/tests/test_gateway_reads.py
+++ b/orioleplank/tests/test_gateway_reads.py
@@ -17,6 +17,7 @@
 from orioleplank.tests._gateway_helpers import START_S, start_cluster
 from orioleplank.tests._read_load import ReadLoad, ReadRecord, refused, served, worst_time
 from orioleplank.tests._simulated_instances import SERVICE
+from orioleplank.tests._simulated_links import SimulatedLink
 
 REPLICAS = ("db-b", "db-c")
 # Statement timeout of the routes, in seconds.
@@ -158,6 +159,23 @@
             assert read.reply is not None and read.reply.failure is not None
             self.assertIn("retry after", read.reply.failure.detail)
 
+    def test_replica_that_denies_a_position_that_it_reports_is_not_asked_at_once(self) -> None:
+        """The read would otherwise be repeated as fast as the replica answers."""
+        cluster, load = _start_load(0.003)
+        load.stop()
+        _refuse_reads(cluster)
+        cluster.run_for(1.2)
+        answers: list[str] = []
+
+        def deny(link: SimulatedLink, *_: object) -> FailureCode:
+            answers.append(link._member.name)
+            return FailureCode.LAGGING
+
+        caller = cluster.open_session(cluster.proxies[0], JOBS)
+        with mock.patch.object(SimulatedLink, "_find_refusal", deny):
+            self.assertIsNotNone(cluster.send_and_wait(caller, Read("k")).failure)
+        self.assertLessEqual(len([name for name in answers if name in REPLICAS]), 24)
+
     def test_waits_are_counted_by_their_end(self) -> None:
         cluster, load = _start_load(2.9)
         _refuse_reads(cluster)
