--- a/orioleplank/decision/routing/__init__.py
+++ b/orioleplank/decision/routing/__init__.py
@@ -24,9 +24,12 @@
     Placement,
     ReadCandidate,
     ReadRequirement,
+    ReplicaExpected,
     SelectedInstance,
+    explain_candidate,
     place_read,
 )
+from orioleplank.decision.routing._replica_lag import PositionReport, ReplicaReports
 
 __all__ = [
     "SPARE_CONNECTIONS",
@@ -38,13 +41,17 @@
     "OwnerLoad",
     "OwnerNews",
     "Placement",
+    "PositionReport",
     "ReadCandidate",
     "ReadRequirement",
+    "ReplicaExpected",
+    "ReplicaReports",
     "SelectedInstance",
     "non_owner_connection_limit",
     "choose_connection_path",
     "choose_owner",
     "direct_path",
+    "explain_candidate",
     "order_by_account",
     "owner_connection_limit",
     "place_read",
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -83,7 +83,7 @@
         # When the replacement of each primary in progress was first seen, by service.
         self.move_times = MoveTimes()
         self.primaries = PrimaryTracker(self.now)
-        self.positions = PositionTracker(self.lease, self.now)
+        self.positions = PositionTracker(self.lease, self.now, mechanisms)
         # None until this proxy shuts down.
         self.shutdown: ShutdownSchedule | None = None
         # Notified whenever the cluster state changes.
--- a/orioleplank/gateway/_instance_executor.py
+++ b/orioleplank/gateway/_instance_executor.py
@@ -31,6 +31,7 @@
     RequestOptions,
 )
 from orioleplank.gateway._pool import InstancePool
+from orioleplank.gateway._replica_progress import ReplicaProgress
 from orioleplank.gateway._running_statements import judge_error, judge_reply
 from orioleplank.gateway._wait_queue import QueueTooLongError
 
@@ -84,6 +85,7 @@
         self.random = random
         self.reactor = reactor
         self.zone = zone
+        self.progress = ReplicaProgress(cluster_state, reactor)
 
     def remaining_time(self, request: Request) -> float:
         """Return the seconds until the deadline of a request, or until all work has to end."""
@@ -178,6 +180,7 @@
             pool.serve_waiters()
         pool.record_reply(self.cluster_state.now() - sent_at if is_latency_sample else None)
         pool.record_position(reply.position)
+        self.progress.record(pool, reply.position)
         return reply
 
     def prepared_name(self, connection: PooledConnection, statement: ExecutableStatement) -> str:
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -6,22 +6,18 @@
 
 from __future__ import annotations
 
+from random import Random
+from typing import Any
+
+from msgspec import Struct
 from twisted.internet.defer import CancelledError
 from twisted.internet.defer import TimeoutError as TwistedTimeoutError
 
-from orioleplank.decision import ZERO_POSITION, Position
 from orioleplank.decision.group import Lease
-from orioleplank.decision.instances import Consistency, InstanceEntry
-from orioleplank.decision.mechanisms import Mechanism
-from orioleplank.decision.routing import (
-    NoInstanceAvailable,
-    OwnerEstimate,
-    ReadCandidate,
-    ReadRequirement,
-    SelectedInstance,
-    place_read,
-)
+from orioleplank.decision.routing import NoInstanceAvailable, SelectedInstance
 from orioleplank.decision.session import NOT_EXECUTED_CODES, ExecutableStatement, FailureCode, Reply
+from orioleplank.gateway._avoided_instances import AvoidedInstances
+from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._instance_executor import (
     NO_REPLY_ERRORS,
@@ -32,15 +28,14 @@
 )
 from orioleplank.gateway._interfaces import RequestOptions
 from orioleplank.gateway._outcome import Completed, Outcome, Refused, refuse
-from orioleplank.gateway._pool import INITIAL_LATENCY_S, InstancePool
+from orioleplank.gateway._pool import InstancePool
+from orioleplank.gateway._read_placement import ReadPlacer, accepts_work
 from orioleplank.gateway._wait_queue import QueueTooLongError
 
 # Share of the remaining time that one attempt may take, which leaves time for another attempt.
 ATTEMPT_TIME_SHARE = 0.5
 # Least remaining time for which an attempt is made, in seconds: one round trip between regions.
 MIN_ATTEMPT_S = 0.03
-# How long a statement avoids an instance that failed or refused it, in seconds.
-INSTANCE_AVOIDANCE_S = 0.1
 # How long statements wait for an unresponsive primary, in seconds. This leaves time for indirect
 # probes, and for finding a tunnel to the primary or starting a failover.
 PRIMARY_RECOVERY_WAIT_S = 1.5
@@ -51,25 +46,13 @@
 COMMIT_CONFIRM_TIMEOUT_S = 1.5
 
 
-class AvoidedInstances:
-    """Instances that a statement avoids for `INSTANCE_AVOIDANCE_S` after a failure or refusal."""
-
-    def __init__(self, executor: InstanceExecutor) -> None:
-        self._now = executor.cluster_state.now
-        self._avoided_until: dict[str, float] = {}
-
-    def add(self, instance: str) -> None:
-        """Avoid an instance for `INSTANCE_AVOIDANCE_S`."""
-        self._avoided_until[instance] = self._now() + INSTANCE_AVOIDANCE_S
-
-    def contains(self, instance: str) -> bool:
-        """Return whether an instance is avoided now."""
-        return self._now() < self._avoided_until.get(instance, 0.0)
+class Sending(Struct, frozen=True):
+    """When a statement was sent."""
 
-    @property
-    def has_any(self) -> bool:
-        """True when an instance is avoided now, so that a short wait may make it available."""
-        return any(self._now() < avoided_until for avoided_until in self._avoided_until.values())
+    # In seconds of the lease clock.
+    sent_at: float
+    # Id and term of the primary that was relied on then; None without a lease.
+    primary: tuple[str, int] | None
 
 
 class StatementExecutor(InstanceExecutor):
@@ -78,18 +61,39 @@
     Failed attempts are repeated within the route's timeout when this is safe.
     """
 
+    def __init__(
+        self,
+        cluster_state: ClusterState,
+        reactor: Any,
+        zone: str,
+        random: Random | None = None,
+    ) -> None:
+        super().__init__(cluster_state, reactor, zone, random)
+        self.reads = ReadPlacer(self)
+
     # Reads.
 
     async def run_read(self, request: Request, statement: ExecutableStatement) -> Outcome:
         """Run a read outside a transaction; it may be attempted at several instances."""
         avoided = AvoidedInstances(self)
+        outcome = await self._run_read_attempts(request, statement, avoided)
+        return self.reads.finish(request, avoided, outcome)
+
+    async def _run_read_attempts(
+        self, request: Request, statement: ExecutableStatement, avoided: AvoidedInstances
+    ) -> Outcome:
         last_refusal = refuse(FailureCode.BUSY, "place read", "its time is over")
         while self.remaining_time(request) > MIN_ATTEMPT_S:
-            placement = self.select_instance(request, avoided)
+            placement = await self.reads.await_instance(request, avoided)
             if isinstance(placement, NoInstanceAvailable):
-                if last_refusal.has_retry_after:
+                if last_refusal.instance and last_refusal.has_retry_after:
                     return last_refusal
-                last_refusal = refuse(FailureCode.BUSY, "place read", placement.reason)
+                last_refusal = refuse(
+                    FailureCode.BUSY,
+                    "place read",
+                    placement.reason,
+                    retry_after=placement.retry_after,
+                )
                 if not self.may_become_available(request, avoided):
                     return last_refusal
                 await self.cluster_state.changed.wait(
@@ -100,7 +104,10 @@
             if isinstance(outcome, Completed):
                 return outcome
             last_refusal = outcome
-            avoided.add(placement.id)
+            if outcome.failure.code is FailureCode.LAGGING:
+                self.reads.avoid_lagging(request, avoided, placement.id, outcome)
+            else:
+                avoided.add(placement.id, outcome)
         return last_refusal
 
     async def _attempt_read(
@@ -114,7 +121,7 @@
         if not isinstance(acquired, PooledConnection):
             return acquired
         name = self.prepared_name(acquired, statement)
-        sent_at = self.cluster_state.lease_clock()
+        sent = self.note_sending(request)
         pending_reply = acquired.link.run(request.id, statement, name, placement.min_position)
         try:
             timeout = max(MIN_ATTEMPT_S, attempt_end - self.cluster_state.now())
@@ -123,7 +130,7 @@
             pool.discard(acquired)
             return _refuse_unanswered(error, pool, "run read")
         self.release_after_reply(pool, acquired, reply)
-        self.record_primary_position(request, placement.id, sent_at, reply)
+        self.record_primary_position(request, placement.id, sent, reply)
         return self._read_outcome(pool, reply)
 
     def _read_outcome(self, pool: InstancePool, reply: Reply) -> Outcome:
@@ -138,25 +145,7 @@
         detail = f"{pool.entry.id} {failure.detail}"
         return refuse(failure.code, "run read", detail, pool.entry.id, failure.retry_after)
 
-    # Placement.
-
-    def select_instance(
-        self, request: Request, avoided: AvoidedInstances
-    ) -> SelectedInstance | NoInstanceAvailable:
-        """Select an instance for a read or a read-only transaction."""
-        cluster_state, route = self.cluster_state, request.route
-        lease = self.usable_lease(request)
-        primary = lease.primary if lease else ""
-        requirement = ReadRequirement(self._needed_position(request))
-        candidates = [
-            self._build_candidate(entry, entry.id == primary, requirement, request.account.name)
-            for entry in cluster_state.directory.entries_of_service(route.service)
-            if not avoided.contains(entry.id) and self._accepts_work(entry.id, primary)
-        ]
-        placement = place_read(candidates, requirement, self.random)
-        if isinstance(placement, NoInstanceAvailable) and lease is not None:
-            return NoInstanceAvailable(f"primary {primary} takes no work now; {placement.reason}")
-        return placement
+    # Availability.
 
     def explain_no_primary(self, request: Request) -> str:
         """Return why no work can be sent to the primary now."""
@@ -175,79 +164,6 @@
             return f"acknowledged commits may only be at {awaited}, which do not answer"
         return "no primary is in force for the service"
 
-    def _accepts_work(self, instance: str, primary: str) -> bool:
-        if instance not in self.cluster_state.pools:
-            return False
-        if instance == primary:
-            return self.cluster_state.primary_accepts_work(instance)
-        return self.cluster_state.directory.accepts_work(instance)
-
-    def _build_candidate(
-        self,
-        entry: InstanceEntry,
-        is_primary: bool,
-        requirement: ReadRequirement,
-        account: str,
-    ) -> ReadCandidate:
-        pool, mechanisms = self.cluster_state.pools[entry.id], self.cluster_state.mechanisms
-        weighs_latency = mechanisms.is_on(Mechanism.LATENCY_PREFERENCE)
-        return ReadCandidate(
-            entry.id,
-            entry.zone == self.zone or not mechanisms.is_on(Mechanism.ZONE_PREFERENCE),
-            is_primary,
-            entry.slots,
-            pool.in_flight if weighs_latency else 0,
-            pool.latency if weighs_latency else INITIAL_LATENCY_S,
-            requirement.min_position is not None
-            and pool.is_likely_behind(requirement.min_position),
-            owner_estimate=(
-                self.cluster_state.owner_estimate(entry, account)
-                if weighs_latency
-                else OwnerEstimate()
-            ),
-        )
-
-    def usable_lease(self, request: Request) -> Lease | None:
-        """Return the lease on the primary if it allows a read of this route there, or None.
-
-        The lease must cover the oldest acceptable time of the route, and its term must not be
-        older than the session's position.
-        """
-        lease = self.cluster_state.lease(request.route.service)
-        if lease is None or request.session.position.term > lease.term:
-            return None
-        return lease if lease.is_valid_at(self._oldest_acceptable_time(request)) else None
-
-    def _oldest_acceptable_time(self, request: Request) -> float:
-        if request.route.consistency is Consistency.PRIMARY:
-            return request.received_at
-        return request.received_at - request.route.max_age
-
-    def _needed_position(self, request: Request) -> Position | None:
-        """Return the log position that a replica must have reached for this request.
-
-        None means that no replica may serve it, only the primary.
-        """
-        route, session_position = request.route, request.session.position
-        if route.consistency is Consistency.PRIMARY:
-            return None
-        min_position = self.cluster_state.positions.find_minimum(
-            route.service, self._oldest_acceptable_time(request)
-        )
-        if (
-            min_position is None
-            or route.consistency is Consistency.BOUNDED_STALENESS
-            or session_position == ZERO_POSITION
-        ):
-            return min_position
-        # The last entries of an earlier term may have been lost in a failover, so positions of
-        # different terms cannot be compared and only the primary may serve the read.
-        return (
-            max(min_position, session_position)
-            if session_position.term == min_position.term
-            else None
-        )
-
     def may_become_available(self, request: Request, avoided: AvoidedInstances) -> bool:
         """Return whether an instance may become available soon, so that a short wait may help."""
         lease = self.cluster_state.lease(request.route.service)
@@ -293,7 +209,9 @@
         lease = self.cluster_state.lease(request.route.service)
         if lease is None or not lease.is_valid_at(self.cluster_state.lease_clock()):
             return None
-        if avoided.contains(lease.primary) or not self._accepts_work(lease.primary, lease.primary):
+        if avoided.contains(lease.primary) or not accepts_work(
+            self.cluster_state, lease.primary, lease.primary
+        ):
             return None
         return lease
 
@@ -311,7 +229,7 @@
             pool.release(acquired)
             return refuse(FailureCode.BUSY, "send write", "the primary is being replaced"), True
         name = self.prepared_name(acquired, statement)
-        sent_at = self.cluster_state.lease_clock()
+        sent = self.note_sending(request)
         pending_reply = acquired.link.run(request.id, statement, name, None)
         try:
             reply = await self.await_reply(
@@ -321,7 +239,7 @@
             pool.discard(acquired)
             return _refuse_unanswered(error, pool, "run write"), False
         self.release_after_reply(pool, acquired, reply)
-        self.record_primary_position(request, lease.primary, sent_at, reply)
+        self.record_primary_position(request, lease.primary, sent, reply)
         if reply.failure is None:
             return await self.confirm_commit(request, lease, reply), False
         return self._write_failure_outcome(pool, reply)
@@ -397,14 +315,26 @@
             return refuse(FailureCode.BUSY, "prepare connection", str(error), pool.entry.id)
         return connection
 
+    def note_sending(self, request: Request) -> Sending:
+        """Return the time and the primary under which a statement is sent now."""
+        lease = self.cluster_state.lease(request.route.service)
+        primary = (lease.primary, lease.term) if lease is not None else None
+        return Sending(self.cluster_state.lease_clock(), primary)
+
     def record_primary_position(
-        self, request: Request, instance: str, sent_at: float, reply: Reply
+        self, request: Request, instance: str, sent: Sending, reply: Reply
     ) -> None:
-        """Record the log position of a reply if the instance is the primary."""
+        """Record the log position of a reply if the instance is the primary.
+
+        It must have been the primary when the statement was sent: a replica may be promoted
+        meanwhile, and the position of its reply may lack commits of that time.
+        """
         lease = self.cluster_state.lease(request.route.service)
-        if lease is not None and lease.primary == instance and reply.position is not None:
+        if lease is None or lease.primary != instance or reply.position is None:
+            return
+        if sent.primary == (lease.primary, lease.term):
             self.cluster_state.positions.record(
-                lease, request.route.service, sent_at, reply.position
+                lease, request.route.service, sent.sent_at, reply.position
             )
 
 
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -18,6 +18,7 @@
     TransactionState,
     is_write,
 )
+from orioleplank.gateway._avoided_instances import AvoidedInstances
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._instance_executor import NO_REPLY_ERRORS, Request
 from orioleplank.gateway._interfaces import RequestOptions
@@ -27,7 +28,6 @@
     ATTEMPT_TIME_SHARE,
     INSTANCE_RECHECK_INTERVAL_S,
     MIN_ATTEMPT_S,
-    AvoidedInstances,
     StatementExecutor,
 )
 
@@ -74,21 +74,33 @@
     ) -> tuple[Outcome, bool]:
         """Run a statement; return the outcome and whether the transaction remains open."""
         if transaction.connection is None:
-            return await self._run_first(transaction, request, statement)
+            request = replace(request, received_at=transaction.began_at)
+            avoided = AvoidedInstances(self._statements)
+            outcome, remains_open = await self._run_first(transaction, request, statement, avoided)
+            if transaction.read_only:
+                outcome = self._statements.reads.finish(request, avoided, outcome)
+            return outcome, remains_open
         return await self._run_next(transaction, request, statement)
 
     async def _run_first(
-        self, transaction: Transaction, request: Request, statement: ExecutableStatement
+        self,
+        transaction: Transaction,
+        request: Request,
+        statement: ExecutableStatement,
+        avoided: AvoidedInstances,
     ) -> tuple[Outcome, bool]:
-        request = replace(request, received_at=transaction.began_at)
-        avoided = AvoidedInstances(self._statements)
         last_refusal = refuse(FailureCode.BUSY, "begin transaction", "its time is over")
         while self._statements.remaining_time(request) > MIN_ATTEMPT_S:
             begin_failure = await self._begin(transaction, request, avoided)
             if isinstance(begin_failure, NoInstanceAvailable):
-                if last_refusal.has_retry_after:
+                if last_refusal.instance and last_refusal.has_retry_after:
                     return last_refusal, False
-                last_refusal = refuse(FailureCode.BUSY, "begin transaction", begin_failure.reason)
+                last_refusal = refuse(
+                    FailureCode.BUSY,
+                    "begin transaction",
+                    begin_failure.reason,
+                    retry_after=begin_failure.retry_after,
+                )
                 if not self._statements.may_become_available(request, avoided):
                     return last_refusal, False
                 remaining = self._statements.remaining_time(request)
@@ -104,7 +116,7 @@
             if remains_open or isinstance(outcome, Completed) or not _may_retry_elsewhere(outcome):
                 return outcome, remains_open
             last_refusal = outcome
-            avoided.add(instance)
+            avoided.add(instance, outcome)
         return last_refusal, False
 
     async def _run_next(
@@ -132,7 +144,7 @@
             )
         transaction.has_written = transaction.has_written or is_write(statement)
         name = statements.prepared_name(connection, statement)
-        sent_at = self._cluster_state.lease_clock()
+        sent = statements.note_sending(request)
         pending_reply = connection.link.run(request.id, statement, name, None)
         try:
             reply = await statements.await_reply(
@@ -142,7 +154,7 @@
             self._discard_connection(transaction)
             detail = f"{pool.entry.id} did not answer: {type(error).__name__}"
             return refuse(FailureCode.ABORTED, "run in transaction", detail, pool.entry.id), False
-        statements.record_primary_position(request, pool.entry.id, sent_at, reply)
+        statements.record_primary_position(request, pool.entry.id, sent, reply)
         if reply.failure is None and reply.state is TransactionState.OPEN:
             return Completed(reply, pool.entry.id), True
         return await self._end_after_failure(transaction, reply), False
@@ -164,7 +176,7 @@
     ) -> Refused | NoInstanceAvailable | None:
         """Begin at an instance; return None on success, else why it could not begin."""
         if transaction.read_only:
-            placement = self._statements.select_instance(request, avoided)
+            placement = await self._statements.reads.await_instance(request, avoided)
             if isinstance(placement, NoInstanceAvailable):
                 return placement
             instance, min_position = placement.id, placement.min_position
@@ -179,7 +191,7 @@
         attempt_end = self._cluster_state.now() + timeout
         acquired = await self._statements.acquire_prepared_connection(pool, request, None, timeout)
         if not isinstance(acquired, PooledConnection):
-            avoided.add(instance)
+            avoided.add(instance, acquired)
             return acquired
         pending_reply = acquired.link.begin(transaction.read_only, min_position)
         try:
@@ -189,33 +201,31 @@
             )
         except NO_REPLY_ERRORS as error:
             pool.discard(acquired)
-            avoided.add(instance)
             detail = f"{instance} did not answer: {type(error).__name__}"
-            return refuse(FailureCode.BUSY, "begin transaction", detail, instance)
+            refusal = refuse(FailureCode.BUSY, "begin transaction", detail, instance)
+            avoided.add(instance, refusal)
+            return refusal
         if reply.failure is not None or reply.state is not TransactionState.OPEN:
-            return self._refuse_begin(pool, acquired, reply, avoided)
+            return self._refuse_begin(request, pool, acquired, reply, avoided)
         pool.record_caught_up()
         self._attach_connection(transaction, pool, acquired, lease, request.route.service)
         return None
 
     def _refuse_begin(
         self,
+        request: Request,
         pool: InstancePool,
         connection: PooledConnection,
         reply: Reply,
         avoided: AvoidedInstances,
     ) -> Refused:
         self._statements.release_after_reply(pool, connection, reply)
-        avoided.add(pool.entry.id)
-        if reply.failure is None:
-            return refuse(FailureCode.BUSY, "begin transaction", "it did not begin", pool.entry.id)
-        if reply.failure.code is FailureCode.LAGGING:
-            pool.record_lagging()
-        if reply.failure.code is FailureCode.READ_ONLY:
-            pool.record_primary_role_denied()
-        detail = f"{pool.entry.id} {reply.failure.code.value} {reply.failure.detail}"
-        retry_after = reply.failure.retry_after
-        return refuse(FailureCode.BUSY, "begin transaction", detail, pool.entry.id, retry_after)
+        refusal = _build_begin_refusal(pool, reply)
+        if reply.failure is not None and reply.failure.code is FailureCode.LAGGING:
+            self._statements.reads.avoid_lagging(request, avoided, pool.entry.id, refusal)
+        else:
+            avoided.add(pool.entry.id, refusal)
+        return refusal
 
     def _attach_connection(
         self,
@@ -278,13 +288,13 @@
         pool, connection = transaction.pool, transaction.connection
         assert pool is not None and connection is not None
         while True:
-            sent_at = self._cluster_state.lease_clock()
+            sent = self._statements.note_sending(request)
             connection.link.set_next_request_options(self._build_options(request))
             pending_reply = connection.link.commit(request.id)
             reply = await self._statements.await_reply(
                 pool, connection, pending_reply, self._statements.remaining_time(request)
             )
-            self._statements.record_primary_position(request, pool.entry.id, sent_at, reply)
+            self._statements.record_primary_position(request, pool.entry.id, sent, reply)
             has_no_slot = reply.failure is not None and reply.failure.code is FailureCode.BUSY
             if not has_no_slot or reply.state is not TransactionState.OPEN:
                 return reply
@@ -360,6 +370,19 @@
         return transaction.pool.entry.id if transaction.pool else ""
 
 
+def _build_begin_refusal(pool: InstancePool, reply: Reply) -> Refused:
+    """Record a failed reply to a begin in the pool, and return the refusal for the caller."""
+    if reply.failure is None:
+        return refuse(FailureCode.BUSY, "begin transaction", "it did not begin", pool.entry.id)
+    if reply.failure.code is FailureCode.LAGGING:
+        pool.record_lagging()
+    if reply.failure.code is FailureCode.READ_ONLY:
+        pool.record_primary_role_denied()
+    detail = f"{pool.entry.id} {reply.failure.code.value} {reply.failure.detail}"
+    retry_after = reply.failure.retry_after
+    return refuse(FailureCode.BUSY, "begin transaction", detail, pool.entry.id, retry_after)
+
+
 def _may_retry_elsewhere(outcome: Refused) -> bool:
     """Return whether the first statement certainly did not run, so that it may run elsewhere."""
     return outcome.failure.code in NOT_EXECUTED_CODES
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -7,13 +7,17 @@
 import testtools
 
 from orioleplank.decision import ZERO_POSITION, Position
+from orioleplank.decision.group import Lease
 from orioleplank.decision.instances import Consistency
+from orioleplank.decision.routing import Placement, ReplicaExpected, SelectedInstance
 from orioleplank.decision.session import FailureCode
-from orioleplank.gateway import _instance_executor, _statements
+from orioleplank.gateway import _instance_executor, _position_tracker, _read_placement, _statements
+from orioleplank.gateway._avoided_instances import AvoidedInstances
 from orioleplank.gateway._connection_request import ConnectionRequest
 from orioleplank.gateway._instance_executor import Request
 from orioleplank.gateway._outcome import Outcome, refuse
 from orioleplank.gateway._pool import InstancePool
+from orioleplank.tests._lag_faults import LongLagRun
 from orioleplank.tests._random_faults import RandomFaultRun
 from orioleplank.tests._slow_instances import SlowInstanceRun
 
@@ -35,6 +39,8 @@
 FAILING_WORK_SEEDS = range(20261205, 20261208)
 # Runs in which instances also turn slow.
 SLOW_SEEDS = range(20261205, 20261209)
+# Runs in which replicas also lag by seconds while the primary refuses reads.
+LONG_LAG_SEEDS = range(20261204, 20261210)
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -103,12 +109,24 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_replicas_that_lag_by_seconds(self) -> None:
+        waits = _WaitCounter()
+        with mock.patch.object(_read_placement.ReadPlacer, "finish", waits.finish):
+            for seed in LONG_LAG_SEEDS:
+                with self.subTest(seed=seed):
+                    audit = LongLagRun(seed).run()
+                    self.assertEqual([], audit.violations[:5])
+                    self.assertGreater(audit.answered, 300)
+        # Without reads that waited, the runs would not have tested them.
+        self.assertGreater(waits.count, 100)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
 
     They are mixed session values without connection setup, stale reads at replicas without minimum
-    positions, and refusals of requests that ran if unanswered requests are refused as busy.
+    positions, if any earlier position counts, or if the predicted time of a wait replaces the check
+    at the replica, and refusals of requests that ran if unanswered requests are refused as busy.
     """
 
     def test_audit_finds_violations_without_connection_setup(self) -> None:
@@ -122,7 +140,27 @@
 
     def test_audit_finds_violations_without_minimum_positions(self) -> None:
         with mock.patch.object(
-            _statements.StatementExecutor, "_needed_position", _require_no_position
+            _read_placement.ReadPlacer, "_needed_position", _require_no_position
+        ):
+            self.assertNotEqual([], RandomFaultRun(20261204).run().violations)
+
+    def test_audit_finds_violations_if_a_wrong_prediction_replaces_the_check(self) -> None:
+        select_instance = _read_placement.ReadPlacer.select_instance
+
+        def trust_prediction(
+            placer: _read_placement.ReadPlacer, request: Request, avoided: AvoidedInstances
+        ) -> Placement:
+            placement = select_instance(placer, request, avoided)
+            if isinstance(placement, ReplicaExpected):
+                return SelectedInstance(placement.id, ZERO_POSITION)
+            return placement
+
+        with mock.patch.object(_read_placement.ReadPlacer, "select_instance", trust_prediction):
+            self.assertNotEqual([], LongLagRun(20261204).run().violations)
+
+    def test_audit_finds_violations_if_any_earlier_position_counts(self) -> None:
+        with mock.patch.object(
+            _position_tracker.PositionTracker, "_find_earlier", _find_oldest_position
         ):
             self.assertNotEqual([], RandomFaultRun(20261204).run().violations)
 
@@ -131,9 +169,36 @@
             self.assertNotEqual([], RandomFaultRun(20261205).run().violations)
 
 
-def _require_no_position(statements: object, request: Request) -> Position | None:
+class _WaitCounter:
+    """Counts the reads that waited for a replica, over all processes of a run."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        finish = _read_placement.ReadPlacer.finish
+
+        def count_and_finish(
+            placer: _read_placement.ReadPlacer,
+            request: Request,
+            avoided: AvoidedInstances,
+            outcome: Outcome,
+        ) -> Outcome:
+            self.count += avoided.has_waited
+            return finish(placer, request, avoided, outcome)
+
+        self.finish = count_and_finish
+
+
+def _require_no_position(placer: object, request: Request) -> Position | None:
     return None if request.route.consistency is Consistency.PRIMARY else ZERO_POSITION
 
 
+def _find_oldest_position(
+    tracker: _position_tracker.PositionTracker, service: str, lease: Lease | None, cutoff: float
+) -> Position | None:
+    """Return the oldest position of the latest primary, whatever age the read accepts."""
+    history = tracker._latest_history(service)
+    return history.lowest_position_since(float("-inf")) if history is not None else None
+
+
 def _refuse_as_busy(error: Exception, pool: InstancePool, step: str) -> Outcome:
     return refuse(FailureCode.BUSY, step, "a false promise", pool.entry.id)
