--- a/orioleplank/decision/mechanisms.py
+++ b/orioleplank/decision/mechanisms.py
@@ -1,7 +1,8 @@
 """The mechanisms of a proxy that can be switched off, to measure what each one is worth.
 
-All are on in every deployment. None of them is needed to keep a promise: without one a proxy is
-slower or refuses more, but loses, repeats and misreports nothing.
+All are on in every deployment. None of them is needed to keep a promise about data: without one a
+proxy is slower or refuses more, but loses, repeats and misreports nothing. Without rate limits an
+account may use more than its share.
 """
 
 from __future__ import annotations
@@ -49,6 +50,8 @@
     ACCOUNT_AFFINITY = "account-affinity"
     # The report of a failed primary is not awaited.
     UNAWAITED_REPORT = "unawaited-report"
+    # Accounts are held to their rate limits.
+    RATE_LIMITS = "rate-limits"
 
 
 class MechanismSwitches(Struct, frozen=True):
--- a/orioleplank/decision/membership/__init__.py
+++ b/orioleplank/decision/membership/__init__.py
@@ -13,6 +13,10 @@
 )
 from orioleplank.decision.membership._peer_messages import (
     PeerMessage,
+    PermitAsk,
+    PermitGrant,
+    PermitsAsked,
+    PermitsTold,
     Ping,
     PingAsked,
     Pong,
@@ -34,6 +38,10 @@
     "LOST_PROXY_TIMEOUT_S",
     "LostProxy",
     "PeerMessage",
+    "PermitAsk",
+    "PermitGrant",
+    "PermitsAsked",
+    "PermitsTold",
     "Ping",
     "PingAsked",
     "Pong",
--- a/orioleplank/decision/membership/_peer_messages.py
+++ b/orioleplank/decision/membership/_peer_messages.py
@@ -130,6 +130,44 @@
     notes: tuple[PrimaryPosition, ...]
 
 
+class PermitAsk(Struct, frozen=True, array_like=True):
+    """How many permits a proxy asks for, for one account."""
+
+    # Name of the account.
+    account: str
+    count: int
+
+
+class PermitsAsked(Struct, frozen=True):
+    """Asks a coordinator of accounts for permits to start operations."""
+
+    sender: str
+    number: int
+    asks: tuple[PermitAsk, ...]
+
+
+class PermitGrant(Struct, frozen=True, array_like=True):
+    """How many permits a coordinator grants for one account."""
+
+    # Name of the account.
+    account: str
+    count: int
+    # Seconds until the sender may be granted more; 0 if it was granted all that it asked for.
+    wait: float
+    # False if the sender is no coordinator of the account by its own view, or may not grant now.
+    is_coordinator: bool = True
+    # False while the coordinator is new and grants nothing for that reason.
+    is_ready: bool = True
+
+
+class PermitsTold(Struct, frozen=True):
+    """Permits that are granted or refused; responds to `PermitsAsked`."""
+
+    sender: str
+    number: int
+    grants: tuple[PermitGrant, ...]
+
+
 PeerMessage = (
     ReleaseAsked
     | Released
@@ -142,4 +180,6 @@
     | ViewTold
     | PositionsAsked
     | PositionsTold
+    | PermitsAsked
+    | PermitsTold
 )
--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -94,6 +94,8 @@
         self.changed = ChangeNotifier(reactor)
         # Called with the id of an instance that did not respond.
         self.on_instance_problem: Callable[[str], None] = lambda instance: None
+        # Called when the known fleet has changed.
+        self.on_fleet_changed: Callable[[], None] = lambda: None
         self._reactor = reactor
         self._connector = connector
         # Seconds for which an instance still serves after it has announced its shutdown.
@@ -183,6 +185,7 @@
         self.retired_at = {
             incarnation: self.retired_at.get(incarnation, now) for incarnation in retired
         }
+        self.on_fleet_changed()
         self._update_connection_paths()
         self.changed.notify_all()
 
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -33,6 +33,7 @@
 from orioleplank.gateway._platform_watcher import PlatformWatcher
 from orioleplank.gateway._position_exchange import PositionExchange
 from orioleplank.gateway._primary_monitor import PRIMARY_CHECK_INTERVAL_S, PrimaryMonitor
+from orioleplank.gateway._rate_limiter import RateLimiter
 from orioleplank.gateway._session_table import SessionTable
 from orioleplank.gateway._settings import GatewaySettings
 from orioleplank.gateway._shutdown import GracefulShutdown
@@ -172,7 +173,12 @@
         forwarding.loopback_channel = OwnerChannel(
             settings.peer_address, loopback_dialer, reactor.seconds
         )
-        self.sessions = SessionTable(self.cluster_state, statements, event_log, self.metrics)
+        self._rate_limiter = RateLimiter(
+            reactor, self.cluster_state, own_record, metrics, self._random
+        )
+        self.sessions = SessionTable(
+            self.cluster_state, statements, event_log, self.metrics, self._rate_limiter
+        )
         self._shutdown = GracefulShutdown(
             reactor, self.cluster_state, self.sessions, self.forwarding_server
         )
@@ -228,6 +234,8 @@
             self._view_publisher,
             self._view_subscriber,
             self._position_exchange,
+            self._rate_limiter,
+            self._rate_limiter.server,
         ):
             component.socket = socket
         # The names of the ticks are fixed: "look" is for checks of the primaries, "feed" for polls
@@ -267,6 +275,7 @@
             case TimerTick("housekeeping"):
                 self._platform_watcher.expire_instances()
                 self._fleet_membership.expire_lost_proxies()
+                self._rate_limiter.forget_idle_accounts()
                 self.cluster_state.close_unused_connections()
                 if self._platform_watcher.is_store_unreachable:
                     self._view_subscriber.fetch_from_any_peer()
@@ -292,6 +301,8 @@
         self._view_publisher.handle_message(message)
         self._view_subscriber.handle_message(message)
         self._position_exchange.handle_message(message)
+        self._rate_limiter.handle_message(message)
+        self._rate_limiter.server.handle_message(message)
 
     async def _keep_running(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Run a loop until it returns; log an exception and restart the loop after it."""
--- a/orioleplank/gateway/_metrics.py
+++ b/orioleplank/gateway/_metrics.py
@@ -28,6 +28,10 @@
         """Count one; `labels` are the values of the labels."""
         self.counts[labels] += 1
 
+    def add(self, amount: int, *labels: str) -> None:
+        """Count several at once; `labels` are the values of the labels."""
+        self.counts[labels] += amount
+
 
 class Histogram:
     """Numbers of observations by bucket, and their sum, by the values of its labels."""
@@ -82,11 +86,28 @@
             "Statements that an instance answered.",
             ("service", "instance"),
         )
+        self.rate_limited = Counter(
+            "orioleplank_rate_limited_operations",
+            "Operations of accounts with a rate limit, by outcome.",
+            ("account", "outcome", "reason"),
+        )
+        self.permits_granted = Counter(
+            "orioleplank_permits_granted",
+            "Permits that this proxy granted as a coordinator of accounts.",
+            ("account",),
+        )
 
     @property
     def counters(self) -> tuple[Counter, ...]:
         """All counters."""
-        return (self.statements, self.events, self.store_calls, self.served_by)
+        return (
+            self.statements,
+            self.events,
+            self.store_calls,
+            self.served_by,
+            self.rate_limited,
+            self.permits_granted,
+        )
 
     @property
     def histograms(self) -> tuple[Histogram, ...]:
--- a/orioleplank/gateway/_session_table.py
+++ b/orioleplank/gateway/_session_table.py
@@ -12,6 +12,7 @@
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._interfaces import CallerLink
 from orioleplank.gateway._metrics import Metrics
+from orioleplank.gateway._rate_limiter import RateLimiter
 from orioleplank.gateway._sessions import (
     SHUTDOWN_REASON,
     UNKNOWN_KEY_REASON,
@@ -37,6 +38,7 @@
         statements: StatementExecutor,
         event_log: EventLog,
         metrics: Metrics,
+        rate_limiter: RateLimiter,
     ) -> None:
         self._session_numbers = count(1)
         self._tasks: set[SessionTask] = set()
@@ -47,6 +49,7 @@
             TransactionExecutor(statements),
             event_log,
             metrics,
+            rate_limiter,
             self._tasks.discard,
             self._handle_idle_session,
         )
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -45,7 +45,9 @@
     refuse,
     refuse_by_operator,
 )
+from orioleplank.gateway._rate_limiter import RateLimiter
 from orioleplank.gateway._statements import StatementExecutor
+from orioleplank.gateway._transaction_permits import TransactionPermits, ran_nothing
 from orioleplank.gateway._transactions import Transaction, TransactionExecutor
 
 # Why a request is refused while the proxy shuts down.
@@ -92,6 +94,7 @@
         # Identifies the caller; never logged or sent on.
         self._key = key
         self._dependencies = dependencies
+        self._permits = TransactionPermits(dependencies.rate_limiter)
         self._session = Session(database)
         self._pending_requests: deque[_PendingRequest] = deque()
         # The request that is in progress.
@@ -188,6 +191,7 @@
     async def _roll_back_open_transaction(self) -> None:
         transaction, self._transaction = self._transaction, None
         if transaction is not None:
+            self._permits.give_back(transaction)
             await self._dependencies.transactions.roll_back_transaction(transaction)
 
     async def _process_requests(self) -> None:
@@ -222,7 +226,7 @@
                 detail = "the transaction failed; only its end is accepted"
                 return self._refuse(pending, refuse(FailureCode.MALFORMED, "check session", detail))
             case Begin(read_only):
-                return self._begin(pending, read_only)
+                return await self._begin(pending, read_only)
             case Read() | Write() | Execute() if self._was_rolled_back:
                 self._session = self._session.with_phase(SessionPhase.FAILED)
                 detail = "the transaction rested for too long, or the proxy is stopping"
@@ -241,7 +245,7 @@
             case Read() | Write() | Execute() as statement:
                 return await self._run_statement(pending, statement)
 
-    def _begin(self, pending: _PendingRequest, read_only: bool) -> Reply:
+    async def _begin(self, pending: _PendingRequest, read_only: bool) -> Reply:
         if self._session.phase is not SessionPhase.IDLE:
             self._session = self._session.with_phase(SessionPhase.FAILED)
             detail = "a transaction is open already"
@@ -255,7 +259,10 @@
             return self._refuse(pending, _refuse_key("begin"))
         if not cluster_state.accepts_transaction():
             return self._refuse(pending, refuse(FailureCode.BUSY, "begin", SHUTDOWN_REASON))
-        self._transaction = Transaction(read_only, pending.received_at, account)
+        permit = await self._dependencies.rate_limiter.admit(account)
+        if isinstance(permit, Refused):
+            return self._build_reply(pending, self._build_request(pending, route, account), permit)
+        self._transaction = Transaction(read_only, pending.received_at, account, permit=permit)
         self._transaction_route = route
         self._session = self._session.with_phase(SessionPhase.IN_TRANSACTION)
         return Reply()
@@ -274,15 +281,21 @@
             return self._refuse(pending, refuse(FailureCode.MALFORMED, "commit", detail))
         if phase is SessionPhase.FAILED or transaction is None:
             if transaction is not None:
+                self._permits.give_back(transaction)
                 await self._dependencies.transactions.roll_back_transaction(transaction)
             detail = "the transaction failed and was rolled back"
             return self._refuse(pending, refuse(FailureCode.ABORTED, "commit", detail))
         assert self._transaction_route is not None
         if not self._is_account_unchanged(transaction):
+            self._permits.give_back(transaction)
             await self._dependencies.transactions.roll_back_transaction(transaction)
             return self._refuse(pending, _refuse_withdrawn_key("commit"))
         request = self._build_request(pending, self._transaction_route, transaction.account)
+        refusal = await self._permits.renew(transaction)
+        if refusal is not None:
+            return self._build_reply(pending, request, refusal)
         outcome = await self._dependencies.transactions.commit(transaction, request)
+        self._permits.settle(transaction, outcome, remains_open=False)
         if isinstance(outcome, Completed) and transaction.has_written:
             self._session = self._session.record_commit(outcome.reply.position)
         return self._build_reply(pending, request, outcome)
@@ -309,10 +322,19 @@
             return self._refuse(pending, _refuse_key("admit"))
         if not cluster_state.accepts_request(route.timeout):
             return self._refuse(pending, refuse(FailureCode.BUSY, "admit", SHUTDOWN_REASON))
+        rate_limiter = self._dependencies.rate_limiter
+        permit = await rate_limiter.admit(account)
+        if self._has_ended and not isinstance(permit, Refused):
+            rate_limiter.give_back(permit)
+            return Reply()
         request = self._build_request(pending, route, account)
+        if isinstance(permit, Refused):
+            return self._build_reply(pending, request, permit)
         statements = self._dependencies.statements
         run = statements.run_write if is_write(resolved) else statements.run_read
         outcome = await run(request, resolved)
+        if ran_nothing(outcome):
+            rate_limiter.give_back(permit)
         if isinstance(outcome, Completed):
             self._record_success(request, resolved, outcome)
         return self._build_reply(pending, request, outcome)
@@ -339,9 +361,15 @@
             self._session = self._session.with_phase(SessionPhase.FAILED)
             return self._refuse(pending, _refuse_withdrawn_key("run in transaction"))
         request = self._build_request(pending, self._transaction_route, transaction.account)
+        refusal = await self._permits.renew(transaction)
+        if refusal is not None:
+            self._transaction = None
+            self._session = self._session.with_phase(SessionPhase.FAILED)
+            return self._build_reply(pending, request, refusal)
         outcome, remains_open = await self._dependencies.transactions.run(
             transaction, request, statement
         )
+        self._permits.settle(transaction, outcome, remains_open)
         if not remains_open:
             self._transaction = None
             self._session = self._session.with_phase(SessionPhase.FAILED)
@@ -428,6 +456,8 @@
     transactions: TransactionExecutor
     event_log: EventLog
     metrics: Metrics
+    # Admits operations of accounts with a rate limit.
+    rate_limiter: RateLimiter
     # Called when the caller's connection has closed.
     on_disconnected: Callable[[SessionTask], None]
     # Called when a session has answered all its pending requests.
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -9,6 +9,7 @@
 
 from orioleplank.decision.accounts import ClientAccount
 from orioleplank.decision.group import Lease
+from orioleplank.decision.quota import Permit
 from orioleplank.decision.routing import NoInstanceAvailable
 from orioleplank.decision.session import (
     NOT_EXECUTED_CODES,
@@ -58,6 +59,9 @@
     has_written: bool = False
     # Service at whose primary it runs under a lease; empty without a lease.
     primary_service: str = ""
+    # Permit of its account that was not used yet; None after its first statement and if it needs
+    # none.
+    permit: Permit | None = None
 
 
 class TransactionExecutor:
