--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -293,6 +293,7 @@
         request = self._build_request(pending, self._transaction_route, transaction.account)
         refusal = await self._permits.renew(transaction)
         if refusal is not None:
+            await self._dependencies.transactions.roll_back_transaction(transaction)
             return self._build_reply(pending, request, refusal)
         outcome = await self._dependencies.transactions.commit(transaction, request)
         self._permits.settle(transaction, outcome, remains_open=False)
@@ -363,7 +364,7 @@
         request = self._build_request(pending, self._transaction_route, transaction.account)
         refusal = await self._permits.renew(transaction)
         if refusal is not None:
-            self._transaction = None
+            await self._roll_back_open_transaction()
             self._session = self._session.with_phase(SessionPhase.FAILED)
             return self._build_reply(pending, request, refusal)
         outcome, remains_open = await self._dependencies.transactions.run(
