--- a/orioleplank/decision/quota/_demand.py
+++ b/orioleplank/decision/quota/_demand.py
@@ -28,10 +28,10 @@
     def expected_count(self, seconds: float, now: float) -> int:
         """Return how many operations arrive almost certainly within the next `seconds`.
 
-        This is one standard deviation below the mean of a Poisson process.
+        This is two standard deviations below the mean of a Poisson process.
         """
         mean = self._rate_at(now) * seconds
-        return max(0, floor(mean - sqrt(mean)))
+        return max(0, floor(mean - 2 * sqrt(mean)))
 
     def _rate_at(self, now: float) -> float:
         return self.rate * exp(-max(0.0, now - self.updated_at) / SMOOTHING_TIME_S)
--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from random import Random
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred
 
 from orioleplank.decision import Position
+from orioleplank.decision.accounts import AccountTable, ClientAccount
 from orioleplank.decision.instances import (
     Consistency,
     DbRole,
@@ -347,6 +348,12 @@
         self.routes = replace(self.routes, version=version, routes=table)
         self.store.put("routes", "main", self.routes)
 
+    def change_accounts(self, accounts: Mapping[str, ClientAccount] | None) -> None:
+        """Publish a configuration with these accounts by key; None for one without accounts."""
+        table = None if accounts is None else AccountTable(accounts)
+        self.routes = replace(self.routes, version=self.routes.version + 1, accounts=table)
+        self.store.put("routes", "main", self.routes)
+
     def change_sync_replicas(self, sync_replicas: int) -> None:
         """Publish a configuration with this setting, which the instances follow at once."""
         limits = replace(self.routes.services[SERVICE], sync_replicas=sync_replicas)
