--- a/orioleplank/tests/test_gateway_rate_limits.py
+++ b/orioleplank/tests/test_gateway_rate_limits.py
@@ -272,6 +272,7 @@
             cluster.run_for(0.007)
         for caller in callers:
             cluster.send_request(caller, Read("k"))
+            cluster.send_request(caller, Commit())
         _write_from_everywhere(cluster)
         cluster.run_for(6.0)
         self.assertLessEqual(max_in_window(times), (limit.rate * 5.0 + limit.burst) * 1.1 + 20.0)
