--- a/orioleplank/decision/quota/_permit_coordinator.py
+++ b/orioleplank/decision/quota/_permit_coordinator.py
@@ -17,8 +17,8 @@
 from orioleplank.decision.quota._coordinators import COORDINATOR_COUNT, CoordinatorTable
 from orioleplank.decision.quota._token_bucket import TokenBucket
 
-# Requests per second that one coordinator receives for one account that is over its limit: about
-# 3 % of the processor time of the smallest proxy.
+# Requests per second that one coordinator receives for one account that is over its limit. Each
+# takes about 6 µs to decode, grant and answer, without the socket.
 MAX_ASKS_PER_S = 400.0
 # Longest time until a refused proxy asks again: a raised limit or a full bucket is used by then.
 MAX_WAIT_S = 5.0
--- a/orioleplank/gateway/tests/test_messages.py
+++ b/orioleplank/gateway/tests/test_messages.py
@@ -23,6 +23,10 @@
 )
 from orioleplank.decision.membership import (
     PeerMessage,
+    PermitAsk,
+    PermitGrant,
+    PermitsAsked,
+    PermitsTold,
     ProxyRecord,
     ReachTold,
     Released,
@@ -63,10 +67,22 @@
             Released("p-1", "p-1-7f", "books", 17),
             ReachTold("p-1", 4, math.inf, 2),
             ViewTold("p-1", 3, math.inf, ViewVersions(5, 6, 7)),
+            PermitsAsked("p-1", 5, (PermitAsk("hot", 3), PermitAsk("calm", 1))),
+            PermitsTold("p-2", 5, (PermitGrant("hot", 2, 0.25), PermitGrant("calm", 1, 0.0))),
         )
         for message in messages:
             self.assertEqual(message, decode_message(encode_message(message)))
 
+    def test_grant_with_a_field_of_a_later_version_is_decoded(self) -> None:
+        fields = {"sender": "p-2", "number": 5, "grants": [["hot", 2, 0.25, True, True, "new"]]}
+        datagram = msgspec.msgpack.encode(("PermitsTold", fields))
+        expected = PermitsTold("p-2", 5, (PermitGrant("hot", 2, 0.25),))
+        self.assertEqual(expected, decode_message(datagram))
+
+    def test_message_of_a_later_version_is_dropped(self) -> None:
+        datagram = msgspec.msgpack.encode(("PermitsWanted", {"sender": "p-2"}))
+        self.assertIsNone(decode_message(datagram))
+
     @given(st.binary(max_size=200))
     def test_random_bytes_are_rejected(self, datagram: bytes) -> None:
         self.assertIsNone(decode_message(datagram))
