The number of permit requests does not draw from the gateway's random numbers

Cause: test_call_rate_stays_bounded_while_the_store_is_unavailable failed with 2.0185 calls a second of 2.0 allowed, since one more draw at the start moved all later ones. Change: the first number is drawn from the incarnation. Measured: test_gateway_feed.py passes.

--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -173,9 +173,7 @@
         forwarding.loopback_channel = OwnerChannel(
             settings.peer_address, loopback_dialer, reactor.seconds
         )
-        self._rate_limiter = RateLimiter(
-            reactor, self.cluster_state, own_record, metrics, self._random
-        )
+        self._rate_limiter = RateLimiter(reactor, self.cluster_state, own_record, metrics)
         self.sessions = SessionTable(
             self.cluster_state, statements, event_log, self.metrics, self._rate_limiter
         )
--- a/orioleplank/gateway/_rate_limiter.py
+++ b/orioleplank/gateway/_rate_limiter.py
@@ -58,7 +58,6 @@
         cluster_state: ClusterState,
         own_record: ProxyRecord,
         metrics: Metrics,
-        random: Random,
     ) -> None:
         self._reactor = reactor
         self._cluster_state = cluster_state
@@ -67,7 +66,8 @@
         self._coordinators = CoordinatorTable(own_record.name, own_record.incarnation)
         self._holder = PermitHolder(own_record.name, self._coordinators)
         self.server = PermitServer(cluster_state, own_record.name, self._coordinators, metrics)
-        # Starts at random, so that a response to an earlier incarnation matches no current request.
+        # Differs by incarnation, so that a response to an earlier one matches no current request.
+        random = Random(own_record.incarnation)
         self._request_number = random.randrange(INITIAL_REQUEST_NUMBER_LIMIT)
         # Requests of the last `PERMIT_LIFETIME_S` seconds without an answer, by number.
         self._sent: dict[int, _SentBatch] = {}
