--- a/orioleplank/tests/_rate_limited_run.py
+++ b/orioleplank/tests/_rate_limited_run.py
@@ -4,28 +4,19 @@
 
 from orioleplank.decision.accounts import ClientAccount, RateLimit
 from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
+from orioleplank.decision.quota.tests._replay import (
+    WINDOW_S,
+    allowed_in_window,
+    max_in_window,
+)
 from orioleplank.tests._audited_run import Audit
 from orioleplank.tests._random_faults import RandomFaultRun
 from orioleplank.tests._simulated_instances import SimulatedInstance
 
-# The bound that holds in every window.
-WINDOW_S = 5.0
-OVERSHOOT = 0.1
-SLACK = 20.0
 # The callers of a run have an empty key.
 KEY = ""
 
 
-def max_in_window(times: list[float]) -> int:
-    """Return the largest number of times in any sliding window."""
-    ordered, first, largest = sorted(times), 0, 0
-    for index, at in enumerate(ordered):
-        while at - ordered[first] > WINDOW_S:
-            first += 1
-        largest = max(largest, index - first + 1)
-    return largest
-
-
 class RateLimitedRun(RandomFaultRun):
     """A run in which all callers belong to one account with a limit.
 
@@ -55,8 +46,8 @@
     def run(self) -> Audit:
         """Run, and check the number of operations in every window."""
         audit = super().run()
-        allowed = (self._limit.rate * WINDOW_S + self._limit.burst) * (1 + OVERSHOOT) + SLACK
-        largest = max_in_window(list(self._first_run_at.values()))
+        allowed = allowed_in_window(self._limit)
+        largest = max_in_window(self._first_run_at.values())
         if largest > allowed:
             audit.add_violation(f"{largest} operations ran within {WINDOW_S} s, over {allowed}")
         return audit
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -7,13 +7,16 @@
 import testtools
 
 from orioleplank.decision import ZERO_POSITION, Position
+from orioleplank.decision.accounts import RateLimit
 from orioleplank.decision.instances import Consistency
+from orioleplank.decision.mechanisms import Mechanism, MechanismSwitches
 from orioleplank.decision.session import FailureCode
 from orioleplank.gateway import _instance_executor, _statements
 from orioleplank.gateway._instance_executor import Request
 from orioleplank.gateway._outcome import Outcome, refuse
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.tests._random_faults import RandomFaultRun
+from orioleplank.tests._rate_limited_run import RateLimitedRun
 
 SEEDS = range(20261204, 20261212)
 # Runs with fewer than two connections per proxy, so that connection owners forward statements.
@@ -27,6 +30,9 @@
 SYNC_SEEDS = (20261205, 20261207, 20261210, 20261211, 20261212)
 # Runs in which primaries and coordinators are back before a promotion takes effect.
 FAST_RESTART_SEEDS = range(20261205, 20261209)
+# Runs in which all callers belong to an account that sends some eight times its limit.
+RATE_LIMIT_SEEDS = range(20261204, 20261207)
+RATE_LIMIT = RateLimit(20.0, 10.0)
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -72,12 +78,21 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_a_rate_limit(self) -> None:
+        for seed in RATE_LIMIT_SEEDS:
+            with self.subTest(seed=seed):
+                run = RateLimitedRun(seed, RATE_LIMIT)
+                audit = run.run()
+                self.assertEqual([], audit.violations[:5])
+                self.assertGreater(run.operations, 500)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
 
     They are mixed session values without connection setup, stale reads at replicas without minimum
-    positions, and refusals of requests that ran if unanswered requests are refused as busy.
+    positions, refusals of requests that ran if unanswered requests are refused as busy, and too
+    many operations in a window without rate limits.
     """
 
     def test_audit_finds_violations_without_connection_setup(self) -> None:
@@ -94,6 +109,11 @@
         with mock.patch.object(_statements, "_refuse_unanswered", _refuse_as_busy):
             self.assertNotEqual([], RandomFaultRun(20261205).run().violations)
 
+    def test_audit_finds_violations_without_rate_limits(self) -> None:
+        switches = MechanismSwitches(frozenset({Mechanism.RATE_LIMITS}))
+        audit = RateLimitedRun(20261204, RATE_LIMIT, mechanisms=switches).run()
+        self.assertIn("operations ran within", audit.violations[0])
+
 
 def _require_no_position(statements: object, request: Request) -> Position | None:
     return None if request.route.consistency is Consistency.PRIMARY else ZERO_POSITION
--- a/orioleplank/tests/test_gateway_rate_limits.py
+++ b/orioleplank/tests/test_gateway_rate_limits.py
@@ -10,6 +10,7 @@
 from orioleplank.decision.mechanisms import Mechanism, MechanismSwitches
 from orioleplank.decision.membership import PermitsAsked, PermitsTold
 from orioleplank.decision.quota import select_coordinators
+from orioleplank.decision.quota.tests._replay import allowed_in_window, max_in_window
 from orioleplank.decision.session import (
     Begin,
     Commit,
@@ -30,20 +31,18 @@
     SimulatedCaller,
 )
 from orioleplank.tests._gateway_helpers import failure_code, keep_writing
-from orioleplank.tests._rate_limited_run import RateLimitedRun, max_in_window
 
 PROXIES = 6
 KEY = "a-key-that-is-never-shown"
 FREE_KEY = "another-key"
 LIMIT = RateLimit(20.0, 10.0)
 # Operations that may run in any window.
-ALLOWED = (LIMIT.rate * 5.0 + LIMIT.burst) * 1.1 + 20.0
+ALLOWED = allowed_in_window(LIMIT)
 # Time until the proxies are ready and the buckets are full.
 START_S = 6.0
 # The same for limits of 0.1 operations per second.
 SLOW_START_S = 90.0
 MAX_DATAGRAM_BYTES = 1200
-SEED = 20261204
 
 
 def _start_cluster(
@@ -275,7 +274,7 @@
             cluster.send_request(caller, Commit())
         _write_from_everywhere(cluster)
         cluster.run_for(6.0)
-        self.assertLessEqual(max_in_window(times), (limit.rate * 5.0 + limit.burst) * 1.1 + 20.0)
+        self.assertLessEqual(max_in_window(times), allowed_in_window(limit))
         self.assertGreater(len(times), 0)
 
     def test_transaction_that_ends_without_a_statement_returns_its_permit(self) -> None:
@@ -372,20 +371,3 @@
             for number in range(20):
                 cluster.send_and_wait(caller, Write(f"k v{number}"))
         self.assertTrue(8 <= len(times) <= 9)
-
-
-class TestRandomFaults(testtools.TestCase):
-    """An account that is over its limit, under random faults."""
-
-    def test_audit_finds_no_violation(self) -> None:
-        for seed in range(SEED, SEED + 3):
-            with self.subTest(seed=seed):
-                run = RateLimitedRun(seed, LIMIT)
-                audit = run.run()
-                self.assertEqual([], audit.violations[:5])
-                self.assertGreater(run.operations, 500)
-
-    def test_audit_finds_violations_with_the_mechanism_off(self) -> None:
-        switches = MechanismSwitches(frozenset({Mechanism.RATE_LIMITS}))
-        audit = RateLimitedRun(SEED, LIMIT, mechanisms=switches).run()
-        self.assertIn("operations ran within", audit.violations[0])
