--- a/orioleplank/soak/_callers.py
+++ b/orioleplank/soak/_callers.py
@@ -28,6 +28,9 @@
 # A caller aborts its session when a request has no reply after this time.
 REPLY_TIMEOUT_S = 8.0
 
+# With this key callers open their sessions.
+KEY = "soak"
+
 
 class TcpCaller(LineOnlyReceiver):
     """One session, with the interface of the simulated caller that the tests use."""
@@ -80,7 +83,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the startup message."""
-        self._send(f"STARTUP {self._database} soak")
+        self._send(f"STARTUP {self._database} {KEY}")
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
         """Mark the session as closed."""
--- a/orioleplank/soak/_process_cluster.py
+++ b/orioleplank/soak/_process_cluster.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 
+from orioleplank.decision.accounts import AccountTable
 from orioleplank.decision.instances import (
     DbRole,
     InstanceEntry,
@@ -52,6 +53,7 @@
         subnet: str,
         proxies: int,
         connection_limit: int,
+        accounts: AccountTable | None = None,
     ) -> None:
         self._reactor = reactor
         self._subnet = subnet
@@ -69,7 +71,8 @@
         for number, member in enumerate(self.group.members.values()):
             self._listen_for_instance(member, number)
         limits = {SERVICE: ServiceLimits(connection_limit)}
-        self.routes = RouteTable(1, {route.database: route for route in ROUTES}, limits, 3.0)
+        table = {route.database: route for route in ROUTES}
+        self.routes = RouteTable(1, table, limits, 3.0, accounts)
         self._write_routes()
         for name in self.group.members:
             self.group.publish(name)
--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -11,13 +11,16 @@
 from random import Random
 from typing import Any
 
+from orioleplank.decision.accounts import AccountTable, ClientAccount, RateLimit
 from orioleplank.decision.instances import DbRole, InstanceState
 from orioleplank.gateway._notifier import sleep
+from orioleplank.soak._callers import KEY
 from orioleplank.soak._faulty_link import FaultyLink
 from orioleplank.soak._process_cluster import ProcessCluster
 from orioleplank.soak._processes import ProxyProcess
 from orioleplank.soak._store import INSTANCES_KIND, ODD_SPECS
 from orioleplank.tests._audited_run import AuditedRun
+from orioleplank.tests._operation_audit import OperationAudit
 from orioleplank.tests._simulated_instances import SimulatedInstance
 
 # Time for all proxies to start.
@@ -28,6 +31,8 @@
 SERVICE_CHECK_S = 5.0
 # Minimum and random part of the time between faults; most faults last longer and overlap.
 MIN_FAULT_INTERVAL_S, FAULT_INTERVAL_RANGE_S = 0.3, 2.5
+# The limit of the callers' account: a fifth or less of what they send.
+LIMIT = RateLimit(10.0, 10.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +53,8 @@
     connections_refused: int
     # Descriptions of the first ten violations.
     findings: list[str]
+    # Statements outside transactions, and transactions, that ran at an instance.
+    operations: int
 
 
 class Soak(AuditedRun[ProcessCluster]):
@@ -61,7 +68,19 @@
         proxies = random.choice((3, 5, 7))
         # The lower limit, in about half of the seeds, is small enough to require connection owners.
         connections = random.choice((6 * proxies, 2 * proxies - 1))
-        cluster = ProcessCluster(reactor, random, directory, subnet, proxies, connections)
+        self._operations = OperationAudit(LIMIT)
+        # In every other seed all callers belong to one account, which is over its limit.
+        self._has_limit = seed % 2 == 1
+        accounts = {KEY: ClientAccount("hot", limit=LIMIT)}
+        cluster = ProcessCluster(
+            reactor,
+            random,
+            directory,
+            subnet,
+            proxies,
+            connections,
+            AccountTable(accounts) if self._has_limit else None,
+        )
         super().__init__(cluster, random, callers=2 * proxies)
 
     async def run(self, seconds: float) -> SoakReport:
@@ -110,6 +129,9 @@
     def _build_report(self) -> SoakReport:
         cluster, audit = self.cluster, self.audit
         self.check_invariants()
+        violation = self._operations.find_violation() if self._has_limit else None
+        if violation is not None:
+            audit.add_violation(violation)
         for proxy in cluster.proxies:
             for code in proxy.unexpected_exit_codes:
                 audit.add_violation(f"{proxy.name} ended by itself with code {code}")
@@ -128,8 +150,16 @@
             sum(proxy.start_count for proxy in cluster.proxies),
             sum(factory.refused_connections for factory in cluster.instance_factories.values()),
             audit.violations[:10],
+            len(self._operations),
         )
 
+    def _check_run(self, member: SimulatedInstance, request: str, values: dict[str, str]) -> None:
+        super()._check_run(member, request, values)
+        sender = self.senders.get(request)
+        if sender is not None:
+            caller, _, began_at, _ = sender
+            self._operations.record(caller.number, began_at, self.cluster.simulator.now)
+
     # Faults.
 
     def _list_faults(self) -> dict[str, Callable[[], None]]:
--- a/orioleplank/soak/_store.py
+++ b/orioleplank/soak/_store.py
@@ -8,6 +8,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
+from orioleplank.decision.accounts import AccountTable
 from orioleplank.decision.instances import InstanceEntry, RouteTable
 from orioleplank.tests._simulated_instances import PROMOTION_DELAY_S, SimulatedGroup
 from orioleplank.tests._simulated_store import SimulatedStore
@@ -66,7 +67,28 @@
         for name, limits in table.services.items()
     ]
     limits = {"txIdleMs": table.transaction_idle * 1000}
-    return {"version": table.version, "routes": routes, "services": services, "limits": limits}
+    document: dict[str, object] = {
+        "version": table.version,
+        "routes": routes,
+        "services": services,
+        "limits": limits,
+    }
+    if table.accounts is not None:
+        document["tenants"] = _accounts_to_json(table.accounts)
+    return document
+
+
+def _accounts_to_json(table: AccountTable) -> list[dict[str, object]]:
+    """Return the accounts in the platform's JSON form, one entry for each name."""
+    entries: dict[str, dict[str, object]] = {}
+    keys: dict[str, list[str]] = {}
+    for key, account in table.by_key.items():
+        keys.setdefault(account.name, []).append(key)
+        entry: dict[str, object] = {"name": account.name, "priority": account.priority}
+        if account.limit is not None:
+            entry |= {"ratePerS": account.limit.rate, "burst": account.limit.burst}
+        entries[account.name] = {**entry, "apiKeys": keys[account.name]}
+    return list(entries.values())
 
 
 class StoreResource(Resource):
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -84,7 +84,7 @@
                 run = RateLimitedRun(seed, RATE_LIMIT)
                 audit = run.run()
                 self.assertEqual([], audit.violations[:5])
-                self.assertGreater(run.operations, 500)
+                self.assertGreater(len(run.operations), 500)
 
 
 class TestAuditFindsViolations(testtools.TestCase):
