Merge of the rate limits over all proxies

Change: merged; runs take their keys from a source, either one fixed key or keys that change, and the soak has by turns no accounts, one account over its limit, and changing keys. Up to half of an instance's slots may open connections in the place of others at the same time: the limit on statements now bounds such openings together with the statements.

--- a/orioleplank/gateway/_metrics.py
+++ b/orioleplank/gateway/_metrics.py
@@ -28,6 +28,10 @@
         """Count one; `labels` are the values of the labels."""
         self.counts[labels] += 1
 
+    def add(self, amount: int, *labels: str) -> None:
+        """Count several at once; `labels` are the values of the labels."""
+        self.counts[labels] += amount
+
 
 class Gauge:
     """Present values by the values of its labels."""
@@ -112,6 +116,16 @@
             "Reads that waited for a replica, by who answered or the code of the refusal.",
             ("service", "outcome"),
         )
+        self.rate_limited = Counter(
+            "orioleplank_rate_limited_operations",
+            "Operations of accounts with a rate limit, by outcome.",
+            ("account", "outcome", "reason"),
+        )
+        self.permits_granted = Counter(
+            "orioleplank_permits_granted",
+            "Permits that this proxy granted as a coordinator of accounts.",
+            ("account",),
+        )
 
     @property
     def counters(self) -> tuple[Counter, ...]:
@@ -122,6 +136,8 @@
             self.store_calls,
             self.served_by,
             self.replica_waits,
+            self.rate_limited,
+            self.permits_granted,
         )
 
     @property
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -40,10 +40,10 @@
 # it lags. Repeated reads from the whole fleet would overload it.
 LAG_BACKOFF_MIN_S = 0.1
 LAG_BACKOFF_MAX_S = 0.8
-# How many connections are opened at the same time in the place of idle ones of other accounts. Each
-# occupies a slot of the instance: with more, an instance with many accounts would be busy with new
-# connections while requests that need none wait.
-MAX_CONCURRENT_REPLACEMENTS = 1
+# Share of an instance's slots for connections that are opened at the same time in the place of idle
+# ones of other accounts. Each occupies a slot: with more, an instance with many accounts would be
+# busy with new connections while requests that need none wait.
+MAX_REPLACEMENT_SLOT_SHARE = 0.5
 # Weight of the newest reply in the moving average of the latency.
 LATENCY_WEIGHT = 0.2
 # Latency assumed for an instance that has not replied yet, in seconds.
@@ -398,7 +398,8 @@
     @property
     def _may_replace_idle(self) -> bool:
         """True if an idle connection may be closed for one of another account."""
-        return bool(self._idle) and self._opening.total() < MAX_CONCURRENT_REPLACEMENTS
+        max_opening = max(1, math.ceil(self.entry.slots * MAX_REPLACEMENT_SLOT_SHARE))
+        return bool(self._idle) and self._opening.total() < max_opening
 
     @property
     def _can_any_start(self) -> bool:
--- a/orioleplank/soak/_callers.py
+++ b/orioleplank/soak/_callers.py
@@ -28,6 +28,9 @@
 # A caller aborts its session when a request has no reply after this time.
 REPLY_TIMEOUT_S = 8.0
 
+# Sent where the configuration has no accounts.
+NO_KEY = "soak"
+
 
 class TcpCaller(LineOnlyReceiver):
     """One session, with the interface of the simulated caller that the tests use."""
@@ -81,7 +84,7 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Send the startup message."""
-        self._send(f"STARTUP {self._database} {self._key or 'soak'}")
+        self._send(f"STARTUP {self._database} {self._key or NO_KEY}")
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
         """Mark the session as closed."""
--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -11,6 +11,7 @@
 from random import Random
 from typing import Any
 
+from orioleplank.decision.accounts import ClientAccount, RateLimit
 from orioleplank.decision.instances import DbRole, InstanceState
 from orioleplank.gateway._notifier import sleep
 from orioleplank.soak._faulty_link import FaultyLink
@@ -18,7 +19,8 @@
 from orioleplank.soak._processes import ProxyProcess
 from orioleplank.soak._store import INSTANCES_KIND, ODD_SPECS
 from orioleplank.tests._audited_run import AuditedRun
-from orioleplank.tests._changing_keys import ChangingKeys
+from orioleplank.tests._changing_keys import ChangingKeys, FixedKey, KeySource
+from orioleplank.tests._operation_audit import OperationAudit
 from orioleplank.tests._simulated_instances import SimulatedInstance
 
 # Time for all proxies to start.
@@ -27,14 +29,14 @@
 RECOVERY_S = 16.0
 # Last part of the recovery, in which as many requests as there are callers must succeed.
 SERVICE_CHECK_S = 5.0
-# Share of the seeds whose configuration has client accounts.
-ACCOUNTS_SHARE = 0.5
 # Minimum and random part of the time between faults; most faults last longer and overlap.
 MIN_FAULT_INTERVAL_S, FAULT_INTERVAL_RANGE_S = 0.3, 2.5
 # Longest lag of replicas, in seconds: more than any route accepts plus its timeout.
 MAX_LONG_LAG_S = 4.0
 # What a primary that refuses reads would tell them to wait, in seconds.
 READ_RETRY_S = 0.1
+# The limit of the callers' account: a fifth or less of what they send.
+LIMIT = RateLimit(10.0, 10.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,8 @@
     connections_refused: int
     # Descriptions of the first ten violations.
     findings: list[str]
+    # Statements outside transactions, and transactions, that ran at an instance.
+    operations: int
 
 
 class Soak(AuditedRun[ProcessCluster]):
@@ -68,9 +72,16 @@
         proxies = random.choice((3, 5, 7))
         # The lower limit, in about half of the seeds, is small enough to require connection owners.
         connections = random.choice((6 * proxies, 2 * proxies - 1))
+        self._operations = OperationAudit(LIMIT)
         cluster = ProcessCluster(reactor, random, directory, subnet, proxies, connections)
-        # In about half of the seeds callers identify themselves with keys that change.
-        keys = ChangingKeys(cluster, random) if random.random() < ACCOUNTS_SHARE else None
+        # By turns the configuration has no accounts, one account that is over its limit, and
+        # accounts whose keys change.
+        self._has_limit = seed % 3 == 1
+        keys: KeySource | None = None
+        if self._has_limit:
+            keys = FixedKey(cluster, ClientAccount("hot", limit=LIMIT))
+        elif seed % 3 == 2:
+            keys = ChangingKeys(cluster, random)
         super().__init__(cluster, random, callers=2 * proxies, keys=keys)
 
     async def run(self, seconds: float) -> SoakReport:
@@ -120,6 +131,9 @@
     def _build_report(self) -> SoakReport:
         cluster, audit = self.cluster, self.audit
         self.check_invariants()
+        violation = self._operations.find_violation() if self._has_limit else None
+        if violation is not None:
+            audit.add_violation(violation)
         for proxy in cluster.proxies:
             for code in proxy.unexpected_exit_codes:
                 audit.add_violation(f"{proxy.name} ended by itself with code {code}")
@@ -138,8 +152,18 @@
             sum(proxy.start_count for proxy in cluster.proxies),
             sum(factory.refused_connections for factory in cluster.instance_factories.values()),
             audit.violations[:10],
+            len(self._operations),
         )
 
+    def _check_run(
+        self, member: SimulatedInstance, request: str, values: dict[str, str], account: str
+    ) -> None:
+        super()._check_run(member, request, values, account)
+        sender = self.senders.get(request)
+        if sender is not None:
+            caller, _, began_at, _ = sender
+            self._operations.record(caller.number, began_at, self.cluster.simulator.now)
+
     # Faults.
 
     def _list_faults(self) -> dict[str, Callable[[], None]]:
@@ -325,7 +349,7 @@
         self._call_later(2.0, partial(setattr, member, "loses_answers", False))
 
     def _change_keys(self) -> None:
-        if self.keys is not None:
+        if isinstance(self.keys, ChangingKeys):
             self.keys.change()
 
     def _fail_primary_work(self) -> None:
