Waiting requests are served fairly among accounts

Cause: a pool served waiting requests by route priority, deadline and arrival. An account that sends too much filled the queue of every other account, and at the connection limit a free connection went to whatever waiter could use it, so that an account without a connection waited while others had waiters. Change: order_by_service decides by route priority, account priority, fewest connections in use, deadline bucket, arrival. count_ahead and the early refusals use the same order. At the limit an idle connection is closed for the first waiter that cannot use it. The health of an instance is a module of its own. Ruled out: serving the next waiter with every free connection, which starves accounts without one; see docs/design/fair-queueing.md.

--- a/orioleplank/decision/admission/__init__.py
+++ b/orioleplank/decision/admission/__init__.py
@@ -9,15 +9,31 @@
     find_expiring_waiters,
     update_mean_hold_time,
 )
+from orioleplank.decision.admission._service_order import (
+    AccountUse,
+    QueuedRequest,
+    order_by_service,
+)
 from orioleplank.decision.admission._shutdown_schedule import ShutdownSchedule
+from orioleplank.decision.admission._transaction_share import (
+    RECENT_USE_S,
+    TransactionShare,
+    share_transactions,
+)
 
 __all__ = [
+    "AccountUse",
     "AdmissionDecision",
     "AdmissionRefused",
     "Admitted",
     "QueueLoad",
+    "QueuedRequest",
+    "RECENT_USE_S",
     "ShutdownSchedule",
+    "TransactionShare",
     "decide_admission",
     "find_expiring_waiters",
+    "order_by_service",
+    "share_transactions",
     "update_mean_hold_time",
 ]
--- /dev/null
+++ b/orioleplank/decision/admission/_service_order.py
@@ -0,0 +1,135 @@
+"""The order in which waiting requests of several accounts get connections to an instance.
+
+Load pattern: one account sends 7.5 times its usual beside 85 others. In the order of arrival its
+requests fill the queue, and all accounts wait behind them. Here a connection that becomes free goes
+to the account that has the fewest in use, so that an account that asks for less than its share does
+not wait for one that asks for more.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator, Mapping, Sequence
+from heapq import heapify, heappop, heapreplace
+from typing import Generic, TypeVar
+
+from msgspec import Struct, field
+
+from orioleplank.decision.admission._transaction_share import (
+    NO_TRANSACTION_SHARE,
+    TransactionShare,
+)
+
+
+class QueuedRequest(Struct, order=True):
+    """A request that waits for a connection; it compares by the order within its account.
+
+    The arrival number is unique, so the fields after it never decide.
+    """
+
+    # Priority of its route; 0 is the highest.
+    priority: int
+    # Priority of its account; 0 is the highest.
+    account_priority: int
+    # Number of the bucket that contains its deadline.
+    deadline_bucket: int
+    # Sequence number of its arrival.
+    arrival_number: int
+    # Name of its account.
+    account: str
+    # True if the connection is for a transaction.
+    is_transaction: bool
+
+
+QueuedT = TypeVar("QueuedT", bound=QueuedRequest)
+
+
+class AccountUse(Struct, frozen=True):
+    """What the accounts have of the connections of one pool."""
+
+    # Connections in use, by the account's name. A connection that is being opened counts by the
+    # place in the queue of the request for which it is opened.
+    connections: Mapping[str, int] = field(default_factory=dict)
+    # How many transactions each account may hold.
+    transaction_share: TransactionShare = NO_TRANSACTION_SHARE
+
+
+# An account's connections in use before the request, then the order within the account.
+_ServiceKey = tuple[int, int, int, int, int]
+
+
+class _Lane(Generic[QueuedT]):
+    """The requests of one account that are not served yet, in their order."""
+
+    def __init__(self, account: str, requests: Sequence[QueuedT], use: AccountUse) -> None:
+        self._requests = requests
+        self._next_index = 0
+        # Connections that the account has once the requests before the next one are served.
+        self._connections = use.connections.get(account, 0)
+        self._allowance = use.transaction_share.allowance(account)
+        # Transactions that the account may not begin now.
+        self.held_back: list[QueuedT] = []
+
+    def find_next(self) -> QueuedT | None:
+        """Return the first request that may be served; transactions above the share are put off."""
+        while self._next_index < len(self._requests):
+            request = self._requests[self._next_index]
+            if not request.is_transaction or self._allowance is None or self._allowance > 0:
+                return request
+            self.held_back.append(request)
+            self._next_index += 1
+        return None
+
+    def service_key(self, request: QueuedT) -> _ServiceKey:
+        """Return the key by which the next request compares with those of other accounts."""
+        return (
+            request.priority,
+            request.account_priority,
+            self._connections,
+            request.deadline_bucket,
+            request.arrival_number,
+        )
+
+    def advance(self, request: QueuedT) -> None:
+        """Count the next request as served."""
+        self._next_index += 1
+        self._connections += 1
+        if request.is_transaction and self._allowance is not None:
+            self._allowance -= 1
+
+
+def order_by_service(
+    lanes: Mapping[str, Sequence[QueuedT]], use: AccountUse
+) -> Iterator[tuple[QueuedT, bool]]:
+    """Return the waiting requests in the order of service, each with whether it may be served now.
+
+    `lanes` holds the requests of each account in their order. The order is: route priority, account
+    priority, fewest connections in use by the account, deadline bucket, arrival. Each request
+    that comes before in this order counts as a connection of its account. Transactions that exceed
+    the share of their account come last, and may not be served now.
+    """
+    if len(lanes) == 1 and not use.transaction_share.is_limiting:
+        for requests in lanes.values():
+            yield from ((request, True) for request in requests)
+        return
+    yield from _merge_lanes([_Lane(account, requests, use) for account, requests in lanes.items()])
+
+
+def _merge_lanes(lanes: Collection[_Lane[QueuedT]]) -> Iterator[tuple[QueuedT, bool]]:
+    heads: list[tuple[_ServiceKey, _Lane[QueuedT], QueuedT]] = []
+    for lane in lanes:
+        request = lane.find_next()
+        if request is not None:
+            heads.append((lane.service_key(request), lane, request))
+    # The keys contain the arrival number, so that lanes are never compared.
+    heapify(heads)
+    while heads:
+        _, lane, request = heads[0]
+        yield request, True
+        lane.advance(request)
+        following = lane.find_next()
+        if following is None:
+            heappop(heads)
+        else:
+            heapreplace(heads, (lane.service_key(following), lane, following))
+    held_back = [request for lane in lanes for request in lane.held_back]
+    yield from ((request, False) for request in sorted(held_back))
--- a/orioleplank/decision/mechanisms.py
+++ b/orioleplank/decision/mechanisms.py
@@ -49,6 +49,13 @@
     ACCOUNT_AFFINITY = "account-affinity"
     # The report of a failed primary is not awaited.
     UNAWAITED_REPORT = "unawaited-report"
+    # Waiting requests of one route priority are served by account: by priority, then the account
+    # with the fewest connections in use.
+    FAIR_QUEUEING = "fair-queueing"
+    # Requests whose caller has left stop waiting, and nothing more is sent for them.
+    CANCELLATION = "cancellation"
+    # Transactions of one account hold at most half of a pool while other accounts use the instance.
+    TRANSACTION_SHARE = "transaction-share"
 
 
 class MechanismSwitches(Struct, frozen=True):
--- a/orioleplank/gateway/_connection_request.py
+++ b/orioleplank/gateway/_connection_request.py
@@ -29,6 +29,8 @@
     # True for a probe: a connection of any account serves, also one to a suspected instance, and a
     # long queue is no reason to refuse it, since its timeout shows that the instance has failed.
     is_probe: bool = False
+    # True if the connection is for a transaction, which keeps it until its end.
+    is_transaction: bool = False
 
     def may_use(self, account: str | None) -> bool:
         """Return whether a connection of an account serves; None stands for one of all accounts."""
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -1,16 +1,15 @@
-"""Connection pool of one instance, with the latency, failures and log position seen there."""
+"""Connection pool of one instance."""
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Callable
 
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.python.failure import Failure
 
-from orioleplank.decision import Position
 from orioleplank.decision.admission import (
+    AccountUse,
     AdmissionRefused,
     QueueLoad,
     decide_admission,
@@ -19,8 +18,10 @@
 from orioleplank.decision.instances import InstanceEntry
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.decision.session import plan_connection_setup
+from orioleplank.gateway._account_use import AccountUseCounter, ConnectionUse
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._connection_request import ConnectionRequest
+from orioleplank.gateway._instance_health import INITIAL_LATENCY_S, InstanceHealth
 from orioleplank.gateway._interfaces import (
     InstanceLink,
     InstanceRefusedError,
@@ -33,24 +34,9 @@
 DIAL_BACKOFF_MAX_S = 1.0
 # Delay before a connection is opened again after the instance refused one, in seconds.
 REFUSED_BACKOFF_S = 0.5
-# How long reads that need a newer log position avoid a lagging replica, in seconds; doubled while
-# it lags. Repeated reads from the whole fleet would overload it.
-LAG_BACKOFF_MIN_S = 0.1
-LAG_BACKOFF_MAX_S = 0.8
-# Weight of the newest reply in the moving average of the latency.
-LATENCY_WEIGHT = 0.2
-# Latency assumed for an instance that has not replied yet, in seconds.
-INITIAL_LATENCY_S = 0.03
-# Without new samples the latency decays towards the initial one with this half-life, in seconds.
-LATENCY_HALF_LIFE_S = 2.0
-# Consecutive failures, and seconds since the first of them, from which on only probes are sent.
-SUSPECT_MIN_FAILURES = 2
-SUSPECT_MIN_DURATION_S = 0.2
-# Latency sample that a failed statement counts as, in seconds.
-FAILURE_LATENCY_S = 1.0
-
-
-class InstancePool:
+
+
+class InstancePool(InstanceHealth):
     """Connections, or forwarding links, of this proxy to one incarnation of an instance.
 
     Opens them on demand up to `connection_limit`, queues requests for them, and records what the
@@ -68,45 +54,25 @@
         on_problem: Callable[[str], None],
         mechanisms: MechanismSwitches = ALL_ON,
     ) -> None:
-        self._mechanisms = mechanisms
-        self.entry = entry
+        super().__init__(entry, now, on_problem, mechanisms)
         self._dial = dial
-        self._now = now
         self._connection_limit = connection_limit
-        self._on_problem = on_problem
         self._generation = 0
         # Idle connections, the least recently used first.
         self._idle: list[PooledConnection] = []
-        # Connections in use, each with the time at which it was taken, in seconds.
-        self._in_use: dict[PooledConnection, float] = {}
+        self._in_use: dict[PooledConnection, ConnectionUse] = {}
+        self._account_uses = AccountUseCounter(now, mechanisms)
         # Mean time for which a connection stays in use, in seconds.
         self._mean_hold_time = INITIAL_LATENCY_S
         # Numbers of connections that are being opened, by the account's name.
         self._opening: Counter[str] = Counter()
-        self._waiters = WaitQueue(now, mechanisms)
+        self._waiters = WaitQueue(now, mechanisms, self._summarize_account_use)
+        self._is_fair = mechanisms.is_on(Mechanism.FAIR_QUEUEING)
         self._closed = False
         self._retry_at = 0.0
         self._dial_failures = 0
-        # Failures since the last reply, and the time of the first of them, in seconds.
-        self.consecutive_failures = 0
-        self.failing_since = 0.0
         # When a connection was last released, in seconds.
         self.last_released_at = now()
-        # When the instance last replied, in seconds; minus infinity before its first reply.
-        self.last_reply_at = float("-inf")
-        # Log position that the instance last reported; None before the first report.
-        self._reported_position: Position | None = None
-        # Until when reads that need a newer position avoid the instance, and the next backoff, in
-        # seconds.
-        self._lag_backoff_until = float("-inf")
-        self._lag_backoff = LAG_BACKOFF_MIN_S
-        # True once the instance has replied that it is not the primary although the group record
-        # names it as such.
-        self.denies_primary_role = False
-        self._latency = INITIAL_LATENCY_S
-        self._latency_updated_at = now()
-
-    # Health, latency and log position of the instance.
 
     @property
     def in_flight(self) -> int:
@@ -118,90 +84,9 @@
         """Number of connections that are open or being opened."""
         return len(self._idle) + len(self._in_use) + self._opening.total()
 
-    @property
-    def latency(self) -> float:
-        """Moving average of the statement latency, in seconds.
-
-        It decays towards the initial latency while there are no replies.
-        """
-        age = self._now() - self._latency_updated_at
-        decay = math.pow(0.5, age / LATENCY_HALF_LIFE_S)
-        return INITIAL_LATENCY_S + (self._latency - INITIAL_LATENCY_S) * decay
-
-    @property
-    def failing_for(self) -> float:
-        """Seconds since the first failure after the last reply; 0 without a failure."""
-        return self._now() - self.failing_since if self.consecutive_failures else 0.0
-
-    @property
-    def is_suspect(self) -> bool:
-        """True while the instance is unresponsive, so that only probes are sent to it."""
-        return (
-            self.consecutive_failures >= SUSPECT_MIN_FAILURES
-            and self.failing_for >= SUSPECT_MIN_DURATION_S
-        )
-
-    def record_reply(self, elapsed: float | None = None) -> None:
-        """Record a reply.
-
-        `elapsed` is its latency in seconds, or None if the reply is no sample of the load.
-        """
-        self.consecutive_failures = 0
-        self.last_reply_at = self._now()
-        if elapsed is not None:
-            self._update_latency(elapsed)
-
-    def record_failure(self) -> None:
-        """Record that the instance did not reply, or could not be reached."""
-        if not self.consecutive_failures:
-            self.failing_since = self._now()
-        self.consecutive_failures += 1
-        self._update_latency(FAILURE_LATENCY_S)
-        if self.is_suspect:
-            self.close_idle_connections()
-        self._on_problem(self.entry.id)
-
-    def record_primary_role_denied(self) -> None:
-        """Record that the instance replied that it is not the primary."""
-        self.denies_primary_role = True
-        self._on_problem(self.entry.id)
-
-    def is_likely_behind(self, position: Position) -> bool:
-        """Return whether the instance's log probably has not reached a position yet.
-
-        True during the lag backoff for positions beyond the last reported one. Reads that accept
-        older data are still sent to the instance.
-        """
-        backs_off = self._mechanisms.is_on(Mechanism.LAG_BACKOFF)
-        if not backs_off or self._now() >= self._lag_backoff_until:
-            return False
-        return self._reported_position is None or position > self._reported_position
-
-    def record_position(self, position: Position | None) -> None:
-        """Record the log position from a reply; None leaves it unchanged."""
-        if position is not None:
-            self._reported_position = position
-
-    def record_lagging(self) -> None:
-        """Record that the log had not reached a requested position; start the lag backoff.
-
-        The backoff doubles each time until the instance has caught up.
-        """
-        if self._now() < self._lag_backoff_until:
-            return
-        self._lag_backoff_until = self._now() + self._lag_backoff
-        self._lag_backoff = min(LAG_BACKOFF_MAX_S, 2 * self._lag_backoff)
-
-    def record_caught_up(self) -> None:
-        """Record that the log had reached a requested position; reset the lag backoff."""
-        self._lag_backoff = LAG_BACKOFF_MIN_S
-
-    def _update_latency(self, elapsed: float) -> None:
-        current = self.latency
-        self._latency = current + (elapsed - current) * LATENCY_WEIGHT
-        self._latency_updated_at = self._now()
-
-    # Connections.
+    def handle_suspicion(self) -> None:
+        """Close the idle connections of a suspected instance, since they may be lost."""
+        self.close_idle_connections()
 
     def acquire(self, request: ConnectionRequest) -> Deferred[PooledConnection]:
         """Return an idle connection that needs the least setup, or wait for one.
@@ -231,12 +116,13 @@
 
     def release(self, connection: PooledConnection) -> None:
         """Return a connection that has no open transaction and no outstanding reply."""
-        taken_at = self._in_use.pop(connection, None)
-        if taken_at is None:
+        use = self._in_use.pop(connection, None)
+        if use is None:
             return
+        self._account_uses.end(use)
         self.last_released_at = self._now()
         self._mean_hold_time = update_mean_hold_time(
-            self._mean_hold_time, self.last_released_at - taken_at
+            self._mean_hold_time, self.last_released_at - use.taken_at
         )
         # `size` no longer counts this connection, so an equal limit is exceeded as well.
         exceeds_limit = self.size >= max(1, self._connection_limit(self.entry))
@@ -297,7 +183,7 @@
         best = min(usable, key=setup_cost)
         self._idle.remove(best)
         best.last_session_id = request.session_id
-        self._in_use[best] = self._now()
+        self._in_use[best] = self._account_uses.begin(request)
         return best
 
     def _has_idle(self, request: ConnectionRequest) -> bool:
@@ -320,8 +206,8 @@
         if not len(self._waiters) or not self._has_room:
             return
         covered = Counter(self._opening)
-        for request in self._waiters.requests:
-            if self._now() < self._retry_at or self._closed:
+        for request in list(self._waiters.servable_requests):
+            if not self._may_open:
                 return
             account = request.account.name
             if covered[account] > 0:
@@ -331,17 +217,29 @@
             else:
                 return
 
+    @property
+    def _may_open(self) -> bool:
+        """True unless opening connections has just failed, or the pool is closed."""
+        return self._now() >= self._retry_at and not self._closed
+
     @property
     def _has_room(self) -> bool:
         """True if a connection may be opened, possibly in the place of an idle one."""
         return bool(self._idle) or self.size < max(1, self._connection_limit(self.entry))
 
     def _make_room(self) -> bool:
-        """Close idle connections at the limit; return whether a connection may be opened."""
+        """Close idle connections at the limit; return whether a connection may be opened.
+
+        Those of accounts without waiters are closed first, then the least recently used.
+        """
         while self.size >= max(1, self._connection_limit(self.entry)):
             if not self._idle:
                 return False
-            self._idle.pop(0).link.close()
+            wanted = self._waiters.accounts
+            unwanted = (c for c in self._idle if c.link.account not in wanted)
+            connection = next(unwanted, self._idle[0])
+            self._idle.remove(connection)
+            connection.link.close()
         return True
 
     def _open_connection(self, account: str) -> None:
@@ -381,14 +279,44 @@
             self._waiters.fail_all(failure.value)
 
     def _serve_waiters(self) -> None:
-        while self._idle:
-            waiter = self._waiters.pop_first(self._has_idle)
-            if waiter is None:
-                break
-            connection = self._take_idle(waiter.request)
-            assert connection is not None
-            waiter.result.callback(connection)
+        while self._idle and self._serve_next():
+            pass
         self._waiters.refuse_expiring(
             self.entry.id, self._connection_limit(self.entry), self._mean_hold_time
         )
         self._open_needed_connections()
+
+    def _serve_next(self) -> bool:
+        """Serve the first waiter, or open a connection for it; return False if that is impossible.
+
+        A waiter for which a connection is being opened is passed over. At the limit an idle
+        connection that the first waiter cannot use is closed for one that it can use, because the
+        waiters of other accounts would otherwise get all connections that become free.
+        """
+        covered = Counter(self._opening)
+        for request in self._waiters.servable_requests:
+            if self._has_idle(request):
+                return self._serve_first_servable()
+            if not self._is_fair or not self._may_open:
+                continue
+            account = request.account.name
+            if covered[account] > 0:
+                covered[account] -= 1
+            elif self._make_room():
+                self._open_connection(account)
+                return True
+        return False
+
+    def _serve_first_servable(self) -> bool:
+        """Give an idle connection to the first waiter that can use one."""
+        waiter = self._waiters.pop_first(self._has_idle)
+        if waiter is None:
+            return False
+        connection = self._take_idle(waiter.request)
+        assert connection is not None
+        waiter.result.callback(connection)
+        return True
+
+    def _summarize_account_use(self) -> AccountUse:
+        limit = self._connection_limit(self.entry)
+        return self._account_uses.summarize(limit, self._waiters.accounts)
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -29,9 +29,10 @@
     PreparationError,
     Request,
 )
+from orioleplank.gateway._instance_health import INITIAL_LATENCY_S
 from orioleplank.gateway._interfaces import RequestOptions
 from orioleplank.gateway._outcome import Completed, Outcome, Refused, refuse
-from orioleplank.gateway._pool import INITIAL_LATENCY_S, InstancePool
+from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._wait_queue import QueueTooLongError
 
 # Share of the remaining time that one attempt may take, which leaves time for another attempt.
--- a/orioleplank/gateway/_wait_queue.py
+++ b/orioleplank/gateway/_wait_queue.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
-import heapq
-from collections.abc import Callable
-from itertools import count
+from bisect import bisect, bisect_left, insort
+from collections.abc import Callable, Collection, Iterator
 from math import inf
 
-from msgspec import Struct
 from twisted.internet.defer import Deferred
 
 from orioleplank._exceptions import OrioleplankError
-from orioleplank.decision.admission import QueueLoad, find_expiring_waiters
+from orioleplank.decision.admission import (
+    AccountUse,
+    QueuedRequest,
+    QueueLoad,
+    find_expiring_waiters,
+    order_by_service,
+)
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._connection_request import ConnectionRequest
@@ -32,18 +36,9 @@
         self.retry_after = retry_after
 
 
-class Waiter(Struct, order=True):
-    """A request that waits for a connection; it compares by its order of service.
+class Waiter(QueuedRequest, order=True):
+    """A request that waits for a connection, with what is needed to serve it."""
 
-    The arrival number is unique, so the fields after it never decide.
-    """
-
-    # Priority of its route; 0 is the highest.
-    priority: int
-    # Number of the bucket that contains its deadline.
-    deadline_bucket: int
-    # Sequence number of its arrival.
-    arrival_number: int
     # Deadline, in seconds of the clock of the queue.
     deadline: float
     # Receives the connection, or the error.
@@ -51,71 +46,88 @@
     request: ConnectionRequest
 
 
+def _use_nothing() -> AccountUse:
+    return AccountUse()
+
+
 class WaitQueue:
-    """A queue ordered by priority, then by earliest deadline.
+    """A queue ordered by priority, then fairly among accounts, then by earliest deadline.
 
-    In order of arrival, work with a distant deadline would delay work with a close one.
+    In order of arrival, work with a distant deadline would delay work with a close one, and an
+    account that sends too much would delay all others. `account_use` returns what the accounts have
+    of the connections now.
     """
 
-    def __init__(self, now: Callable[[], float], mechanisms: MechanismSwitches = ALL_ON) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        mechanisms: MechanismSwitches = ALL_ON,
+        account_use: Callable[[], AccountUse] = _use_nothing,
+    ) -> None:
         self._now = now
         self._mechanisms = mechanisms
-        self._queue: list[Waiter] = []
-        self._arrival_numbers = count(1)
+        self._account_use = account_use
+        self._is_fair = mechanisms.is_on(Mechanism.FAIR_QUEUEING)
+        # The waiters of each account in their order; accounts without waiters are left out.
+        self._lanes: dict[str, list[Waiter]] = {}
+        self._length = 0
+        self._next_arrival_number = 1
         self._last_expiry_check_at = now()
 
     def __len__(self) -> int:
-        return len(self._queue)
+        return self._length
+
+    @property
+    def accounts(self) -> Collection[str]:
+        """Names of the accounts that have waiters."""
+        return self._lanes.keys()
 
     @property
-    def requests(self) -> list[ConnectionRequest]:
-        """The waiting requests, in the order of service."""
-        return [waiter.request for waiter in sorted(self._queue)]
+    def servable_requests(self) -> Iterator[ConnectionRequest]:
+        """The waiting requests that may be served now, in the order of service."""
+        return (waiter.request for waiter, may_be_served in self._in_order() if may_be_served)
 
     def count_ahead(self, request: ConnectionRequest) -> int:
         """Return how many waiters are served before a new request."""
-        deadline = self._now() + request.remaining_time
-        queue_position = (request.priority, self._deadline_bucket(deadline))
-        return sum(
-            (waiter.priority, waiter.deadline_bucket) <= queue_position for waiter in self._queue
-        )
+        if not self._length:
+            return 0
+        new = self._build_waiter(request, Deferred())
+        lane = list(self._lanes.get(new.account, ()))
+        index = bisect(lane, new)
+        lane.insert(index, new)
+        use = self._account_use()
+        if len(lane) > self._length and not use.transaction_share.is_limiting:
+            return index
+        ordered = order_by_service({**self._lanes, new.account: lane}, use)
+        return next(ahead for ahead, (waiter, _) in enumerate(ordered) if waiter is new)
 
     def enqueue(self, request: ConnectionRequest) -> Deferred[PooledConnection]:
         """Add a request; cancelling the result removes it."""
 
         def remove_waiter(_: object) -> None:
-            if waiter in self._queue:
-                self._queue.remove(waiter)
-                heapq.heapify(self._queue)
+            if waiter in self._lanes.get(waiter.account, ()):
+                self._remove(waiter)
 
         result: Deferred[PooledConnection] = Deferred(remove_waiter)
-        deadline = self._now() + request.remaining_time
-        waiter = Waiter(
-            request.priority,
-            self._deadline_bucket(deadline),
-            next(self._arrival_numbers),
-            deadline,
-            result,
-            request,
-        )
-        heapq.heappush(self._queue, waiter)
+        waiter = self._build_waiter(request, result)
+        self._next_arrival_number += 1
+        insort(self._lanes.setdefault(waiter.account, []), waiter)
+        self._length += 1
         return result
 
     def pop_first(self, may_serve: Callable[[ConnectionRequest], bool]) -> Waiter | None:
         """Remove and return the next waiter that may be served now; None when there is none."""
-        if not self._queue:
-            return None
-        if may_serve(self._queue[0].request):
-            return heapq.heappop(self._queue)
-        waiter = next((w for w in sorted(self._queue) if may_serve(w.request)), None)
-        if waiter is not None:
-            self._queue.remove(waiter)
-            heapq.heapify(self._queue)
-        return waiter
+        for waiter, may_be_served in self._in_order():
+            if may_be_served and may_serve(waiter.request):
+                self._remove(waiter)
+                return waiter
+        return None
 
     def fail_all(self, error: BaseException) -> None:
         """Remove all waiters and fail their results with `error`."""
-        waiters, self._queue = self._queue, []
+        waiters = [waiter for waiter, _ in self._in_order()]
+        self._lanes.clear()
+        self._length = 0
         for waiter in waiters:
             waiter.result.errback(error)
 
@@ -128,21 +140,47 @@
         """
         if not self._mechanisms.is_on(Mechanism.EARLY_REFUSAL):
             return
-        if not self._queue or self._now() < self._last_expiry_check_at + EXPIRY_CHECK_INTERVAL_S:
+        if not self._length or self._now() < self._last_expiry_check_at + EXPIRY_CHECK_INTERVAL_S:
             return
         self._last_expiry_check_at = self._now()
-        ordered = sorted(self._queue)
+        ordered = [waiter for waiter, _ in self._in_order()]
         remaining_times = [
             inf if waiter.request.is_probe else waiter.deadline - self._now() for waiter in ordered
         ]
         load = QueueLoad(len(ordered), connection_count, mean_hold_time)
-        expiring = set(find_expiring_waiters(remaining_times, load))
-        if not expiring:
-            return
-        self._queue = [waiter for index, waiter in enumerate(ordered) if index not in expiring]
-        for index in expiring:
-            error = QueueTooLongError(instance, load.expected_wait)
-            ordered[index].result.errback(error)
+        expiring = [ordered[index] for index in find_expiring_waiters(remaining_times, load)]
+        for waiter in expiring:
+            self._remove(waiter)
+        for waiter in expiring:
+            waiter.result.errback(QueueTooLongError(instance, load.expected_wait))
+
+    def _in_order(self) -> Iterator[tuple[Waiter, bool]]:
+        """Return the waiters in the order of service, each with whether it may be served now."""
+        return order_by_service(self._lanes, self._account_use()) if self._length else iter(())
+
+    def _remove(self, waiter: Waiter) -> None:
+        lane = self._lanes[waiter.account]
+        del lane[bisect_left(lane, waiter)]
+        self._length -= 1
+        if not lane:
+            del self._lanes[waiter.account]
+
+    def _build_waiter(
+        self, request: ConnectionRequest, result: Deferred[PooledConnection]
+    ) -> Waiter:
+        deadline = self._now() + request.remaining_time
+        return Waiter(
+            request.priority,
+            request.account.priority if self._is_fair else 0,
+            self._deadline_bucket(deadline),
+            self._next_arrival_number,
+            # Without fairness all requests are in one lane, so that accounts do not matter.
+            request.account.name if self._is_fair else "",
+            request.is_transaction,
+            deadline,
+            result,
+            request,
+        )
 
     def _deadline_bucket(self, deadline: float) -> int:
         """Return the number of the bucket that contains a deadline."""
--- a/orioleplank/gateway/tests/test_pool.py
+++ b/orioleplank/gateway/tests/test_pool.py
@@ -10,7 +10,8 @@
 from orioleplank.decision import Position
 from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
 from orioleplank.gateway._connection_request import ConnectionRequest
-from orioleplank.gateway._pool import LAG_BACKOFF_MAX_S, LAG_BACKOFF_MIN_S, InstancePool
+from orioleplank.gateway._instance_health import LAG_BACKOFF_MAX_S, LAG_BACKOFF_MIN_S
+from orioleplank.gateway._pool import InstancePool
 
 REQUESTED_POSITION = Position(3, 100)
 
