Work for a request ends when its caller leaves

Cause: a request in progress of a caller that had left went on waiting, being retried and being sent. At a connection owner, LinkClosed cut off a statement that ran, closed its connection and counted that as a failure of the instance. Change: each session has a Cancellation that its requests carry. It ends the wait for a connection, here and at the owner, and all retries; nothing more is sent. A statement that runs at an instance is left to run, and its connection goes back to the pool; the owner then rolls back what the request left open. Ruled out: cancelling the coroutine, which would end the confirmation of commits and rollbacks too; cutting off running statements, as a new connection costs a slot.

--- a/orioleplank/decision/admission/tests/test_service_order.py
+++ b/orioleplank/decision/admission/tests/test_service_order.py
@@ -59,22 +59,25 @@
         """Serve requests that arrive at the given times, in seconds."""
         # Arrivals and, without a request, ends of service of an account.
         events: list[tuple[float, int, QueuedRequest | None, str]] = []
-        for at, request in arrivals:
-            heappush(events, (at, request.arrival_number, request, ""))
+        for arrives_at, arriving in arrivals:
+            heappush(events, (arrives_at, arriving.arrival_number, arriving, ""))
         while events:
-            now, number, request, account = heappop(events)
+            now, _, request, account = heappop(events)
             if request is None:
                 self._free += 1
                 self._in_use[account] -= 1
             else:
-                self._arrived_at[number] = now
-                self._lanes.setdefault(request.account, []).append(request)
-                self._lanes[request.account].sort()
+                self._add(request, now)
             while self._free and self._lanes:
                 first = self._serve_first(now)
                 end = (now + self._hold_s, 1_000_000 + len(self.served), None, first.account)
                 heappush(events, end)
 
+    def _add(self, request: QueuedRequest, now: float) -> None:
+        self._arrived_at[request.arrival_number] = now
+        self._lanes.setdefault(request.account, []).append(request)
+        self._lanes[request.account].sort()
+
     def _serve_first(self, now: float) -> QueuedRequest:
         first, _ = next(order_by_service(self._lanes, AccountUse(self._in_use)))
         self._lanes[first.account].remove(first)
--- a/orioleplank/gateway/_forwarding_client.py
+++ b/orioleplank/gateway/_forwarding_client.py
@@ -45,6 +45,7 @@
     encode_statement,
 )
 from orioleplank.gateway._interfaces import (
+    CallerLeftError,
     InstanceRefusedError,
     InstanceUnreachableError,
     RequestOptions,
@@ -170,9 +171,8 @@
         if owner is None:
             return succeed(self._busy_reply(NO_OWNER_REASON))
         self._transaction_owner = owner
-        return self._request_reply(
-            owner, BeginAsked(**self._common_fields(min_position), read_only=read_only)
-        )
+        frame = BeginAsked(**self._common_fields(min_position), read_only=read_only)
+        return self._request_cancellable_reply(owner, frame)
 
     def run(
         self,
@@ -197,7 +197,9 @@
             arguments=arguments,
             in_transaction=self._transaction_owner is not None,
         )
-        return self._request_reply(owner, frame)
+        if self._transaction_owner is not None:
+            return self._request_reply(owner, frame)
+        return self._request_cancellable_reply(owner, frame)
 
     def _common_fields(self, min_position: Position | None) -> dict[str, Any]:
         """Return the fields that `RunAsked` and `BeginAsked` have in common."""
@@ -266,6 +268,32 @@
     def _request_reply(self, owner: ProxyRecord, frame: Any) -> Deferred[Reply]:
         return self._request_response(owner, frame).addCallback(self._handle_reply, owner)
 
+    def _request_cancellable_reply(self, owner: ProxyRecord, frame: Any) -> Deferred[Reply]:
+        """Send a request that holds no open transaction; it is abandoned if its caller leaves.
+
+        The owner then ends its wait for a connection. A request that it has sent on runs to its
+        end there, and its reply is dropped.
+        """
+        pending_reply = self._request_reply(owner, frame)
+        revoke = self._options.cancellation.add_callback(self._abandon_request)
+
+        def handle_reply(reply: Any) -> Any:
+            revoke()
+            return reply
+
+        return pending_reply.addBoth(handle_reply)
+
+    def _abandon_request(self) -> None:
+        """Fail the pending request, which may have run, and tell its owner."""
+        if self._pending_request is None:
+            return
+        owner, correlation_id, _ = self._pending_request
+        self._pending_request = self._transaction_owner = None
+        channel = self._forwarding.channel(owner)
+        channel.send_frame(LinkClosed(self._link_id))
+        error = CallerLeftError("await reply", self._entry.id, "the caller has left")
+        channel.fail_abandoned(correlation_id, error)
+
     def _request_response(self, owner: ProxyRecord, frame: Any) -> Deferred[ResponseFrame]:
         self._pending_request = (owner, frame.correlation_id, self._forwarding.now())
         pending_response = self._forwarding.channel(owner).send_request(frame)
--- a/orioleplank/gateway/_forwarding_server.py
+++ b/orioleplank/gateway/_forwarding_server.py
@@ -75,6 +75,8 @@
     values_at_begin: Mapping[str, str] = field(default_factory=dict)
     # The acquisition of a connection that it waits for; None while it does not wait.
     pending_acquisition: Deferred[Any] | None = None
+    # True while a request of the link is in progress.
+    is_busy: bool = False
     # True once the other proxy has closed the link.
     is_closed: bool = False
 
@@ -156,12 +158,19 @@
             self._close_link(link_id)
 
     def _close_link(self, link_id: int) -> None:
+        """End the wait of a link for a connection, or its idle transaction.
+
+        A request that is in progress at the instance runs to its end, since its connection could
+        not be used again otherwise; then `_finish_closed` ends its transaction.
+        """
         link_state = self._link_states.pop(link_id, None)
         if link_state is None:
             return
         link_state.is_closed = True
         if link_state.pending_acquisition is not None:
             link_state.pending_acquisition.cancel()
+        if link_state.is_busy:
+            return
         if link_state.pool is not None and link_state.connection is not None:
             link_state.pool.discard(link_state.connection)
 
@@ -190,11 +199,27 @@
         if link_state is None:
             link_state = _LinkState(self._server.next_session_id())
             self._link_states[request.link_id] = link_state
+        link_state.is_busy = True
         response = await self._serve(link_state, request)
+        await self._finish(request.link_id, link_state, response)
+
+    async def _finish(self, link_id: int, link_state: _LinkState, response: ResponseFrame) -> None:
+        """Send the response to a request, or end what it left open if the link was closed."""
+        link_state.is_busy = False
+        if link_state.is_closed:
+            await self._finish_closed(link_state)
+            return
         if not link_state.in_transaction:
-            self._link_states.pop(request.link_id, None)
-        if not link_state.is_closed:
-            self._send(response)
+            self._link_states.pop(link_id, None)
+        self._send(response)
+
+    async def _finish_closed(self, link_state: _LinkState) -> None:
+        """Roll back the transaction of a closed link, which returns its connection to the pool."""
+        if link_state.connection is None or not link_state.in_transaction:
+            return
+        await self._roll_back(link_state, correlation_id=0)
+        if link_state.connection is not None:
+            self._discard_connection(link_state)
 
     async def _serve(self, link_state: _LinkState, request: RunAsked | BeginAsked) -> ResponseFrame:
         statement = decode_statement(request) if isinstance(request, RunAsked) else None
@@ -204,6 +229,11 @@
             return refusal
         pool, connection = link_state.pool, link_state.connection
         assert pool is not None and connection is not None
+        if link_state.is_closed:
+            if not link_state.in_transaction:
+                pool.release(connection)
+                link_state.pool = link_state.connection = None
+            return NotSent(request.correlation_id, "its link was closed", False)
         min_position = decode_position(request.min_position)
         if isinstance(request, BeginAsked):
             link_state.values_at_begin = connection.state.values
@@ -310,21 +340,29 @@
         if link_state is None or link_state.connection is None:
             self._send(NotSent(request.correlation_id, "its transaction is gone", False))
             return
-        connection = link_state.connection
+        link_state.is_busy = True
         match request:
-            case CommitAsked(_, _, request_id, timeout):
-                pending_reply = connection.link.commit(request_id)
+            case CommitAsked(_, correlation_id, request_id, timeout):
+                response = await self._await_response(
+                    link_state,
+                    correlation_id,
+                    link_state.connection.link.commit(request_id),
+                    timeout,
+                    True,
+                )
             case _:
-                pending_reply, timeout = connection.link.roll_back(), ROLLBACK_TIMEOUT_S
-                if connection.state.values != link_state.values_at_begin:
-                    connection.state = connection.state.invalidate_values()
-        response = await self._await_response(
-            link_state, request.correlation_id, pending_reply, timeout, True
+                response = await self._roll_back(link_state, request.correlation_id)
+        await self._finish(request.link_id, link_state, response)
+
+    async def _roll_back(self, link_state: _LinkState, correlation_id: int) -> ResponseFrame:
+        connection = link_state.connection
+        assert connection is not None
+        pending_reply = connection.link.roll_back()
+        if connection.state.values != link_state.values_at_begin:
+            connection.state = connection.state.invalidate_values()
+        return await self._await_response(
+            link_state, correlation_id, pending_reply, ROLLBACK_TIMEOUT_S, True
         )
-        if not link_state.in_transaction:
-            self._link_states.pop(request.link_id, None)
-        if not link_state.is_closed:
-            self._send(response)
 
     # Reports and demotion of an instance.
 
--- a/orioleplank/gateway/_instance_executor.py
+++ b/orioleplank/gateway/_instance_executor.py
@@ -21,10 +21,12 @@
     TransactionState,
     plan_connection_setup,
 )
+from orioleplank.gateway._cancellation import NO_CANCELLATION, Cancellation
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._connection_request import ConnectionRequest
 from orioleplank.gateway._interfaces import (
+    CallerLeftError,
     InstanceRefusedError,
     InstanceUnreachableError,
     RequestOptions,
@@ -65,6 +67,8 @@
     received_at: float
     # When the route's timeout expires, in seconds of the monotonic clock.
     deadline: float
+    # Tells that the caller has left.
+    cancellation: Cancellation = NO_CANCELLATION
 
 
 class InstanceExecutor:
@@ -76,7 +80,12 @@
         self.zone = zone
 
     def remaining_time(self, request: Request) -> float:
-        """Return the seconds until the deadline of a request, or until all work has to end."""
+        """Return the seconds until the deadline of a request, or until all work has to end.
+
+        0 once its caller has left, so that nothing is sent or retried for it.
+        """
+        if request.cancellation.is_cancelled:
+            return 0.0
         shutdown, deadline = self.cluster_state.shutdown, request.deadline
         if shutdown is not None:
             deadline = min(deadline, shutdown.work_ends_at)
@@ -89,7 +98,10 @@
     async def acquire(
         self, pool: InstancePool, request: Request, seconds: float
     ) -> PooledConnection:
-        """Acquire a connection within `seconds`; raise one of `NOT_SENT_ERRORS` on failure."""
+        """Acquire a connection within `seconds`; raise one of `NOT_SENT_ERRORS` on failure.
+
+        The wait ends with `CancelledError` when the caller leaves.
+        """
         connection_request = ConnectionRequest(
             self.remaining_time(request),
             request.account,
@@ -97,7 +109,9 @@
             request.session.values,
             request.session_id,
         )
-        return await self.with_timeout(pool.acquire(connection_request), seconds)
+        acquisition = pool.acquire(connection_request)
+        with request.cancellation.calling(acquisition.cancel):
+            return await self.with_timeout(acquisition, seconds)
 
     async def prepare_connection(
         self,
@@ -149,6 +163,8 @@
         sent_at = self.cluster_state.now()
         try:
             reply = await self.with_timeout(pending_reply, seconds)
+        except CallerLeftError:
+            raise
         except NO_REPLY_ERRORS:
             pool.record_failure()
             raise
--- a/orioleplank/gateway/_interfaces.py
+++ b/orioleplank/gateway/_interfaces.py
@@ -20,6 +20,7 @@
     Reply,
     Statement,
 )
+from orioleplank.gateway._cancellation import NO_CANCELLATION, Cancellation
 
 T = TypeVar("T")
 
@@ -40,6 +41,10 @@
     """A connection to an instance could not be opened, or broke; sent statements may have run."""
 
 
+class CallerLeftError(InstanceUnreachableError):
+    """The caller left while a reply was outstanding; this shows nothing about the instance."""
+
+
 class InstanceRefusedError(OrioleplankError):
     """An instance refused a connection when it was opened; no statement has run."""
 
@@ -128,6 +133,8 @@
     priority: int
     # Its timeout, in seconds.
     timeout: float
+    # Ends the wait for a connection at a connection owner when the caller has left.
+    cancellation: Cancellation = NO_CANCELLATION
 
 
 class InstanceLink(Protocol):
--- a/orioleplank/gateway/_metrics.py
+++ b/orioleplank/gateway/_metrics.py
@@ -8,7 +8,7 @@
 
 from orioleplank.decision.session import Statement
 from orioleplank.gateway._instance_executor import Request
-from orioleplank.gateway._outcome import Completed, Outcome
+from orioleplank.gateway._outcome import WAIT_STEP, Completed, Outcome, Refused
 from orioleplank.http import HttpServerFactory, Response
 
 # Upper bounds of the latency histogram, in seconds.
@@ -83,10 +83,28 @@
             ("service", "instance"),
         )
 
+        self.dropped = Counter(
+            "orioleplank_dropped_requests",
+            "Requests whose work ended because the caller had left.",
+            ("service", "step"),
+        )
+        self.refused_waits = Counter(
+            "orioleplank_refused_waits",
+            "Requests refused while they waited, or would have waited, for a connection.",
+            ("service", "account"),
+        )
+
     @property
     def counters(self) -> tuple[Counter, ...]:
         """All counters."""
-        return (self.statements, self.events, self.store_calls, self.served_by)
+        return (
+            self.statements,
+            self.events,
+            self.store_calls,
+            self.served_by,
+            self.dropped,
+            self.refused_waits,
+        )
 
     @property
     def histograms(self) -> tuple[Histogram, ...]:
@@ -96,8 +114,14 @@
     def record_statement(
         self, request: Request, statement: Statement, outcome: Outcome, elapsed: float
     ) -> None:
-        """Count a statement by outcome and observe its latency, `elapsed`, in seconds."""
+        """Count a statement by outcome and observe its latency, `elapsed`, in seconds.
+
+        A statement that ended without a reply because its caller had left counts as dropped only.
+        """
         route = request.route
+        if request.cancellation.is_cancelled and isinstance(outcome, Refused):
+            self.dropped.increment(route.service, outcome.step)
+            return
         route_labels = (route.service, route.consistency.value)
         self.seconds.observe(elapsed, *route_labels)
         statement_name = type(statement).__name__.lower()
@@ -108,6 +132,8 @@
             case _:
                 code = outcome.failure.code.value
                 self.statements.increment(*route_labels, statement_name, code, outcome.step)
+                if outcome.step == WAIT_STEP:
+                    self.refused_waits.increment(route.service, request.account.name)
 
     def build_site(self, reactor: Any) -> HttpServerFactory:
         """Return a web site that serves the metrics in text format on every path."""
--- a/orioleplank/gateway/_outcome.py
+++ b/orioleplank/gateway/_outcome.py
@@ -6,6 +6,9 @@
 
 from orioleplank.decision.session import Failure, FailureCode, Reply
 
+# The processing step of a request that waits for a connection.
+WAIT_STEP = "wait for connection"
+
 
 class Completed(Struct, frozen=True):
     """A reply of an instance that is returned to the caller."""
--- a/orioleplank/gateway/_owner_channel.py
+++ b/orioleplank/gateway/_owner_channel.py
@@ -18,6 +18,7 @@
     decode_frame,
     encode_frame,
 )
+from orioleplank.gateway._interfaces import CallerLeftError
 
 # How long an owner that is unreachable, or cannot reach the instance, is avoided, in seconds. This
 # is long enough to try all other owners.
@@ -98,6 +99,13 @@
             self._avoided_until = now + OWNER_AVOIDANCE_S
             self.close()
 
+    def fail_abandoned(self, correlation_id: int, error: CallerLeftError) -> None:
+        """Fail a request whose caller has left; this shows nothing about the owner."""
+        result = self._pending_responses.pop(correlation_id, None)
+        self._sent_at.pop(correlation_id, None)
+        if result is not None and not result.called:
+            result.errback(error)
+
     # Events of the channel.
 
     def handle_frame(self, frame: bytes) -> None:
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -13,6 +13,7 @@
 
 from orioleplank.decision.accounts import ClientAccount
 from orioleplank.decision.instances import Route
+from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.session import (
     Begin,
     ClosePrepared,
@@ -33,6 +34,7 @@
     Write,
     is_write,
 )
+from orioleplank.gateway._cancellation import Cancellation
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._instance_executor import Request
@@ -101,6 +103,8 @@
         self._last_active_at = dependencies.cluster_state.now()
         self._is_running = False
         self._has_ended = False
+        # Ends the work for the request in progress when the caller leaves.
+        self._cancellation = Cancellation()
 
     @property
     def should_pause_reading(self) -> bool:
@@ -125,10 +129,12 @@
             self._spawn(self._process_requests())
 
     def handle_disconnect(self) -> None:
-        """Remove the session and roll back its open transaction."""
+        """Remove the session, end its request in progress and roll back its open transaction."""
         self._has_ended = True
         self._pending_requests.clear()
         self._dependencies.on_disconnected(self)
+        if self._dependencies.cluster_state.mechanisms.is_on(Mechanism.CANCELLATION):
+            self._cancellation.cancel()
         if not self._is_running:
             self._spawn(self._roll_back_open_transaction())
 
@@ -366,6 +372,7 @@
             account,
             pending.received_at,
             pending.arrived_at + route.timeout,
+            self._cancellation,
         )
 
     def _route_refusal(self) -> Outcome:
@@ -401,6 +408,7 @@
             step=outcome.step,
             why=outcome.failure.detail,
             instance=outcome.instance,
+            caller_left=request is not None and request.cancellation.is_cancelled,
             elapsed=round(cluster_state.now() - pending.arrived_at, 4),
             routes=cluster_state.routes.version,
             primary=lease.primary if lease else None,
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -31,7 +31,7 @@
 )
 from orioleplank.gateway._instance_health import INITIAL_LATENCY_S
 from orioleplank.gateway._interfaces import RequestOptions
-from orioleplank.gateway._outcome import Completed, Outcome, Refused, refuse
+from orioleplank.gateway._outcome import WAIT_STEP, Completed, Outcome, Refused, refuse
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._wait_queue import QueueTooLongError
 
@@ -49,6 +49,8 @@
 # How long the reply to a commit waits for a renewed lease that covers it, in seconds: long enough
 # for one lease renewal.
 COMMIT_CONFIRM_TIMEOUT_S = 1.5
+# Why the work for a request ends after its caller has left.
+CALLER_LEFT_REASON = "the caller has left"
 
 
 class AvoidedInstances:
@@ -366,24 +368,30 @@
         try:
             connection = await self.acquire(pool, request, seconds)
         except (TwistedTimeoutError, CancelledError):
-            return refuse(FailureCode.BUSY, "wait for connection", "all are in use", pool.entry.id)
+            left = request.cancellation.is_cancelled
+            reason = CALLER_LEFT_REASON if left else "all are in use"
+            return refuse(FailureCode.BUSY, WAIT_STEP, reason, pool.entry.id)
         except QueueTooLongError as error:
             retry_after = error.retry_after
-            return refuse(
-                FailureCode.BUSY, "wait for connection", error.detail, pool.entry.id, retry_after
-            )
+            return refuse(FailureCode.BUSY, WAIT_STEP, error.detail, pool.entry.id, retry_after)
         except NOT_SENT_ERRORS as error:
             return refuse(FailureCode.BUSY, "open connection", str(error), pool.entry.id)
+        if request.cancellation.is_cancelled:
+            return _release_unused(pool, connection)
         try:
             # The wait for the connection has used up part of the remaining time.
             seconds = min(seconds, self.remaining_time(request))
-            options = RequestOptions(request.account, request.route.priority, seconds)
+            options = RequestOptions(
+                request.account, request.route.priority, seconds, request.cancellation
+            )
             await self.prepare_connection(
                 pool, connection, request.session.values, statement, options
             )
         except (*NOT_SENT_ERRORS, PreparationError) as error:
             pool.discard(connection)
             return refuse(FailureCode.BUSY, "prepare connection", str(error), pool.entry.id)
+        if request.cancellation.is_cancelled:
+            return _release_unused(pool, connection)
         return connection
 
     def record_primary_position(
@@ -397,6 +405,12 @@
             )
 
 
+def _release_unused(pool: InstancePool, connection: PooledConnection) -> Refused:
+    """Return a connection to its pool because the caller has left; nothing was sent on it."""
+    pool.release(connection)
+    return refuse(FailureCode.BUSY, "send", CALLER_LEFT_REASON, pool.entry.id)
+
+
 def _refuse_unanswered(error: Exception, pool: InstancePool, step: str) -> Outcome:
     if isinstance(error, TwistedTimeoutError | CancelledError):
         return refuse(FailureCode.TIMEOUT, step, "the route's time is over", pool.entry.id)
--- a/orioleplank/gateway/_transactions.py
+++ b/orioleplank/gateway/_transactions.py
@@ -25,6 +25,7 @@
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._statements import (
     ATTEMPT_TIME_SHARE,
+    CALLER_LEFT_REASON,
     INSTANCE_RECHECK_INTERVAL_S,
     MIN_ATTEMPT_S,
     AvoidedInstances,
@@ -119,6 +120,8 @@
                 refuse(FailureCode.ABORTED, "run in transaction", "the primary was replaced"),
                 False,
             )
+        if request.cancellation.is_cancelled:
+            return await self._end_after_caller_left(transaction), False
         try:
             options = self._build_options(request)
             await statements.prepare_connection(
@@ -130,6 +133,8 @@
                 refuse(FailureCode.ABORTED, "prepare connection", str(error), pool.entry.id),
                 False,
             )
+        if request.cancellation.is_cancelled:
+            return await self._end_after_caller_left(transaction), False
         transaction.has_written = transaction.has_written or is_write(statement)
         name = statements.prepared_name(connection, statement)
         sent_at = self._cluster_state.lease_clock()
@@ -147,6 +152,10 @@
             return Completed(reply, pool.entry.id), True
         return await self._end_after_failure(transaction, reply), False
 
+    async def _end_after_caller_left(self, transaction: Transaction) -> Outcome:
+        await self.roll_back_transaction(transaction)
+        return refuse(FailureCode.ABORTED, "run in transaction", CALLER_LEFT_REASON)
+
     async def _end_after_failure(self, transaction: Transaction, reply: Reply) -> Outcome:
         pool = transaction.pool
         assert pool is not None
@@ -241,6 +250,8 @@
             refusal = await self._begin_empty(transaction, request)
             if refusal is not None:
                 return refusal
+        if request.cancellation.is_cancelled:
+            return await self._end_after_caller_left(transaction)
         pool, connection = transaction.pool, transaction.connection
         assert pool is not None and connection is not None
         if transaction.lease is not None and not self._is_lease_valid(transaction):
@@ -291,6 +302,8 @@
             if self._statements.remaining_time(request) < MIN_ATTEMPT_S:
                 return reply
             await self._cluster_state.changed.wait(COMMIT_RETRY_DELAY_S)
+            if request.cancellation.is_cancelled:
+                return reply
 
     async def _end_after_failed_commit(self, transaction: Transaction, reply: Reply) -> Outcome:
         assert reply.failure is not None and transaction.pool is not None
