Tests of callers that leave; an owner rolls back instead of closing

Change: the owner rolls the transaction back and keeps the connection. Measured: test_gateway_leaving_callers.py (11 tests, with and without owners), test_gateway.py, test_gateway_owners.py, test_gateway_load.py and test_gateway_shutdown.py pass.

--- a/orioleplank/gateway/_forwarding_server.py
+++ b/orioleplank/gateway/_forwarding_server.py
@@ -158,10 +158,10 @@
             self._close_link(link_id)
 
     def _close_link(self, link_id: int) -> None:
-        """End the wait of a link for a connection, or its idle transaction.
+        """End the wait of a link for a connection, and roll back its transaction.
 
-        A request that is in progress at the instance runs to its end, since its connection could
-        not be used again otherwise; then `_finish_closed` ends its transaction.
+        A request that is in progress at the instance runs to its end first, since its connection
+        could not be used again otherwise, and the failure would count as one of the instance.
         """
         link_state = self._link_states.pop(link_id, None)
         if link_state is None:
@@ -169,10 +169,8 @@
         link_state.is_closed = True
         if link_state.pending_acquisition is not None:
             link_state.pending_acquisition.cancel()
-        if link_state.is_busy:
-            return
-        if link_state.pool is not None and link_state.connection is not None:
-            link_state.pool.discard(link_state.connection)
+        if not link_state.is_busy:
+            self._spawn(self._finish_closed(link_state))
 
     def _spawn(self, coroutine: Any) -> None:
         Deferred.fromCoroutine(coroutine).addErrback(self._handle_internal_error)
--- a/orioleplank/gateway/_frames.py
+++ b/orioleplank/gateway/_frames.py
@@ -93,7 +93,7 @@
 
 
 class LinkClosed(Frame, frozen=True):
-    """Notice that a link is abandoned: its statement is in doubt, its connection is closed."""
+    """Notice that a link is abandoned: its wait ends, and its transaction is rolled back."""
 
     link_id: int
 
