Transactions of one account hold at most half of a pool beside others

Cause: callers of one account that begin transactions and stay idle hold all connections to an instance until the idle time of the configuration is over. Change: while other accounts use the instance, wait for it or used it within 2 s, an account may hold transactions on half of the connections of a pool. Further ones wait behind all requests that may be served. Their hold times do not count for the expected wait of single statements then. Housekeeping serves them once the other accounts are gone. Ruled out: counting only accounts that use the instance at that moment; calm accounts have no statement in progress most of the time, so that the limit would rarely hold.

--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -301,6 +301,12 @@
             if self.now() - pool.last_released_at >= UNUSED_CONNECTION_TIMEOUT_S:
                 pool.close_idle_connections()
 
+    def serve_held_back_transactions(self) -> None:
+        """Serve transactions that waited for other accounts to stop using an instance."""
+        for pools in (self.pools, self._own_connection_pools):
+            for pool in pools.values():
+                pool.serve_held_back()
+
     def connection_owners(self, instance: str) -> tuple[str, ...]:
         """Return the connection owners of an instance; empty if every proxy connects itself."""
         entry = self.directory.entry(instance)
--- a/orioleplank/gateway/_forwarding_server.py
+++ b/orioleplank/gateway/_forwarding_server.py
@@ -268,6 +268,7 @@
                     request.priority,
                     request.values,
                     link_state.session_id,
+                    is_transaction=isinstance(request, BeginAsked),
                 )
             )
             link_state.pending_acquisition = acquisition
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -268,6 +268,7 @@
                 self._platform_watcher.expire_instances()
                 self._fleet_membership.expire_lost_proxies()
                 self.cluster_state.close_unused_connections()
+                self.cluster_state.serve_held_back_transactions()
                 if self._platform_watcher.is_store_unreachable:
                     self._view_subscriber.fetch_from_any_peer()
                 idle_limit_s = self.cluster_state.routes.transaction_idle
--- a/orioleplank/gateway/_instance_executor.py
+++ b/orioleplank/gateway/_instance_executor.py
@@ -96,7 +96,7 @@
         return await deferred.addTimeout(max(0.001, seconds), self.reactor)
 
     async def acquire(
-        self, pool: InstancePool, request: Request, seconds: float
+        self, pool: InstancePool, request: Request, seconds: float, is_transaction: bool = False
     ) -> PooledConnection:
         """Acquire a connection within `seconds`; raise one of `NOT_SENT_ERRORS` on failure.
 
@@ -108,6 +108,7 @@
             request.route.priority,
             request.session.values,
             request.session_id,
+            is_transaction=is_transaction,
         )
         acquisition = pool.acquire(connection_request)
         with request.cancellation.calling(acquisition.cancel):
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -68,6 +68,8 @@
         self._opening: Counter[str] = Counter()
         self._waiters = WaitQueue(now, mechanisms, self._summarize_account_use)
         self._is_fair = mechanisms.is_on(Mechanism.FAIR_QUEUEING)
+        # True while transactions may wait because their account holds its share.
+        self._may_hold_back = False
         self._closed = False
         self._retry_at = 0.0
         self._dial_failures = 0
@@ -98,7 +100,7 @@
         if self._closed:
             error = InstanceUnreachableError("take connection", self.entry.id, "it is gone")
             return fail(error)
-        connection = self._take_idle(request)
+        connection = None if self._is_held_back(request) else self._take_idle(request)
         if connection is not None:
             return succeed(connection)
         if (self.is_suspect and not request.is_probe) or not self._may_get_connection():
@@ -121,9 +123,12 @@
             return
         self._account_uses.end(use)
         self.last_released_at = self._now()
-        self._mean_hold_time = update_mean_hold_time(
-            self._mean_hold_time, self.last_released_at - use.taken_at
-        )
+        # Where accounts share the instance, transactions that stay idle must not make the queue of
+        # single statements appear slow: they hold their share only.
+        if not (use.request.is_transaction and self._is_shared):
+            self._mean_hold_time = update_mean_hold_time(
+                self._mean_hold_time, self.last_released_at - use.taken_at
+            )
         # `size` no longer counts this connection, so an equal limit is exceeded as well.
         exceeds_limit = self.size >= max(1, self._connection_limit(self.entry))
         is_outdated = connection.generation != self._generation
@@ -186,6 +191,15 @@
         self._in_use[best] = self._account_uses.begin(request)
         return best
 
+    def _is_held_back(self, request: ConnectionRequest) -> bool:
+        """Return whether a transaction has to wait because its account holds its share."""
+        if not request.is_transaction:
+            return False
+        account = request.account.name
+        share = self._summarize_account_use(account).transaction_share
+        self._may_hold_back = self._may_hold_back or share.is_limiting
+        return share.allowance(account) == 0
+
     def _has_idle(self, request: ConnectionRequest) -> bool:
         return any(request.may_use(connection.link.account) for connection in self._idle)
 
@@ -317,6 +331,17 @@
         waiter.result.callback(connection)
         return True
 
-    def _summarize_account_use(self) -> AccountUse:
+    @property
+    def _is_shared(self) -> bool:
+        """True while several accounts use the instance and each has its share of transactions."""
+        return self._summarize_account_use().transaction_share.is_limiting
+
+    def serve_held_back(self) -> None:
+        """Serve transactions that waited for other accounts to stop using the instance."""
+        if self._may_hold_back:
+            self._may_hold_back = len(self._waiters) > 0
+            self._serve_waiters()
+
+    def _summarize_account_use(self, *asking: str) -> AccountUse:
         limit = self._connection_limit(self.entry)
-        return self._account_uses.summarize(limit, self._waiters.accounts)
+        return self._account_uses.summarize(limit, {*self._waiters.accounts, *asking})
--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -364,9 +364,14 @@
         statement: ExecutableStatement | None,
         seconds: float,
     ) -> PooledConnection | Refused:
-        """Return a connection set up for the session, or a refusal; no statement has run."""
+        """Return a connection set up for the session, or a refusal; no statement has run.
+
+        `statement` is None for a transaction, which keeps the connection until it ends.
+        """
         try:
-            connection = await self.acquire(pool, request, seconds)
+            connection = await self.acquire(
+                pool, request, seconds, is_transaction=statement is None
+            )
         except (TwistedTimeoutError, CancelledError):
             left = request.cancellation.is_cancelled
             reason = CALLER_LEFT_REASON if left else "all are in use"
--- a/orioleplank/gateway/tests/test_pool_accounts.py
+++ b/orioleplank/gateway/tests/test_pool_accounts.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from orioleplank.decision.accounts import ClientAccount
+from orioleplank.decision.admission import RECENT_USE_S
 from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.gateway._connection import PooledConnection
@@ -170,3 +171,58 @@
         for number in range(15):
             harness.ask(f"equal-{number}", "hot", 0.2)
         self.assertIsInstance(harness.refused["equal-14"], QueueTooLongError)
+
+
+class TestTransactionShare(testtools.TestCase):
+    """120 callers of one account begin transactions and stay idle, beside others."""
+
+    def _begin_many(self, account: str, other: str, limit: int = 8) -> PoolHarness:
+        harness = PoolHarness(limit)
+        harness.ask("other-first", other)
+        harness.release("other-first")
+        for number in range(120):
+            harness.ask(f"idle-{number}", account, is_transaction=True)
+        return harness
+
+    def test_transactions_hold_at_most_half_beside_other_accounts(self) -> None:
+        harness = self._begin_many("idle", "other")
+        self.assertEqual(4, len(harness.served))
+        for number in range(4):
+            harness.ask(f"other-{number}", "other")
+        self.assertEqual(8, len(harness.served))
+
+    def test_single_statements_of_the_same_account_are_served(self) -> None:
+        harness = self._begin_many("idle", "other")
+        harness.ask("single", "idle")
+        self.assertIn("single", harness.served)
+        harness.release("single")
+        self.assertEqual(4, len(harness.served))
+
+    def test_next_transaction_follows_one_that_ends(self) -> None:
+        harness = self._begin_many("idle", "other")
+        harness.release("idle-0")
+        self.assertIn("idle-4", harness.served)
+        self.assertEqual(4, len(harness.served))
+
+    def test_transactions_get_all_connections_once_no_other_account_uses_them(self) -> None:
+        """Guards against room that is left free for accounts that are gone."""
+        harness = self._begin_many("idle", "other")
+        harness.now += RECENT_USE_S + 0.1
+        harness.pool.serve_held_back()
+        self.assertEqual(8, len(harness.served))
+
+    def test_without_accounts_transactions_may_hold_all_connections(self) -> None:
+        harness = self._begin_many("", "")
+        self.assertEqual(8, len(harness.served))
+
+    def test_idle_transactions_do_not_make_the_queue_appear_slow(self) -> None:
+        """Guards against refusals of other accounts because of the idle time of one."""
+        harness = self._begin_many("idle", "other", limit=2)
+        for number in range(20):
+            harness.now += 1.0
+            harness.ask(f"keep-{number}", "other")
+            harness.release(f"keep-{number}")
+            harness.release(f"idle-{number}")
+        harness.ask("other-1", "other")
+        harness.ask("other-2", "other", 0.3)
+        self.assertEqual([], [name for name in harness.refused if name.startswith("other")])
