Random faults with accounts and callers that leave

Cause: no random-fault run had accounts or callers that leave within a request. The soak aborts sessions. The soak with the new fault was not run yet.

--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -158,6 +158,7 @@
             "configuration-changes": self.cluster.change_routes,
             "odd-entry-written": self._write_odd_entry,
             "proxy-asked-twice": self._terminate_twice,
+            "callers-leave": self._abort_sessions,
         }
 
     def _write_odd_entry(self) -> None:
@@ -300,5 +301,11 @@
         member.is_full = True
         self._call_later(0.7, partial(setattr, member, "is_full", False))
 
+    def _abort_sessions(self) -> None:
+        """Abort a third of the sessions, most of them within a request."""
+        for caller in self.random.sample(self.callers, len(self.callers) // 3):
+            if caller.session is not None:
+                caller.session.abort_session()
+
     def _call_later(self, seconds: float, call: Callable[[], object]) -> None:
         self.cluster.simulator.call_later(seconds, call)
--- a/orioleplank/tests/_audited_run.py
+++ b/orioleplank/tests/_audited_run.py
@@ -140,7 +140,7 @@
             return
         self.database = audited_run.random.choice((QUOTES, QUOTES, CATALOGUE, JOBS, JOBS))
         node = audited_run.choose_proxy(alive)
-        session = audited_run.cluster.open_session(node, self.database)
+        session = audited_run.open_session(self, node)
         self.session = session
         session.on_reply = partial(self._handle_reply, self.session_number)
         session.on_close = partial(self._handle_close, self.session_number)
@@ -255,6 +255,10 @@
         """Return the proxy for a new session, one of those that accept sessions."""
         return self.random.choice(alive)
 
+    def open_session(self, caller: AuditedCaller, node: Any) -> Any:
+        """Open a session of a caller's database at a proxy."""
+        return self.cluster.open_session(node, caller.database)
+
     # Checks.
 
     def _check_run(self, member: SimulatedInstance, request: str, values: dict[str, str]) -> None:
--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred
 
 from orioleplank.decision import Position
+from orioleplank.decision.accounts import AccountTable
 from orioleplank.decision.instances import (
     Consistency,
     DbRole,
@@ -347,6 +348,12 @@
         self.routes = replace(self.routes, version=version, routes=table)
         self.store.put("routes", "main", self.routes)
 
+    def change_accounts(self, accounts: AccountTable) -> None:
+        """Publish a configuration with these accounts."""
+        version = self.routes.version + 1
+        self.routes = replace(self.routes, version=version, accounts=accounts)
+        self.store.put("routes", "main", self.routes)
+
     def change_sync_replicas(self, sync_replicas: int) -> None:
         """Publish a configuration with this setting, which the instances follow at once."""
         limits = replace(self.routes.services[SERVICE], sync_replicas=sync_replicas)
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -13,6 +13,7 @@
 from orioleplank.gateway._instance_executor import Request
 from orioleplank.gateway._outcome import Outcome, refuse
 from orioleplank.gateway._pool import InstancePool
+from orioleplank.tests._account_faults import AccountFaultRun
 from orioleplank.tests._random_faults import RandomFaultRun
 
 SEEDS = range(20261204, 20261212)
@@ -27,6 +28,9 @@
 SYNC_SEEDS = (20261205, 20261207, 20261210, 20261211, 20261212)
 # Runs in which primaries and coordinators are back before a promotion takes effect.
 FAST_RESTART_SEEDS = range(20261205, 20261209)
+# Runs with accounts and callers that leave, with more callers, so that they compete.
+ACCOUNT_SEEDS = range(20261204, 20261207)
+ACCOUNT_CALLERS = 30
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -72,6 +76,16 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(audit.answered, 300)
 
+    def test_audit_finds_no_violation_with_accounts_and_leaving_callers(self) -> None:
+        for seed in ACCOUNT_SEEDS:
+            for proxies, connections in ((4, 18), (7, 12)):
+                with self.subTest(seed=seed, proxies=proxies):
+                    run = AccountFaultRun(seed, proxies, ACCOUNT_CALLERS, connections)
+                    audit = run.run()
+                    self.assertGreater(run.dropped, 10)
+                    self.assertEqual([], audit.violations[:5])
+                    self.assertGreater(audit.answered, 300)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
