--- a/orioleplank/gateway/_wait_queue.py
+++ b/orioleplank/gateway/_wait_queue.py
@@ -92,13 +92,13 @@
         if not self._length:
             return 0
         new = self._build_waiter(request, Deferred())
-        lane = list(self._lanes.get(new.account, ()))
-        index = bisect(lane, new)
-        lane.insert(index, new)
+        lane = self._lanes.get(new.account, [])
         use = self._account_use()
-        if len(lane) > self._length and not use.transaction_share.is_limiting:
-            return index
-        ordered = order_by_service({**self._lanes, new.account: lane}, use)
+        if len(lane) == self._length and not use.transaction_share.is_limiting:
+            return bisect(lane, new)
+        longer_lane = list(lane)
+        insort(longer_lane, new)
+        ordered = order_by_service({**self._lanes, new.account: longer_lane}, use)
         return next(ahead for ahead, (waiter, _) in enumerate(ordered) if waiter is new)
 
     def enqueue(self, request: ConnectionRequest) -> Deferred[PooledConnection]:
