--- a/orioleplank/decision/admission/_service_order.py
+++ b/orioleplank/decision/admission/_service_order.py
@@ -111,9 +111,52 @@
         for requests in lanes.values():
             yield from ((request, True) for request in requests)
         return
+    if not use.transaction_share.is_limiting:
+        yield from _merge_unlimited(lanes, use.connections)
+        return
     yield from _merge_lanes([_Lane(account, requests, use) for account, requests in lanes.items()])
 
 
+def _merge_unlimited(
+    lanes: Mapping[str, Sequence[QueuedT]], connections: Mapping[str, int]
+) -> Iterator[tuple[QueuedT, bool]]:
+    """Merge lanes as `_merge_lanes` does, without a limit for transactions.
+
+    It is separate because it runs for each connection that becomes free.
+    """
+    heads = [
+        (
+            requests[0].priority,
+            requests[0].account_priority,
+            connections.get(account, 0),
+            requests[0].deadline_bucket,
+            requests[0].arrival_number,
+            0,
+            requests,
+        )
+        for account, requests in lanes.items()
+    ]
+    heapify(heads)
+    while heads:
+        _, _, used, _, _, index, requests = heads[0]
+        yield requests[index], True
+        index += 1
+        if index == len(requests):
+            heappop(heads)
+            continue
+        following = requests[index]
+        head = (
+            following.priority,
+            following.account_priority,
+            used + 1,
+            following.deadline_bucket,
+            following.arrival_number,
+            index,
+            requests,
+        )
+        heapreplace(heads, head)
+
+
 def _merge_lanes(lanes: Collection[_Lane[QueuedT]]) -> Iterator[tuple[QueuedT, bool]]:
     heads: list[tuple[_ServiceKey, _Lane[QueuedT], QueuedT]] = []
     for lane in lanes:
--- a/orioleplank/decision/admission/_transaction_share.py
+++ b/orioleplank/decision/admission/_transaction_share.py
@@ -44,13 +44,13 @@
 
 
 def share_transactions(
-    transactions: Mapping[str, int], connection_limit: int, using_accounts: int
+    transactions: Mapping[str, int], connection_limit: int, is_shared: bool
 ) -> TransactionShare:
     """Return the limit for the transactions of each account.
 
-    `using_accounts` is the number of accounts that use the instance, wait for it, or have used it
+    `is_shared` is true if more than one account uses the instance, waits for it, or has used it
     within `RECENT_USE_S`.
     """
-    if using_accounts < 2:
+    if not is_shared:
         return NO_TRANSACTION_SHARE
     return TransactionShare(transactions, max(1, int(connection_limit * TRANSACTION_SHARE)))
--- a/orioleplank/decision/admission/tests/test_transaction_share.py
+++ b/orioleplank/decision/admission/tests/test_transaction_share.py
@@ -15,17 +15,17 @@
 class TestShare(testtools.TestCase):
     def test_one_account_may_hold_all_connections(self) -> None:
         """Guards deployments without accounts against any limit."""
-        self.assertIsNone(share_transactions({"": 9}, 9, 1).allowance(""))
+        self.assertIsNone(share_transactions({"": 9}, 9, False).allowance(""))
 
     def test_account_may_hold_half_beside_others(self) -> None:
-        share = share_transactions({"a": 3}, 9, 2)
+        share = share_transactions({"a": 3}, 9, True)
         self.assertEqual((1, 4), (share.allowance("a"), share.allowance("b")))
 
     def test_account_above_its_half_may_begin_none(self) -> None:
-        self.assertEqual(0, share_transactions({"a": 9}, 9, 2).allowance("a"))
+        self.assertEqual(0, share_transactions({"a": 9}, 9, True).allowance("a"))
 
     def test_every_account_may_hold_one(self) -> None:
-        self.assertEqual(1, share_transactions({}, 1, 2).allowance("a"))
+        self.assertEqual(1, share_transactions({}, 1, True).allowance("a"))
 
 
 class TestIdleTransactions(testtools.TestCase):
@@ -37,7 +37,7 @@
         single = [QueuedRequest(1, 0, 0, 120 + number, "idle", False) for number in range(5)]
         others = [QueuedRequest(1, 0, 0, 130 + number, f"o{number}", False) for number in range(9)]
         lanes = {"idle": idle + single} | {other.account: [other] for other in others}
-        use = AccountUse({"idle": in_use}, share_transactions({"idle": in_use}, 26, 10))
+        use = AccountUse({"idle": in_use}, share_transactions({"idle": in_use}, 26, True))
         return [
             (request.account, request.is_transaction, may_be_served)
             for request, may_be_served in order_by_service(lanes, use)
--- a/orioleplank/gateway/_account_use.py
+++ b/orioleplank/gateway/_account_use.py
@@ -28,15 +28,16 @@
         self._shares_transactions = mechanisms.is_on(Mechanism.TRANSACTION_SHARE)
         self._connections: Counter[str] = Counter()
         self._transactions: Counter[str] = Counter()
-        # When each account last began or ended a use, in seconds.
+        # When each account last began or ended a use, in seconds; the oldest first.
         self._last_used_at: dict[str, float] = {}
 
     def begin(self, request: ConnectionRequest) -> ConnectionUse:
         """Count a connection as used by the account of a request."""
         if not request.is_probe:
             self._connections[request.account.name] += 1
-            self._transactions[request.account.name] += request.is_transaction
-            self._last_used_at[request.account.name] = self._now()
+            if request.is_transaction:
+                self._transactions[request.account.name] += 1
+            self._record_use(request.account.name)
         return ConnectionUse(self._now(), request)
 
     def end(self, use: ConnectionUse) -> None:
@@ -45,23 +46,37 @@
         if request.is_probe:
             return
         self._connections[request.account.name] -= 1
-        self._transactions[request.account.name] -= request.is_transaction
-        self._last_used_at[request.account.name] = self._now()
+        if request.is_transaction:
+            self._transactions[request.account.name] -= 1
+        self._record_use(request.account.name)
 
     def summarize(self, connection_limit: int, waiting: Collection[str]) -> AccountUse:
         """Return what the accounts have now; `waiting` are the accounts that have waiters."""
-        if not self._shares_transactions or len(self._last_used_at.keys() | waiting) < 2:
+        if not self._shares_transactions or not self._have_several_users(waiting):
             return AccountUse(self._connections)
-        using_accounts = self._count_using(waiting)
-        share = share_transactions(self._transactions, connection_limit, using_accounts)
+        share = share_transactions(self._transactions, connection_limit, is_shared=True)
         return AccountUse(self._connections, share)
 
-    def _count_using(self, waiting: Collection[str]) -> int:
-        """Return how many accounts use the instance or wait for it; forget all others."""
+    def _have_several_users(self, waiting: Collection[str]) -> bool:
+        """Return whether more than one account uses the instance or waits for it."""
+        if len(waiting) > 1:
+            return True
         used_since = self._now() - RECENT_USE_S
-        self._last_used_at = {
-            account: used_at
-            for account, used_at in self._last_used_at.items()
-            if self._connections[account] or used_at >= used_since
-        }
-        return len(self._last_used_at.keys() | waiting)
+        users = set(waiting)
+        for account in reversed(self._last_used_at):
+            if self._last_used_at[account] >= used_since or self._connections[account]:
+                users.add(account)
+            if len(users) > 1:
+                return True
+        return False
+
+    def _record_use(self, account: str) -> None:
+        """Record a use now, and forget the account that was used least recently once it is gone."""
+        self._last_used_at.pop(account, None)
+        self._last_used_at[account] = self._now()
+        oldest = next(iter(self._last_used_at))
+        is_recent = self._last_used_at[oldest] >= self._now() - RECENT_USE_S
+        if is_recent or self._connections[oldest]:
+            return
+        for counts in (self._last_used_at, self._connections, self._transactions):
+            counts.pop(oldest, None)
--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -200,9 +200,6 @@
         self._may_hold_back = self._may_hold_back or share.is_limiting
         return share.allowance(account) == 0
 
-    def _has_idle(self, request: ConnectionRequest) -> bool:
-        return any(request.may_use(connection.link.account) for connection in self._idle)
-
     def _queue_load(self, request: ConnectionRequest) -> QueueLoad:
         """Return the load of the queue for a new request."""
         waiters_ahead = self._waiters.count_ahead(request)
@@ -217,19 +214,24 @@
 
         At the limit an idle connection is closed instead, since no waiter can use it.
         """
-        if not len(self._waiters) or not self._has_room:
-            return
+        while len(self._waiters) and self._has_room and self._open_next():
+            pass
+
+    def _open_next(self) -> bool:
+        """Open a connection for the first waiter for which none is being opened."""
         covered = Counter(self._opening)
-        for request in list(self._waiters.servable_requests):
+        for waiter in self._waiters.servable:
             if not self._may_open:
-                return
-            account = request.account.name
+                return False
+            account = waiter.request.account.name
             if covered[account] > 0:
                 covered[account] -= 1
             elif self._make_room():
                 self._open_connection(account)
+                return True
             else:
-                return
+                return False
+        return False
 
     @property
     def _may_open(self) -> bool:
@@ -293,7 +295,7 @@
             self._waiters.fail_all(failure.value)
 
     def _serve_waiters(self) -> None:
-        while self._idle and self._serve_next():
+        while self._idle and len(self._waiters) and self._serve_next():
             pass
         self._waiters.refuse_expiring(
             self.entry.id, self._connection_limit(self.entry), self._mean_hold_time
@@ -308,12 +310,15 @@
         waiters of other accounts would otherwise get all connections that become free.
         """
         covered = Counter(self._opening)
-        for request in self._waiters.servable_requests:
-            if self._has_idle(request):
-                return self._serve_first_servable()
+        for waiter in self._waiters.servable:
+            connection = self._take_idle(waiter.request)
+            if connection is not None:
+                self._waiters.remove(waiter)
+                waiter.result.callback(connection)
+                return True
             if not self._is_fair or not self._may_open:
                 continue
-            account = request.account.name
+            account = waiter.request.account.name
             if covered[account] > 0:
                 covered[account] -= 1
             elif self._make_room():
@@ -321,16 +326,6 @@
                 return True
         return False
 
-    def _serve_first_servable(self) -> bool:
-        """Give an idle connection to the first waiter that can use one."""
-        waiter = self._waiters.pop_first(self._has_idle)
-        if waiter is None:
-            return False
-        connection = self._take_idle(waiter.request)
-        assert connection is not None
-        waiter.result.callback(connection)
-        return True
-
     @property
     def _is_shared(self) -> bool:
         """True while several accounts use the instance and each has its share of transactions."""
--- a/orioleplank/gateway/_wait_queue.py
+++ b/orioleplank/gateway/_wait_queue.py
@@ -83,9 +83,12 @@
         return self._lanes.keys()
 
     @property
-    def servable_requests(self) -> Iterator[ConnectionRequest]:
-        """The waiting requests that may be served now, in the order of service."""
-        return (waiter.request for waiter, may_be_served in self._in_order() if may_be_served)
+    def servable(self) -> Iterator[Waiter]:
+        """The waiters that may be served now, in the order of service.
+
+        The queue must not be changed before the last one that is needed.
+        """
+        return (waiter for waiter, may_be_served in self._in_order() if may_be_served)
 
     def count_ahead(self, request: ConnectionRequest) -> int:
         """Return how many waiters are served before a new request."""
@@ -106,7 +109,7 @@
 
         def remove_waiter(_: object) -> None:
             if waiter in self._lanes.get(waiter.account, ()):
-                self._remove(waiter)
+                self.remove(waiter)
 
         result: Deferred[PooledConnection] = Deferred(remove_waiter)
         waiter = self._build_waiter(request, result)
@@ -115,13 +118,12 @@
         self._length += 1
         return result
 
-    def pop_first(self, may_serve: Callable[[ConnectionRequest], bool]) -> Waiter | None:
+    def pop_first(self) -> Waiter | None:
         """Remove and return the next waiter that may be served now; None when there is none."""
-        for waiter, may_be_served in self._in_order():
-            if may_be_served and may_serve(waiter.request):
-                self._remove(waiter)
-                return waiter
-        return None
+        waiter = next(self.servable, None)
+        if waiter is not None:
+            self.remove(waiter)
+        return waiter
 
     def fail_all(self, error: BaseException) -> None:
         """Remove all waiters and fail their results with `error`."""
@@ -150,7 +152,7 @@
         load = QueueLoad(len(ordered), connection_count, mean_hold_time)
         expiring = [ordered[index] for index in find_expiring_waiters(remaining_times, load)]
         for waiter in expiring:
-            self._remove(waiter)
+            self.remove(waiter)
         for waiter in expiring:
             waiter.result.errback(QueueTooLongError(instance, load.expected_wait))
 
@@ -158,7 +160,8 @@
         """Return the waiters in the order of service, each with whether it may be served now."""
         return order_by_service(self._lanes, self._account_use()) if self._length else iter(())
 
-    def _remove(self, waiter: Waiter) -> None:
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a waiter without a result."""
         lane = self._lanes[waiter.account]
         del lane[bisect_left(lane, waiter)]
         self._length -= 1
--- a/orioleplank/gateway/tests/test_wait_queue.py
+++ b/orioleplank/gateway/tests/test_wait_queue.py
@@ -36,7 +36,7 @@
         return result
 
     def _pop_names(self) -> list[str]:
-        waiters = [self.queue.pop_first(lambda _: True) for _ in range(len(self.queue))]
+        waiters = [self.queue.pop_first() for _ in range(len(self.queue))]
         return [waiter.request.values["name"] for waiter in waiters if waiter is not None]
 
     def test_higher_priority_is_served_first(self) -> None:
--- a/orioleplank/tests/_account_faults.py
+++ b/orioleplank/tests/_account_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from orioleplank.decision.accounts import AccountTable, ClientAccount
+from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
 from orioleplank.tests._audited_run import AuditedCaller
 from orioleplank.tests._gateway_cluster import GatewayNode, SimulatedCaller
 from orioleplank.tests._random_faults import FAULTS_S, START_S, RandomFaultRun
@@ -23,8 +24,15 @@
 class AccountFaultRun(RandomFaultRun):
     """A run in which most callers have the same account, and callers leave at any time."""
 
-    def __init__(self, seed: int, proxies: int, callers: int, connection_limit: int) -> None:
-        super().__init__(seed, proxies, callers, connection_limit)
+    def __init__(
+        self,
+        seed: int,
+        proxies: int,
+        callers: int,
+        connection_limit: int,
+        mechanisms: MechanismSwitches = ALL_ON,
+    ) -> None:
+        super().__init__(seed, proxies, callers, connection_limit, mechanisms)
         self.cluster.change_accounts(AccountTable({a.name: a for a in ACCOUNTS}))
 
     @property
