--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -288,6 +288,7 @@
                 self.cluster_state.close_unused_connections()
                 self.cluster_state.serve_waiters()
                 self._limit_reports.update()
+                self.cluster_state.serve_held_back_transactions()
                 if self._platform_watcher.is_store_unreachable:
                     self._view_subscriber.fetch_from_any_peer()
                 idle_limit_s = self.cluster_state.routes.transaction_idle
--- a/orioleplank/gateway/_instance_executor.py
+++ b/orioleplank/gateway/_instance_executor.py
@@ -12,6 +12,7 @@
 
 from orioleplank._exceptions import OrioleplankError
 from orioleplank.decision.accounts import ClientAccount
+from orioleplank.decision.admission import StatementResult
 from orioleplank.decision.instances import Route
 from orioleplank.decision.session import (
     ExecutableStatement,
@@ -22,10 +23,12 @@
     TransactionState,
     plan_connection_setup,
 )
+from orioleplank.gateway._cancellation import NO_CANCELLATION, Cancellation
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._connection_request import ConnectionRequest
 from orioleplank.gateway._interfaces import (
+    CallerLeftError,
     InstanceRefusedError,
     InstanceUnreachableError,
     RequestOptions,
@@ -68,6 +71,8 @@
     received_at: float
     # When the route's timeout expires, in seconds of the monotonic clock.
     deadline: float
+    # Tells that the caller has left.
+    cancellation: Cancellation = NO_CANCELLATION
 
 
 class InstanceExecutor:
@@ -88,7 +93,12 @@
         self.progress = ReplicaProgress(cluster_state, reactor)
 
     def remaining_time(self, request: Request) -> float:
-        """Return the seconds until the deadline of a request, or until all work has to end."""
+        """Return the seconds until the deadline of a request, or until all work has to end.
+
+        0 once its caller has left, so that nothing is sent or retried for it.
+        """
+        if request.cancellation.is_cancelled:
+            return 0.0
         shutdown, deadline = self.cluster_state.shutdown, request.deadline
         if shutdown is not None:
             deadline = min(deadline, shutdown.work_ends_at)
@@ -99,17 +109,23 @@
         return await deferred.addTimeout(max(0.001, seconds), self.reactor)
 
     async def acquire(
-        self, pool: InstancePool, request: Request, seconds: float
+        self, pool: InstancePool, request: Request, seconds: float, is_transaction: bool = False
     ) -> PooledConnection:
-        """Acquire a connection within `seconds`; raise one of `NOT_SENT_ERRORS` on failure."""
+        """Acquire a connection within `seconds`; raise one of `NOT_SENT_ERRORS` on failure.
+
+        The wait ends with `CancelledError` when the caller leaves.
+        """
         connection_request = ConnectionRequest(
             self.remaining_time(request),
             request.account,
             request.route.priority,
             request.session.values,
             request.session_id,
+            is_transaction=is_transaction,
         )
-        return await self.with_timeout(pool.acquire(connection_request), seconds)
+        acquisition = pool.acquire(connection_request)
+        with request.cancellation.calling(acquisition.cancel):
+            return await self.with_timeout(acquisition, seconds)
 
     async def prepare_connection(
         self,
@@ -165,6 +181,9 @@
         pool.statements.start(connection)
         try:
             reply = await self.with_timeout(pending_reply, seconds)
+        except CallerLeftError:
+            pool.statements.end(connection, StatementResult.NO_SAMPLE)
+            raise
         except NO_REPLY_ERRORS as error:
             pool.statements.end(connection, judge_error(error))
             pool.record_failure()
--- a/orioleplank/gateway/_owner_loads.py
+++ b/orioleplank/gateway/_owner_loads.py
@@ -27,7 +27,7 @@
         return None
     limit = pool.statements.limit or pool.statements.connections
     wait_ms = round(pool.expected_wait * 1000)
-    return (pool.waiting, len(pool.statements), limit, wait_ms)
+    return (pool.servable_waiting, len(pool.statements), limit, wait_ms)
 
 
 class OwnerLoads:
--- a/orioleplank/gateway/_read_placement.py
+++ b/orioleplank/gateway/_read_placement.py
@@ -25,8 +25,9 @@
 from orioleplank.gateway._avoided_instances import AvoidedInstances
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._instance_executor import InstanceExecutor, Request
+from orioleplank.gateway._instance_health import INITIAL_LATENCY_S
 from orioleplank.gateway._outcome import Outcome, Refused
-from orioleplank.gateway._pool import INITIAL_LATENCY_S, InstancePool
+from orioleplank.gateway._pool import InstancePool
 
 # Limits of what a refusal says about the candidates: entries, and characters of each. A service has
 # three instances; the limits hold where one has many.
--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -196,6 +196,7 @@
             "configuration-changes": self.cluster.change_routes,
             "odd-entry-written": self._write_odd_entry,
             "proxy-asked-twice": self._terminate_twice,
+            "callers-leave": self._abort_sessions,
         }
 
     def _write_odd_entry(self) -> None:
@@ -368,5 +369,11 @@
         member.slowness = 2.0 + 18.0 * self.random.random()
         self._call_later(6.0, partial(setattr, member, "slowness", 1.0))
 
+    def _abort_sessions(self) -> None:
+        """Abort a third of the sessions, most of them within a request."""
+        for caller in self.random.sample(self.callers, len(self.callers) // 3):
+            if caller.session is not None:
+                caller.session.abort_session()
+
     def _call_later(self, seconds: float, call: Callable[[], object]) -> None:
         self.cluster.simulator.call_later(seconds, call)
--- a/orioleplank/tests/test_gateway_random_faults.py
+++ b/orioleplank/tests/test_gateway_random_faults.py
@@ -19,6 +19,7 @@
 from orioleplank.gateway._instance_executor import Request
 from orioleplank.gateway._outcome import Outcome, refuse
 from orioleplank.gateway._pool import InstancePool
+from orioleplank.tests._account_faults import AccountFaultRun
 from orioleplank.tests._lag_faults import LongLagRun
 from orioleplank.tests._random_faults import RandomFaultRun
 from orioleplank.tests._rate_limited_run import RateLimitedRun
@@ -47,6 +48,9 @@
 # Runs in which all callers belong to an account that sends some eight times its limit.
 RATE_LIMIT_SEEDS = range(20261204, 20261207)
 RATE_LIMIT = RateLimit(20.0, 10.0)
+# Runs with accounts and callers that leave, with more callers, so that they compete.
+FAIRNESS_SEEDS = range(20261204, 20261207)
+FAIRNESS_CALLERS = 30
 
 
 class TestRandomFaults(testtools.TestCase):
@@ -134,6 +138,16 @@
                 self.assertEqual([], audit.violations[:5])
                 self.assertGreater(len(run.operations), 500)
 
+    def test_audit_finds_no_violation_with_accounts_and_leaving_callers(self) -> None:
+        for seed in FAIRNESS_SEEDS:
+            for proxies, connections in ((4, 18), (7, 12)):
+                with self.subTest(seed=seed, proxies=proxies):
+                    run = AccountFaultRun(seed, proxies, FAIRNESS_CALLERS, connections)
+                    audit = run.run()
+                    self.assertGreater(run.dropped, 10)
+                    self.assertEqual([], audit.violations[:5])
+                    self.assertGreater(audit.answered, 300)
+
 
 class TestAuditFindsViolations(testtools.TestCase):
     """With a mechanism disabled, the audit must find violations.
