Limits on what callers, peers and instances can make a proxy keep

Cause: bytes that are read and not handled, values and names of sessions, unread answers and unused connections had no limit; the lines of a received piece were all handled at once.

Change: CallerLimits (decision/intake) with defaults from the machine's memory and descriptors; HeldBytes closes the connections that hold the most once the process is over its budget; ConnectionTable replaces unused connections by new ones; find_excess refuses values and statements of a session. Channels, tunnels, HTTP ports and replies of instances are limited too. Counter orioleplank_limits by side and reason; event 1402.

--- /dev/null
+++ b/orioleplank/decision/intake/__init__.py
@@ -0,0 +1,32 @@
+"""Limits on what callers, peers and instances can make the process keep, and whom they hit.
+
+Addresses clients that are not under control: many at once that send a lot, send or read slowly,
+or stop half-way.
+"""
+
+from orioleplank.decision.intake._connection_table import (
+    Accepted,
+    ConnectionTable,
+    Refused,
+    Replaces,
+)
+from orioleplank.decision.intake._held_bytes import HeldBytes
+from orioleplank.decision.intake._limits import CallerLimits, derive_limits
+from orioleplank.decision.intake._session_limits import (
+    SessionSize,
+    find_excess,
+    measure_session,
+)
+
+__all__ = [
+    "Accepted",
+    "CallerLimits",
+    "ConnectionTable",
+    "HeldBytes",
+    "Refused",
+    "Replaces",
+    "SessionSize",
+    "derive_limits",
+    "find_excess",
+    "measure_session",
+]
--- a/orioleplank/gateway/__init__.py
+++ b/orioleplank/gateway/__init__.py
@@ -7,6 +7,14 @@
 from orioleplank.gateway._clock import seconds_since_boot
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._gateway import Gateway, GatewayDependencies, build_kernel
+from orioleplank.gateway._intake import (
+    Holder,
+    Intake,
+    LimitReason,
+    LimitSide,
+    PortGuard,
+    count_unsent_bytes,
+)
 from orioleplank.gateway._interfaces import (
     CallerLink,
     CallerSession,
@@ -46,13 +54,18 @@
     "Gateway",
     "GatewayDependencies",
     "GatewaySettings",
+    "Holder",
     "HttpViewFetcher",
     "InstanceLink",
     "InstanceRefusedError",
     "InstanceUnreachableError",
+    "Intake",
+    "LimitReason",
+    "LimitSide",
     "Listing",
     "Metrics",
     "ObjectCollection",
+    "PortGuard",
     "PromotionService",
     "RecordCollection",
     "RemovedObject",
@@ -68,5 +81,6 @@
     "ViewUnavailableError",
     "WatchHistoryExpiredError",
     "build_kernel",
+    "count_unsent_bytes",
     "seconds_since_boot",
 ]
--- a/orioleplank/gateway/_channels.py
+++ b/orioleplank/gateway/_channels.py
@@ -14,6 +14,13 @@
 from orioleplank._exceptions import OrioleplankError
 from orioleplank._socket_options import set_tcp_timeouts
 from orioleplank.gateway._frames import MAX_FRAME_BYTES
+from orioleplank.gateway._intake import (
+    Intake,
+    LimitReason,
+    LimitSide,
+    PortGuard,
+    count_unsent_bytes,
+)
 
 # Offset of the port for channels from the port for peers.
 CHANNEL_PORT_OFFSET = 3
@@ -60,8 +67,12 @@
 
     MAX_LENGTH = MAX_FRAME_BYTES
 
-    def __init__(self, handler: FrameHandler | None = None) -> None:
+    def __init__(self, handler: FrameHandler | None = None, intake: Intake | None = None) -> None:
         self.handler = handler
+        # None on the side that opened the channel; it chose the other end itself.
+        self._intake = intake
+        # Guard of the port at which the channel was accepted.
+        self.guard: PortGuard | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disable send delays, and set TCP timeouts that detect an unresponsive peer."""
@@ -69,8 +80,15 @@
         transport.setTcpNoDelay(True)
         set_tcp_timeouts(transport.getHandle())
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Receive a part of a frame or several frames."""
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+        self._record()
+
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Pass a frame to the handler."""
+        if self.guard is not None:
+            self.guard.mark_used(self)
         if self.handler is not None:
             self.handler.handle_frame(string)
 
@@ -80,6 +98,10 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Inform the handler."""
+        if self._intake is not None:
+            self._intake.forget(self)
+        if self.guard is not None:
+            self.guard.remove(self)
         handler, self.handler = self.handler, None
         if handler is not None:
             handler.handle_channel_closed()
@@ -88,6 +110,7 @@
         """Send a frame; it may be lost if the channel breaks."""
         if self.transport is not None:
             self.sendString(frame)  # type: ignore[no-untyped-call]
+            self._record()
 
     def close(self) -> None:
         """Close the channel; frames that are still being sent may be lost."""
@@ -95,6 +118,30 @@
         if transport is not None:
             transport.abortConnection()
 
+    def count_held_bytes(self) -> int:
+        """Return the bytes of an unfinished frame, and those that the peer has not read."""
+        return len(self.recvd) + count_unsent_bytes(self.transport)
+
+    def close_for_budget(self) -> None:
+        """Close the channel, because the process holds too much and most of it here."""
+        self._close_for_limit(LimitReason.PROCESS)
+
+    def close_for_room(self) -> None:
+        """Close the channel, because another one takes its place."""
+        self.close()
+
+    def _record(self) -> None:
+        if self._intake is None:
+            return
+        if count_unsent_bytes(self.transport) > self._intake.limits.unread_bytes:
+            self._close_for_limit(LimitReason.UNREAD)
+        self._intake.record(self)
+
+    def _close_for_limit(self, reason: LimitReason) -> None:
+        if self._intake is not None:
+            self._intake.report(LimitSide.CHANNEL, reason, bytes=self.count_held_bytes())
+        self.close()
+
 
 class TcpChannelDialer:
     """Opens channels over TCP; implements `ChannelDialer`."""
@@ -122,11 +169,16 @@
 
     noisy = False
 
-    def __init__(self, accept: Callable[[Channel], FrameHandler]) -> None:
+    def __init__(self, accept: Callable[[Channel], FrameHandler], intake: Intake) -> None:
         self._accept = accept
-
-    def buildProtocol(self, addr: IAddress | None) -> ChannelProtocol:  # noqa: N802
-        """Return the protocol of an incoming channel."""
-        protocol = ChannelProtocol()
+        self._intake = intake
+        self._guard = intake.build_peer_guard(LimitSide.CHANNEL)
+
+    def buildProtocol(self, addr: IAddress | None) -> ChannelProtocol | None:  # noqa: N802
+        """Return the protocol of an incoming channel; None if there are too many."""
+        protocol = ChannelProtocol(intake=self._intake)
+        protocol.guard = self._guard
+        if not self._guard.may_serve(protocol):
+            return None
         protocol.handler = self._accept(protocol)
         return protocol
--- a/orioleplank/gateway/_event_log.py
+++ b/orioleplank/gateway/_event_log.py
@@ -36,6 +36,7 @@
     MOVE = 1303
     REQUEST = 1400
     LEFT_OUT = 1401
+    LIMIT = 1402
     STORE = 1500
     FLEET = 1501
     UNREADABLE = 1502
@@ -122,6 +123,13 @@
 
     def log_request(self, **fields: object) -> None:
         """Log a request, unless the limit of lines for the current second is reached."""
+        self._log_bounded(EventType.REQUEST, **fields)
+
+    def log_limit(self, **fields: object) -> None:
+        """Log a met limit of the intake, within the same limit of lines."""
+        self._log_bounded(EventType.LIMIT, **fields)
+
+    def _log_bounded(self, event_type: EventType, **fields: object) -> None:
         second = int(self._now())
         if second != self._current_second:
             self._report_suppressed()
@@ -130,7 +138,7 @@
         if self._lines_this_second > REQUEST_LINES_PER_S:
             self._suppressed += 1
             return
-        self.log_event(EventType.REQUEST, **fields)
+        self.log_event(event_type, **fields)
 
     def _report_suppressed(self) -> None:
         suppressed, self._suppressed = self._suppressed, 0
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from orioleplank.gateway._forwarding_server import ForwardingServer
 from orioleplank.gateway._instance_connector import InstanceConnector
 from orioleplank.gateway._instance_prober import InstanceProber
+from orioleplank.gateway._intake import Intake, LimitSide
 from orioleplank.gateway._interfaces import Dialer, PromotionService, Store
 from orioleplank.gateway._lease_release import LeaseReleaseCoordinator
 from orioleplank.gateway._loopback_channel import LoopbackChannelDialer
@@ -77,6 +78,7 @@
         metrics: Metrics,
         lease_clock: Callable[[], float] = seconds_since_boot,
         random: Random | None = None,
+        intake: Intake | None = None,
     ) -> None:
         super().__init__("gateway")
         self._reactor = reactor
@@ -90,6 +92,9 @@
         # Closes the listening port for callers; called once during shutdown, after work has ended.
         self.stop_accepting: Callable[[], object] = lambda: None
         self.metrics = metrics
+        self.intake = intake or Intake(
+            settings.caller_limits, metrics.limits.increment, event_log.log_limit
+        )
         own_record = ProxyRecord(
             settings.name,
             f"{settings.name}-{uuid.uuid4().hex[:12]}",
@@ -172,7 +177,9 @@
         forwarding.loopback_channel = OwnerChannel(
             settings.peer_address, loopback_dialer, reactor.seconds
         )
-        self.sessions = SessionTable(self.cluster_state, statements, event_log, self.metrics)
+        self.sessions = SessionTable(
+            self.cluster_state, statements, event_log, self.metrics, self.intake
+        )
         self._shutdown = GracefulShutdown(
             reactor, self.cluster_state, self.sessions, self.forwarding_server
         )
@@ -214,13 +221,20 @@
         host, _, port = self._settings.peer_address.rpartition(":")
         self._reactor.listenUDP(int(port), socket, interface=host)
         views = self._view_publisher.build_site(self._reactor)
+        views.guard = self.intake.build_peer_guard(LimitSide.HTTP)
         self._reactor.listenTCP(int(port), views, interface=host)
-        tunnels = TunnelFactory(self._reactor, self._find_address)
+        tunnels = TunnelFactory(
+            self._reactor,
+            self._find_address,
+            self.intake.build_peer_guard(LimitSide.TUNNEL),
+        )
         self._reactor.listenTCP(int(port) + TUNNEL_PORT_OFFSET, tunnels, interface=host)
-        channels = ChannelFactory(self.forwarding_server.accept)
+        channels = ChannelFactory(self.forwarding_server.accept, self.intake)
         self._reactor.listenTCP(int(port) + CHANNEL_PORT_OFFSET, channels, interface=host)
         host, _, port = self._settings.metrics_address.rpartition(":")
-        self._reactor.listenTCP(int(port), self.metrics.build_site(self._reactor), interface=host)
+        metrics = self.metrics.build_site(self._reactor)
+        metrics.guard = self.intake.build_peer_guard(LimitSide.HTTP)
+        self._reactor.listenTCP(int(port), metrics, interface=host)
         for component in (
             self._prober,
             self._lease_releases,
--- a/orioleplank/gateway/_interfaces.py
+++ b/orioleplank/gateway/_interfaces.py
@@ -238,6 +238,10 @@
     def should_pause_reading(self) -> bool:
         """True while too many requests are queued for more to be read."""
 
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of the values and prepared statements that the session keeps."""
+
     def submit_request(self, request_id: str, statement: Statement) -> None:
         """Submit a statement under a request id; the reply is sent on the session's link."""
 
--- a/orioleplank/gateway/_metrics.py
+++ b/orioleplank/gateway/_metrics.py
@@ -83,10 +83,16 @@
             ("service", "instance"),
         )
 
+        self.limits = Counter(
+            "orioleplank_limits",
+            "Limits met by callers, peers and instances.",
+            ("side", "reason"),
+        )
+
     @property
     def counters(self) -> tuple[Counter, ...]:
         """All counters."""
-        return (self.statements, self.events, self.store_calls, self.served_by)
+        return (self.statements, self.events, self.store_calls, self.served_by, self.limits)
 
     @property
     def histograms(self) -> tuple[Histogram, ...]:
--- a/orioleplank/gateway/_session_table.py
+++ b/orioleplank/gateway/_session_table.py
@@ -10,6 +10,7 @@
 from orioleplank.decision.session import Failure, FailureCode
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
+from orioleplank.gateway._intake import Intake
 from orioleplank.gateway._interfaces import CallerLink
 from orioleplank.gateway._metrics import Metrics
 from orioleplank.gateway._sessions import (
@@ -37,6 +38,7 @@
         statements: StatementExecutor,
         event_log: EventLog,
         metrics: Metrics,
+        intake: Intake,
     ) -> None:
         self._session_numbers = count(1)
         self._tasks: set[SessionTask] = set()
@@ -49,6 +51,7 @@
             metrics,
             self._tasks.discard,
             self._handle_idle_session,
+            intake,
         )
 
     def __len__(self) -> int:
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -13,6 +13,7 @@
 
 from orioleplank.decision.accounts import ClientAccount
 from orioleplank.decision.instances import Route
+from orioleplank.decision.intake import find_excess, measure_session
 from orioleplank.decision.session import (
     Begin,
     ClosePrepared,
@@ -36,6 +37,7 @@
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
 from orioleplank.gateway._instance_executor import Request
+from orioleplank.gateway._intake import Intake, LimitReason, LimitSide
 from orioleplank.gateway._interfaces import CallerLink
 from orioleplank.gateway._metrics import Metrics
 from orioleplank.gateway._outcome import (
@@ -93,6 +95,8 @@
         self._key = key
         self._dependencies = dependencies
         self._session = Session(database)
+        # Bytes of its values and prepared statements.
+        self.kept_bytes = 0
         self._pending_requests: deque[_PendingRequest] = deque()
         # The request that is in progress.
         self._current_request: _PendingRequest | None = None
@@ -229,18 +233,33 @@
                 return self._refuse(
                     pending, refuse(FailureCode.ABORTED, "run in transaction", detail)
                 )
+            case SetValue() | Prepare() if excess := self._find_excess(pending.statement):
+                return self._refuse(pending, refuse(FailureCode.TOO_LARGE, "keep", excess))
             case SetValue(name, value):
-                self._session = self._session.set_value(name, value)
+                self._keep(self._session.set_value(name, value))
                 return Reply()
             case Prepare(name, prepared_statement):
-                self._session = self._session.prepare(name, prepared_statement)
+                self._keep(self._session.prepare(name, prepared_statement))
                 return Reply()
             case ClosePrepared(name):
-                self._session = self._session.close_prepared(name)
+                self._keep(self._session.close_prepared(name))
                 return Reply()
             case Read() | Write() | Execute() as statement:
                 return await self._run_statement(pending, statement)
 
+    def _find_excess(self, statement: Statement) -> str | None:
+        """Return which limit the session would exceed; None if it may keep what is sent."""
+        intake = self._dependencies.intake
+        excess = find_excess(self._session, statement, intake.limits)
+        if excess is not None:
+            intake.report(LimitSide.CALLER, LimitReason.SESSION, session=self.number)
+        return excess
+
+    def _keep(self, session: Session) -> None:
+        """Replace the session by one with other values or prepared statements."""
+        self._session = session
+        self.kept_bytes = measure_session(session).byte_count
+
     def _begin(self, pending: _PendingRequest, read_only: bool) -> Reply:
         if self._session.phase is not SessionPhase.IDLE:
             self._session = self._session.with_phase(SessionPhase.FAILED)
@@ -432,3 +451,4 @@
     on_disconnected: Callable[[SessionTask], None]
     # Called when a session has answered all its pending requests.
     on_idle: Callable[[SessionTask], None]
+    intake: Intake
--- a/orioleplank/gateway/_settings.py
+++ b/orioleplank/gateway/_settings.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from orioleplank.decision.intake import CallerLimits
 from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
 
 
@@ -29,3 +30,5 @@
     # Seconds for which an instance still serves after it has announced its shutdown.
     instance_drain_time: float
     mechanisms: MechanismSwitches = ALL_ON
+    # Limits on what callers, peers and instances can make the process keep.
+    caller_limits: CallerLimits = CallerLimits()
--- a/orioleplank/gateway/_tunnel.py
+++ b/orioleplank/gateway/_tunnel.py
@@ -20,6 +20,7 @@
 from twisted.python.failure import Failure
 
 from orioleplank.decision.membership import ProxyRecord
+from orioleplank.gateway._intake import PortGuard
 from orioleplank.gateway._interfaces import TunnelRoute
 
 # Offset of the port for tunnels from the port for peers.
@@ -28,6 +29,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # Largest number of tunnels that one proxy relays at the same time.
 MAX_TUNNELS = 200
+# Time within which the first line, which names the instance, has to arrive, in seconds.
+NAME_TIMEOUT_S = 5.0
 # Longest name of an instance, in bytes.
 MAX_NAME_BYTES = 200
 
@@ -79,9 +82,19 @@
         self._instance_side: _InstanceSide | None = None
         self._buffered: list[bytes] = []
         self._is_counted = False
+        self._name_timer: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Start the timeout for the first line."""
+        transport: Any = self.transport
+        self._name_timer = self._factory.reactor.callLater(
+            NAME_TIMEOUT_S, transport.abortConnection
+        )
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """Connect to the named instance; close if it is unknown or there are too many tunnels."""
+        self._stop_name_timer()
+        self._factory.guard.mark_used(self)
         self.setRawMode()  # type: ignore[no-untyped-call]
         address = self._factory.find_address(line.decode("latin-1"))
         if address is None or self._factory.tunnel_count >= MAX_TUNNELS:
@@ -89,6 +102,9 @@
             return
         self._factory.tunnel_count += 1
         self._is_counted = True
+        # What has arrived already is buffered; more is read once the instance is connected.
+        transport: Any = self.transport
+        transport.pauseProducing()
         host, _, port = address.rpartition(":")
         self._factory.reactor.connectTCP(
             host, int(port), _InstanceSideFactory(self), timeout=CONNECT_TIMEOUT_S
@@ -103,6 +119,8 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Close the tunnel."""
+        self._stop_name_timer()
+        self._factory.guard.remove(self)
         if self._is_counted:
             self._factory.tunnel_count -= 1
         if self._instance_side is not None:
@@ -121,6 +139,16 @@
         for data in self._buffered:
             instance_side.write(data)
         self._buffered.clear()
+        proxy_transport.resumeProducing()
+
+    def close_for_room(self) -> None:
+        """Close the tunnel, which has named no instance, for another one."""
+        transport: Any = self.transport
+        transport.abortConnection()
+
+    def _stop_name_timer(self) -> None:
+        if self._name_timer is not None and self._name_timer.active():
+            self._name_timer.cancel()
 
     def write(self, data: bytes) -> None:
         """Relay bytes to the other proxy."""
@@ -160,12 +188,16 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, find_address: Callable[[str], str | None]) -> None:
+    def __init__(
+        self, reactor: Any, find_address: Callable[[str], str | None], guard: PortGuard
+    ) -> None:
         self.reactor = reactor
+        self.guard = guard
         self.find_address = find_address
         # Number of tunnels that are connected or connecting to an instance.
         self.tunnel_count = 0
 
     def buildProtocol(self, addr: IAddress | None) -> Protocol | None:  # noqa: N802
-        """Return the protocol of an incoming tunnel."""
-        return _ProxySide(self)
+        """Return the protocol of an incoming tunnel; None if there are too many."""
+        proxy_side = _ProxySide(self)
+        return proxy_side if self.guard.may_serve(proxy_side) else None
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -7,8 +7,7 @@
 
 from msgspec import Struct, field
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import ClientCreator, connectionDone
-from twisted.protocols.basic import LineOnlyReceiver
+from twisted.internet.protocol import ClientCreator, Protocol, connectionDone
 from twisted.python.failure import Failure as TwistedFailure
 
 from orioleplank._exceptions import OrioleplankError
@@ -16,15 +15,26 @@
 from orioleplank.decision import Position
 from orioleplank.decision.failover import InstanceReport
 from orioleplank.decision.instances import DbRole, InstanceEntry
-from orioleplank.decision.session import ConnectionSetupStep, ExecutableStatement, Failure, Reply
+from orioleplank.decision.session import (
+    ConnectionSetupStep,
+    ExecutableStatement,
+    Failure,
+    FailureCode,
+    Reply,
+    TransactionState,
+)
 from orioleplank.gateway import (
     InstanceLink,
     InstanceRefusedError,
     InstanceUnreachableError,
+    Intake,
+    LimitReason,
+    LimitSide,
     RequestOptions,
     TunnelRoute,
 )
 from orioleplank.platform import _codec as codec
+from orioleplank.platform._line_buffer import DELIMITER, LineBuffer
 
 # Timeout for opening a connection, and for its greeting; it allows for several round trips between
 # regions.
@@ -45,23 +55,32 @@
     result: Deferred[Reply] = field(default_factory=Deferred)
     # Rows received so far.
     rows: list[str] = field(default_factory=list)
+    # Bytes of these rows.
+    row_bytes: int = 0
     # Signature of a successful execution; empty until it is received.
     signature: str = ""
     # Error reported by the instance; None until one is received.
     failure: Failure | None = None
 
 
-class InstanceProtocol(LineOnlyReceiver):
+class InstanceProtocol(Protocol):
     """Connection to one instance; implements the gateway's `InstanceLink`.
 
     Replies arrive in the order of the requests. A protocol violation closes the connection.
     """
 
-    delimiter = b"\r\n"
-    MAX_LENGTH = codec.MAX_MESSAGE_BYTES
-
-    def __init__(self, entry: InstanceEntry, prologue: bytes = b"", account: str = "") -> None:
+    def __init__(
+        self,
+        entry: InstanceEntry,
+        prologue: bytes = b"",
+        account: str = "",
+        *,
+        intake: Intake,
+    ) -> None:
         self._entry = entry
+        self._intake = intake
+        self._buffer = LineBuffer(codec.MAX_MESSAGE_BYTES)
+        self._is_closing = False
         self._account = account
         self._prologue = prologue
         self._pending_requests: deque[_PendingRequest] = deque()
@@ -128,6 +147,7 @@
 
     def close(self) -> None:
         """Abort the connection; requests without a complete reply fail."""
+        self._is_closing = True
         if self.transport is not None:
             self.transport.abortConnection()
 
@@ -143,7 +163,31 @@
         caller = self._account or PROXY_CALLER_NAME
         self._send(f"STARTUP {self._entry.service} {caller} {self._entry.id}")
 
-    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Handle received messages; bytes are dropped while the connection is being closed."""
+        if self._is_closing:
+            return
+        self._buffer.append(data)
+        while not self._is_closing:
+            if self._buffer.is_too_long:
+                self._close_for_limit(
+                    LimitReason.MESSAGE, f"a message has over {codec.MAX_MESSAGE_BYTES} bytes"
+                )
+                return
+            if not self._buffer.has_line:
+                break
+            self._handle_message(self._buffer.take_line())
+        self._intake.record(self)
+
+    def count_held_bytes(self) -> int:
+        """Return the bytes of replies that are not complete."""
+        return len(self._buffer) + sum(pending.row_bytes for pending in self._pending_requests)
+
+    def close_for_budget(self) -> None:
+        """Close the connection, because the process holds too much and most of it here."""
+        self._close_for_limit(LimitReason.PROCESS, "this proxy holds too many bytes of replies")
+
+    def _handle_message(self, line: bytes) -> None:
         """Handle one message; an unexpected one closes the connection."""
         message_type, _, rest = line.decode(codec.ENCODING).partition(" ")
         if not self._is_greeted:
@@ -155,7 +199,7 @@
         pending = self._pending_requests[0]
         match message_type:
             case "DATAROW":
-                pending.rows.append(rest)
+                self._add_row(pending, rest)
             case "COMPLETE":
                 pending.signature = rest
             case "ERROR":
@@ -166,12 +210,11 @@
             case _:
                 self.close()
 
-    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
-        """Close the connection because a message is too large."""
-        self.close()
-
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:  # noqa: N802
         """Fail the greeting or all requests without a complete reply."""
+        self._is_closing = True
+        self._buffer.clear()
+        self._intake.forget(self)
         error = InstanceUnreachableError("ask instance", self._entry.id, "the connection broke")
         if not self._is_greeted:
             self._is_greeted = True
@@ -193,7 +236,31 @@
 
     def _send(self, line: str) -> None:
         transport: Any = self.transport
-        transport.write(line.encode(codec.ENCODING) + self.delimiter)
+        transport.write(line.encode(codec.ENCODING) + DELIMITER)
+
+    def _add_row(self, pending: _PendingRequest, row: str) -> None:
+        pending.rows.append(row)
+        pending.row_bytes += len(row)
+        limit = self._intake.limits.reply_bytes
+        if pending.row_bytes > limit:
+            self._close_for_limit(LimitReason.REPLY, f"the reply has over {limit} bytes")
+
+    def _close_for_limit(self, reason: LimitReason, detail: str) -> None:
+        """Answer the request in progress with the limit that its reply met, and close.
+
+        It is no failure of the instance, which has replied, so it must not cause a failover.
+        """
+        self._intake.report(LimitSide.INSTANCE, reason, instance=self._entry.id)
+        self.close()
+        self._buffer.clear()
+        if not self._pending_requests:
+            return
+        pending = self._pending_requests.popleft()
+        pending.rows.clear()
+        text = f"program read reply: {detail}; the statement may have run"
+        failure = Failure(FailureCode.IN_DOUBT, text)
+        if not pending.result.called:
+            pending.result.callback(Reply((), "-", failure, TransactionState.FAILED))
 
     def _handle_greeting(self, message_type: str, rest: str) -> None:
         self._is_greeted = True
@@ -246,8 +313,9 @@
 class InstanceDialer:
     """Opens connections to instances; implements the gateway's `Dialer`."""
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, intake: Intake) -> None:
         self._reactor = reactor
+        self._intake = intake
 
     def dial(
         self, entry: InstanceEntry, tunnel_route: TunnelRoute | None, account: str
@@ -261,7 +329,9 @@
         address = tunnel_route.address if tunnel_route else entry.address
         host, _, port = address.rpartition(":")
         prologue = tunnel_route.prologue if tunnel_route else b""
-        creator = ClientCreator(self._reactor, InstanceProtocol, entry, prologue, account)
+        creator = ClientCreator(
+            self._reactor, InstanceProtocol, entry, prologue, account, intake=self._intake
+        )
 
         def convert_error(failure: TwistedFailure) -> TwistedFailure:
             if isinstance(failure.value, OrioleplankError):
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -18,6 +18,8 @@
     GatewayDependencies,
     GatewaySettings,
     HttpViewFetcher,
+    Intake,
+    LimitSide,
     Metrics,
     TcpChannelDialer,
     build_kernel,
@@ -62,22 +64,24 @@
     def log_restore(previous: int, era: int) -> None:
         event_log.log_event(EventType.STORE, outcome="restored", before=previous, era=era)
 
+    intake = Intake(settings.caller_limits, metrics.limits.increment, event_log.log_limit)
     client = StoreClient(reactor, settings.store_address, count_call, log_restore)
     dependencies = GatewayDependencies(
         PlatformStore(client, log_unreadable),
-        InstanceDialer(reactor),
+        InstanceDialer(reactor, intake),
         PromotionClient(reactor, settings.promotion_service_address, settings.name),
         HttpViewFetcher(reactor),
         TcpChannelDialer(reactor),
     )
-    return Gateway(reactor, settings, dependencies, event_log, metrics)
+    return Gateway(reactor, settings, dependencies, event_log, metrics, intake=intake)
 
 
 def _listen(reactor: Any, settings: GatewaySettings, gateway: Gateway) -> None:
-    callers = CallerFactory(gateway.sessions, reactor)
+    callers = CallerFactory(gateway.sessions, reactor, gateway.intake)
     port = _listen_on(reactor, settings.caller_address, callers)
     gateway.stop_accepting = port.stopListening
     readiness = build_readiness_site(reactor, lambda: gateway.is_ready)
+    readiness.guard = gateway.intake.build_peer_guard(LimitSide.HTTP)
     _listen_on(reactor, settings.readiness_address, readiness)
 
 
--- a/orioleplank/platform/_settings.py
+++ b/orioleplank/platform/_settings.py
@@ -3,21 +3,44 @@
 from __future__ import annotations
 
 import os
+import resource
 from pathlib import Path
+from types import MappingProxyType
 from typing import Annotated
 
 import msgspec
 
 from orioleplank._exceptions import SettingsError
+from orioleplank.decision.intake import CallerLimits, derive_limits
 from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
 from orioleplank.gateway import GatewaySettings
 
 # Environment variable that contains the path of the file.
 PATH_VARIABLE = "ORIOLEPLANK_SETTINGS"
 _Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+_PositiveCount = Annotated[int, msgspec.Meta(gt=0)]
 _PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
 
 
+# Names of the limits in `CallerLimits`, by their names in the file.
+_LIMIT_NAMES = MappingProxyType(
+    {
+        "processBytes": "process_bytes",
+        "connections": "connections",
+        "peerConnections": "peer_connections",
+        "aheadBytes": "ahead_bytes",
+        "aheadRequests": "ahead_requests",
+        "unreadBytes": "unread_bytes",
+        "unreadTimeoutS": "unread_timeout",
+        "messageTimeoutS": "message_timeout",
+        "sessionBytes": "session_bytes",
+        "sessionValues": "session_values",
+        "sessionStatements": "session_statements",
+        "replyBytes": "reply_bytes",
+    }
+)
+
+
 class _Listen(msgspec.Struct, frozen=True):
     front: _Address
     ready: _Address
@@ -34,6 +57,29 @@
     drainMs: _PositiveNumber = 7000.0  # noqa: N815
 
 
+class _MachineLimits(msgspec.Struct, frozen=True):
+    # Memory of the machine.
+    memoryMb: _PositiveNumber | None = None  # noqa: N815
+    # Descriptors that the process may open.
+    maxFds: _PositiveCount | None = None  # noqa: N815
+
+
+class _CallerLimits(msgspec.Struct, frozen=True):
+    # Each is described in `CallerLimits`; the default of an absent one follows from the machine.
+    processBytes: _PositiveCount | None = None  # noqa: N815
+    connections: _PositiveCount | None = None
+    peerConnections: _PositiveCount | None = None  # noqa: N815
+    aheadBytes: _PositiveCount | None = None  # noqa: N815
+    aheadRequests: _PositiveCount | None = None  # noqa: N815
+    unreadBytes: _PositiveCount | None = None  # noqa: N815
+    unreadTimeoutS: _PositiveNumber | None = None  # noqa: N815
+    messageTimeoutS: _PositiveNumber | None = None  # noqa: N815
+    sessionBytes: _PositiveCount | None = None  # noqa: N815
+    sessionValues: _PositiveCount | None = None  # noqa: N815
+    sessionStatements: _PositiveCount | None = None  # noqa: N815
+    replyBytes: _PositiveCount | None = None  # noqa: N815
+
+
 class _Boot(msgspec.Struct, frozen=True):
     nodeName: str  # noqa: N815
     ip: str
@@ -45,6 +91,8 @@
     # Promotion service.
     cloud: _Endpoint
     bounds: _Bounds = _Bounds()
+    limits: _MachineLimits = _MachineLimits()
+    callerLimits: _CallerLimits = _CallerLimits()  # noqa: N815
 
 
 def load_settings(mechanisms: MechanismSwitches = ALL_ON) -> GatewaySettings:
@@ -69,4 +117,19 @@
         shutdown_grace=boot.bounds.graceS,
         instance_drain_time=boot.bounds.drainMs / 1000,
         mechanisms=mechanisms,
+        caller_limits=_build_limits(boot),
     )
+
+
+def _build_limits(boot: _Boot) -> CallerLimits:
+    """Return the limits that follow from the machine, with those that are stated in their place."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    stated_limit = boot.limits.maxFds
+    descriptors = soft_limit if stated_limit is None else min(stated_limit, soft_limit)
+    derived = derive_limits(boot.limits.memoryMb, descriptors)
+    stated = {
+        _LIMIT_NAMES[name]: value
+        for name, value in msgspec.structs.asdict(boot.callerLimits).items()
+        if value is not None
+    }
+    return msgspec.structs.replace(derived, **stated)
--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -69,6 +69,10 @@
         """Keep a request event with its fields."""
         self.log_event(EventType.REQUEST, **fields)
 
+    def log_limit(self, **fields: object) -> None:
+        """Keep an event about a met limit."""
+        self.log_event(EventType.LIMIT, **fields)
+
     def outcomes(self, event_type: EventType) -> list[Any]:
         """Return the outcomes of the events of a type, None for those without one."""
         return [
