Requests and replies that do not fit a frame no longer end the channel; less memory held per request

Cause: a statement with the values of its session, or a reply, of over 2 MiB closed the channel between two proxies, with all other requests on it. A session kept the rows of its last reply while its next request ran; a closed connection kept its buffers until its references were collected.

Change: such a request is answered NotSent, such a reply as in doubt. The rows and buffers are released. A request over the budget is not started. A connection to an instance is reset when its prepared texts reach 256 KiB. Connections are closed until three quarters of the budget are held.

--- a/orioleplank/decision/intake/_held_bytes.py
+++ b/orioleplank/decision/intake/_held_bytes.py
@@ -8,7 +8,7 @@
 
 # Connections are closed until this share of the budget is held, so that not each further message
 # exceeds it again.
-SHARE_AFTER_CLOSING = 7 / 8
+SHARE_AFTER_CLOSING = 3 / 4
 
 
 class HeldBytes(Generic[K]):
--- a/orioleplank/decision/intake/_limits.py
+++ b/orioleplank/decision/intake/_limits.py
@@ -39,7 +39,7 @@
     # does not read.
     message_timeout: float = 60.0
     # Bytes of the values and prepared statements of one session, names included.
-    session_bytes: int = 8 * MIB
+    session_bytes: int = 4 * MIB
     # Number of values of one session.
     session_values: int = 1000
     # Number of prepared statements of one session.
--- a/orioleplank/decision/session/_connection_setup.py
+++ b/orioleplank/decision/session/_connection_setup.py
@@ -11,6 +11,8 @@
 
 # A connection is reset when it holds this many prepared statements, to bound its memory.
 MAX_PREPARED_STATEMENTS = 200
+# Also when these have this many bytes of text; 200 messages of 1 MiB would fit otherwise.
+MAX_PREPARED_BYTES = 256 * 1024
 
 
 class ResetConnection(Struct, frozen=True):
@@ -42,6 +44,8 @@
     values: Mapping[str, str] = field(default_factory=dict)
     # Names assigned by the proxy, by prepared statement.
     prepared: Mapping[PreparedStatement, str] = field(default_factory=dict)
+    # Bytes of the texts of these statements.
+    prepared_bytes: int = 0
     # True when the values on the instance are uncertain, so that the connection must be reset.
     values_uncertain: bool = False
 
@@ -53,7 +57,11 @@
             case SetConnectionValue(name, value):
                 return replace(self, values={**self.values, name: value})
             case PrepareOnConnection(name, prepared_statement):
-                return replace(self, prepared={**self.prepared, prepared_statement: name})
+                return replace(
+                    self,
+                    prepared={**self.prepared, prepared_statement: name},
+                    prepared_bytes=self.prepared_bytes + len(prepared_statement.text),
+                )
 
     def invalidate_values(self) -> ConnectionState:
         """Return the state after an operation that may have changed the values."""
@@ -86,4 +94,6 @@
 def _needs_reset(state: ConnectionState, values: Mapping[str, str]) -> bool:
     if state.values_uncertain or len(state.prepared) >= MAX_PREPARED_STATEMENTS:
         return True
+    if state.prepared_bytes >= MAX_PREPARED_BYTES:
+        return True
     return any(name not in values for name in state.values)
--- a/orioleplank/gateway/_forwarding_server.py
+++ b/orioleplank/gateway/_forwarding_server.py
@@ -37,9 +37,9 @@
     decode_frame,
     decode_position,
     decode_statement,
-    encode_frame,
     encode_reply,
     encode_report,
+    encode_response,
 )
 from orioleplank.gateway._instance_executor import (
     NO_REPLY_ERRORS,
@@ -175,7 +175,7 @@
         self._channel.close()
 
     def _send(self, response: ResponseFrame) -> None:
-        self._channel.send(encode_frame(response))
+        self._channel.send(encode_response(response))
 
     # Statements.
 
--- a/orioleplank/gateway/_frames.py
+++ b/orioleplank/gateway/_frames.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import msgspec
+from msgspec.structs import replace
 
 from orioleplank.decision import Position
 from orioleplank.decision.failover import InstanceReport
@@ -170,6 +171,21 @@
     return _ENCODER.encode(frame)
 
 
+def encode_response(response: ResponseFrame) -> bytes:
+    """Encode a response; a reply larger than a frame is replaced by a failure that says so.
+
+    Sent as it is, it would end the channel for all other requests.
+    """
+    data = encode_frame(response)
+    if len(data) <= MAX_FRAME_BYTES or not isinstance(response, Answered):
+        return data
+    text = (
+        f"program forward: the reply has over {MAX_FRAME_BYTES} bytes; the statement may have run"
+    )
+    failure = (FailureCode.IN_DOUBT, text)
+    return encode_frame(replace(response, rows=(), signature="-", failure=failure))
+
+
 def decode_frame(data: bytes) -> RequestFrame | ResponseFrame | None:
     """Decode a frame; return None for bytes that are not a valid frame."""
     try:
--- a/orioleplank/gateway/_owner_channel.py
+++ b/orioleplank/gateway/_owner_channel.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from orioleplank.gateway._channels import Channel, ChannelDialer, ChannelLostError
 from orioleplank.gateway._frames import (
+    MAX_FRAME_BYTES,
     Answered,
     NotSent,
     Reported,
@@ -39,7 +40,7 @@
         self._now = now
         self._channel: Channel | None = None
         self._is_opening = False
-        self._unsent_frames: list[RequestFrame] = []
+        self._unsent_frames: list[bytes] = []
         self._pending_responses: dict[int, Deferred[ResponseFrame]] = {}
         # When each pending request was sent, oldest first, and when the last frame was received,
         # in seconds.
@@ -61,19 +62,29 @@
         return now - max(oldest_sent_at, self._last_received_at) >= SILENCE_TIMEOUT_S
 
     def send_request(self, frame: Any) -> Deferred[ResponseFrame]:
-        """Send a request; the response is `NotSent` or `Unanswered` if the channel fails."""
+        """Send a request; the response is `NotSent` or `Unanswered` if the channel fails.
+
+        One larger than a frame is not sent: it would end the channel for all other requests.
+        """
+        data = encode_frame(frame)
+        if len(data) > MAX_FRAME_BYTES:
+            reason = f"with the session's values it has over {MAX_FRAME_BYTES} bytes"
+            return succeed(NotSent(frame.correlation_id, reason, False))
         result: Deferred[ResponseFrame] = Deferred()
         self._pending_responses[frame.correlation_id] = result
         self._sent_at[frame.correlation_id] = self._now()
-        self.send_frame(frame)
+        self._send_data(data)
         return result
 
     def send_frame(self, frame: RequestFrame) -> None:
         """Send a frame, opening the channel first if needed."""
+        self._send_data(encode_frame(frame))
+
+    def _send_data(self, data: bytes) -> None:
         if self._channel is not None:
-            self._channel.send(encode_frame(frame))
+            self._channel.send(data)
             return
-        self._unsent_frames.append(frame)
+        self._unsent_frames.append(data)
         if not self._is_opening:
             self._is_opening = True
             self._dialer.open(self._address, self).addCallbacks(
@@ -122,8 +133,8 @@
         self._is_opening = False
         self._channel = channel
         unsent_frames, self._unsent_frames = self._unsent_frames, []
-        for frame in unsent_frames:
-            channel.send(encode_frame(frame))
+        for data in unsent_frames:
+            channel.send(data)
 
     def _handle_open_failure(self, failure: Any) -> None:
         failure.trap(ChannelLostError)
--- a/orioleplank/gateway/_sessions.py
+++ b/orioleplank/gateway/_sessions.py
@@ -205,6 +205,8 @@
                 break
             state = _TRANSACTION_STATES[self._session.phase]
             self._link.reply(replace(reply, state=state))
+            # The rows are not kept while the next request runs.
+            del reply
             if not self.should_pause_reading:
                 self._link.resume_reading()
         self._is_running = False
--- a/orioleplank/platform/_caller.py
+++ b/orioleplank/platform/_caller.py
@@ -98,6 +98,8 @@
         self._buffer.clear()
         self._intake.forget(self)
         self._intake.callers.remove(self)
+        # The transport's buffers are released at once, also while a request is in progress.
+        self.transport = None
         if self._session is not None:
             self._session.handle_disconnect()
             self._session = None
@@ -153,7 +155,8 @@
         """Return the bytes that are held for this caller."""
         kept = self._session.kept_bytes if self._session is not None else 0
         unsent = count_unsent_bytes(self.transport)
-        return len(self._buffer) + self._unanswered_bytes + kept + unsent
+        # A request in progress is held as a statement and in the buffer of its connection.
+        return len(self._buffer) + 2 * self._unanswered_bytes + kept + unsent
 
     def close_for_budget(self) -> None:
         """Close the connection, because the process holds too much and most of it here."""
@@ -215,6 +218,10 @@
         self._intake.callers.mark_used(self)
         self._unanswered.append(len(rest))
         self._unanswered_bytes += len(rest)
+        # A request that exceeds the budget of the process is not started.
+        self._intake.record(self)
+        if self._is_cut_off:
+            return
         request_id, _, text = rest.partition(" ")
         session.submit_request(request_id, codec.parse_statement(text))
 
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -215,6 +215,7 @@
         self._is_closing = True
         self._buffer.clear()
         self._intake.forget(self)
+        self.transport = None
         error = InstanceUnreachableError("ask instance", self._entry.id, "the connection broke")
         if not self._is_greeted:
             self._is_greeted = True
@@ -236,7 +237,7 @@
 
     def _send(self, line: str) -> None:
         transport: Any = self.transport
-        transport.write(line.encode(codec.ENCODING) + DELIMITER)
+        transport.writeSequence((line.encode(codec.ENCODING), DELIMITER))
 
     def _add_row(self, pending: _PendingRequest, row: str) -> None:
         pending.rows.append(row)
--- a/orioleplank/platform/_line_buffer.py
+++ b/orioleplank/platform/_line_buffer.py
@@ -43,7 +43,8 @@
 
     def take_line(self) -> bytes:
         """Remove the first line and return it without its delimiter; call only with `has_line`."""
-        line = bytes(self._data[: self._end])
+        with memoryview(self._data) as view:
+            line = view[: self._end].tobytes()
         del self._data[: self._end + len(DELIMITER)]
         self._scanned = 0
         self._find_end()
