Tests of the limits without processes

Each decision, the caller's connection (a message of exactly 1 MiB, ordinary values and names, late readers), settings, replies of instances, channels, tunnels and HTTP ports. The share of descriptors of an internal port is 1/24: with 1/16 all ports together could take 4,228 of 4,100 (found by the test).

--- a/orioleplank/decision/intake/_limits.py
+++ b/orioleplank/decision/intake/_limits.py
@@ -14,7 +14,7 @@
 MEMORY_FACTOR = 2.0
 # Share of the descriptors that connections of callers, and each internal port, may take. The rest
 # is for files, connections to instances and the instance side of tunnels.
-CALLER_SHARE, PEER_SHARE = 1 / 2, 1 / 16
+CALLER_SHARE, PEER_SHARE = 1 / 2, 1 / 24
 
 
 class CallerLimits(Struct, frozen=True):
--- a/orioleplank/decision/session/tests/test_connection_setup.py
+++ b/orioleplank/decision/session/tests/test_connection_setup.py
@@ -14,6 +14,7 @@
     SetConnectionValue,
     plan_connection_setup,
 )
+from orioleplank.decision.session._connection_setup import MAX_PREPARED_BYTES
 
 _READ = PreparedStatement(AccessMode.READ, "q1")
 
@@ -54,3 +55,16 @@
     def test_connection_that_is_already_set_up_needs_no_steps(self) -> None:
         state = _apply_setup(INITIAL_CONNECTION_STATE, {"lang": "mi"}, _READ)
         self.assertEqual((), plan_connection_setup(state, {"lang": "mi"}, _READ))
+
+
+class TestPreparedBytes(testtools.TestCase):
+    """Guards against connections that keep 200 prepared statements of up to 1 MiB each."""
+
+    def test_connection_with_many_prepared_bytes_is_reset(self) -> None:
+        state = ConnectionState()
+        large = PreparedStatement(AccessMode.READ, "s" * MAX_PREPARED_BYTES)
+        self.assertEqual(1, len(plan_connection_setup(state, {}, large)))
+        state = state.apply(PrepareOnConnection("p0", large))
+        small = PreparedStatement(AccessMode.READ, "t")
+        steps = plan_connection_setup(state, {}, small)
+        self.assertEqual((ResetConnection(), PrepareOnConnection("p0", small)), steps)
--- a/orioleplank/gateway/tests/test_frames.py
+++ b/orioleplank/gateway/tests/test_frames.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest import mock
 
 import testtools
 from hypothesis import given
@@ -24,14 +25,17 @@
 from orioleplank.gateway._channels import ChannelProtocol
 from orioleplank.gateway._frames import (
     MAX_FRAME_BYTES,
+    NotSent,
     RunAsked,
     decode_frame,
     decode_reply,
     decode_statement,
     encode_frame,
     encode_reply,
+    encode_response,
     encode_statement,
 )
+from orioleplank.gateway._owner_channel import OwnerChannel
 
 _TEXT = st.text(st.characters(max_codepoint=255), max_size=50)
 _STATEMENTS = st.one_of(
@@ -121,3 +125,45 @@
         self.protocol.dataReceived((MAX_FRAME_BYTES + 1).to_bytes(4, "big"))
         self.assertTrue(self.transport.disconnected)
         self.assertEqual([], self.handler.frames)
+
+
+class TestTooLargeFrames(testtools.TestCase):
+    """Guards against one request or reply that ends a channel with all others on it."""
+
+    def test_large_reply_is_replaced_by_a_failure_that_leaves_open_whether_it_ran(self) -> None:
+        reply = Reply(("r" * MAX_FRAME_BYTES,), "7.1f", None, TransactionState.OPEN)
+        data = encode_response(encode_reply(7, reply))
+        self.assertLess(len(data), 1000)
+        frame: Any = decode_frame(data)
+        decoded = decode_reply(frame)
+        self.assertEqual(7, frame.correlation_id)
+        self.assertEqual(TransactionState.OPEN, decoded.state)
+        assert decoded.failure is not None
+        self.assertEqual(FailureCode.IN_DOUBT, decoded.failure.code)
+        self.assertIn("may have run", decoded.failure.detail)
+
+    def test_other_replies_are_unchanged(self) -> None:
+        answered = encode_reply(7, Reply(("oak",), "7.1f"))
+        self.assertEqual(encode_frame(answered), encode_response(answered))
+
+    def test_large_request_is_answered_as_not_sent(self) -> None:
+        channel = OwnerChannel("10.0.0.1:7440", mock.Mock(), lambda: 0.0)
+        frame = RunAsked(
+            link_id=1,
+            correlation_id=9,
+            instance="db-a",
+            priority=1,
+            timeout=1.0,
+            values={"n": "v" * MAX_FRAME_BYTES},
+            min_position=None,
+            request_id="r",
+            mode=AccessMode.READ,
+            prepared_text=None,
+            arguments="a",
+            in_transaction=False,
+        )
+        responses: list[Any] = []
+        channel.send_request(frame).addCallback(responses.append)
+        self.assertIsInstance(responses[0], NotSent)
+        self.assertFalse(responses[0].is_unreachable)
+        self.assertFalse(channel.is_unresponsive)
--- a/orioleplank/http/tests/test_http.py
+++ b/orioleplank/http/tests/test_http.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 
 from orioleplank.http import HttpClient, HttpServerFactory, NoResponseError, Request, Response
-from orioleplank.http._server import IDLE_TIMEOUT_S, MAX_REQUEST_BYTES
+from orioleplank.http._server import IDLE_TIMEOUT_S, MAX_REQUEST_BYTES, MAX_REQUESTS_AHEAD
 
 TIMEOUT_S = 5.0
 EMPTY_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -185,6 +185,18 @@
         self.assertLess(self.sent.index(b"/one"), self.sent.index(b"/two"))
         self.assertFalse(self.connection.transport.connected)
 
+    def test_too_many_requests_sent_ahead_close_the_connection(self) -> None:
+        """Guards against requests whose responses fill the memory of the server."""
+        self.connection.dataReceived(b"GET /a HTTP/1.1\r\n\r\n" * 100)
+        self.assertEqual(MAX_REQUESTS_AHEAD, self.sent.count(b"HTTP/1.1 200 OK"))
+        self.assertFalse(self.connection.transport.connected)
+
+    def test_requests_one_at_a_time_are_all_answered(self) -> None:
+        for _ in range(2 * MAX_REQUESTS_AHEAD):
+            self.connection.dataReceived(b"GET /a HTTP/1.1\r\n\r\n")
+        self.assertEqual(2 * MAX_REQUESTS_AHEAD, self.sent.count(b"HTTP/1.1 200 OK"))
+        self.assertTrue(self.connection.transport.connected)
+
     def test_other_methods_are_refused(self) -> None:
         self.connection.dataReceived(b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nab")
         self.assertIn(b"405 Method Not Allowed", self.sent)
--- a/orioleplank/platform/tests/test_instance.py
+++ b/orioleplank/platform/tests/test_instance.py
@@ -9,8 +9,10 @@
 
 from orioleplank.decision import Position
 from orioleplank.decision.instances import DbRole, InstanceEntry, InstanceState
+from orioleplank.decision.intake import CallerLimits
 from orioleplank.decision.session import FailureCode, Read, Reply, TransactionState
 from orioleplank.gateway import InstanceRefusedError, InstanceUnreachableError
+from orioleplank.platform import _codec as codec
 from orioleplank.platform import _instance
 from orioleplank.platform._instance import InstanceProtocol
 from orioleplank.platform.tests._intake import RecordingIntake
@@ -42,14 +44,19 @@
         super().setUp()
         self.patch(_instance, "set_tcp_timeouts", lambda handle: None)
         self.results: list[Any] = []
+        self.intake = self.build_intake()
         self.connect()
 
+    def build_intake(self) -> RecordingIntake:
+        """Return the limits of the process."""
+        return RecordingIntake()
+
     def connect(self) -> None:
         """Replace the connection under test with a new one."""
         build_transport: Any = _Transport
         self.transport: Any = build_transport()
         build_protocol: Any = InstanceProtocol
-        self.protocol: Any = build_protocol(_ENTRY, b"tunnel\r\n", intake=RecordingIntake())
+        self.protocol: Any = build_protocol(_ENTRY, b"tunnel\r\n", intake=self.intake)
         self.protocol.makeConnection(self.transport)
 
     def receive_greeting(self) -> None:
@@ -79,6 +86,57 @@
         self.assertIsInstance(self.results[0], InstanceUnreachableError)
 
 
+class TestReplyLimits(InstanceTestCase):
+    """Guards against replies without end, and against blaming the instance for large ones."""
+
+    def build_intake(self) -> RecordingIntake:
+        """Return limits that a test can meet."""
+        return RecordingIntake(CallerLimits(process_bytes=5000, reply_bytes=1000))
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.receive_greeting()
+        self.record_result(self.protocol.run("1", Read("a"), "", None))
+
+    def check_closed(self, reason: str) -> None:
+        """Check that the caller is told that its statement may have run."""
+        reply = self.results[0]
+        self.assertEqual(FailureCode.IN_DOUBT, reply.failure.code)
+        self.assertTrue(reply.failure.detail.startswith("program read reply: "))
+        self.assertTrue(reply.failure.detail.endswith("the statement may have run"))
+        self.assertTrue(self.transport.has_aborted)
+        self.assertEqual([("instance", reason)], self.intake.reports)
+
+    def test_rows_over_the_limit_close_the_connection(self) -> None:
+        for _ in range(11):
+            self.protocol.dataReceived(b"DATAROW " + b"r" * 100 + b"\r\n")
+        self.check_closed("reply")
+
+    def test_line_without_end_closes_the_connection(self) -> None:
+        self.intake = RecordingIntake()
+        self.results.clear()
+        self.connect()
+        self.receive_greeting()
+        self.record_result(self.protocol.run("1", Read("a"), "", None))
+        self.protocol.dataReceived(b"DATAROW " + b"r" * codec.MAX_MESSAGE_BYTES)
+        self.check_closed("message")
+
+    def test_reply_that_holds_the_most_is_ended_over_the_budget(self) -> None:
+        self.protocol.dataReceived(b"DATAROW " + b"r" * 5000)
+        self.check_closed("process")
+
+    def test_rows_within_the_limit_are_a_reply(self) -> None:
+        self.protocol.dataReceived(b"DATAROW " + b"r" * 1000 + b"\r\nCOMPLETE s\r\nREADY I 3.1\r\n")
+        self.assertIsNone(self.results[0].failure)
+        self.assertEqual([], self.intake.reports)
+
+    def test_other_requests_of_the_connection_fail(self) -> None:
+        self.record_result(self.protocol.run("2", Read("b"), "", None))
+        self.protocol.dataReceived(b"DATAROW " + b"r" * 1001 + b"\r\n")
+        self.protocol.connectionLost()
+        self.assertIsInstance(self.results[1], InstanceUnreachableError)
+
+
 class TestReplies(InstanceTestCase):
     def test_reply_is_complete_only_after_its_state_line(self) -> None:
         self.receive_greeting()
