--- a/orioleplank/platform/_caller.py
+++ b/orioleplank/platform/_caller.py
@@ -29,6 +29,9 @@
 # Messages of one connection that are handled before other connections get their turn. A piece of
 # 64 KB may hold 4,000 short requests.
 MESSAGES_PER_TURN = 16
+# Connections that are accepted before others get their turn. Twisted accepts ever more of them
+# under a flood, so that reset ones fill the table before their end is noticed.
+ACCEPTS_PER_TURN = 32
 
 
 class CallerProtocol(Protocol):
@@ -332,9 +335,13 @@
         self._sessions = sessions
         self._reactor = reactor
         self._intake = intake
+        # The listening port, once it is open.
+        self.port: Any = None
 
     def buildProtocol(self, addr: IAddress | None) -> Protocol | None:  # noqa: N802
         """Return the protocol of a new connection; None closes one over the limit at once."""
+        if self.port is not None:
+            self.port.numberAccepts = ACCEPTS_PER_TURN
         protocol = CallerProtocol(self._sessions, self._reactor, self._intake)
         match self._intake.callers.accept(protocol):
             case Refused(may_reply=True):
--- a/orioleplank/platform/_run.py
+++ b/orioleplank/platform/_run.py
@@ -79,6 +79,7 @@
 def _listen(reactor: Any, settings: GatewaySettings, gateway: Gateway) -> None:
     callers = CallerFactory(gateway.sessions, reactor, gateway.intake)
     port = _listen_on(reactor, settings.caller_address, callers)
+    callers.port = port
     gateway.stop_accepting = port.stopListening
     readiness = build_readiness_site(reactor, lambda: gateway.is_ready)
     readiness.guard = gateway.intake.build_peer_guard(LimitSide.HTTP)
