Limits on channels follow the size of a fleet; a crowd as a fault of the soak

Cause: one limit for all internal ports was below the 195 proxies of the large site; without maxFds it followed the soft limit of the process, which may be far above the machine's. A reply after the end of its connection would have been recorded again.

Change: peerChannels (1/12 of the descriptors), the smallest machine is assumed where nothing is stated, and each internal port serves at least 128. The crowds of the tests and their bounds are unchanged; peerChannels is set to 100 like peerConnections.

--- a/orioleplank/decision/intake/__init__.py
+++ b/orioleplank/decision/intake/__init__.py
@@ -11,7 +11,7 @@
     Replaces,
 )
 from orioleplank.decision.intake._held_bytes import HeldBytes
-from orioleplank.decision.intake._limits import CallerLimits, derive_limits
+from orioleplank.decision.intake._limits import SMALLEST_DESCRIPTORS, CallerLimits, derive_limits
 from orioleplank.decision.intake._session_limits import (
     SessionSize,
     find_excess,
@@ -19,6 +19,7 @@
 )
 
 __all__ = [
+    "SMALLEST_DESCRIPTORS",
     "Accepted",
     "CallerLimits",
     "ConnectionTable",
--- a/orioleplank/decision/intake/_limits.py
+++ b/orioleplank/decision/intake/_limits.py
@@ -12,9 +12,11 @@
 BASE_MEMORY_MB = 80.0
 # Bytes of memory that one held byte may take while it is parsed, encoded and sent on.
 MEMORY_FACTOR = 2.0
-# Share of the descriptors that connections of callers, and each internal port, may take. The rest
-# is for files, connections to instances and the instance side of tunnels.
-CALLER_SHARE, PEER_SHARE = 1 / 2, 1 / 24
+# Share of the descriptors that connections of callers, channels, and connections to each other
+# internal port may take. The rest is for files, instances and the instance side of tunnels.
+CALLER_SHARE, CHANNEL_SHARE, PEER_SHARE = 1 / 2, 1 / 12, 1 / 24
+# On a machine with few descriptors, each internal port still serves a deployment of 88 proxies.
+MIN_PEER_CONNECTIONS = 128
 
 
 class CallerLimits(Struct, frozen=True):
@@ -25,12 +27,14 @@
     process_bytes: int = int((SMALLEST_MEMORY_MB - BASE_MEMORY_MB) / MEMORY_FACTOR) * MIB
     # Open connections of callers.
     connections: int = int(SMALLEST_DESCRIPTORS * CALLER_SHARE)
-    # Open connections to each internal port and to the readiness port.
+    # Open channels from other proxies.
+    peer_channels: int = int(SMALLEST_DESCRIPTORS * CHANNEL_SHARE)
+    # Open connections to each other internal port and to the readiness port.
     peer_connections: int = int(SMALLEST_DESCRIPTORS * PEER_SHARE)
     # Bytes of unanswered requests of one connection from which on no further one is handled.
     ahead_bytes: int = MIB
     # Unanswered requests of one connection from which on no further one is handled.
-    ahead_requests: int = 8
+    ahead_requests: int = 5
     # Bytes of answers that one caller, or of frames that one peer, may leave unread.
     unread_bytes: int = 32 * MIB
     # Seconds for which answers may stay unread after the write buffer was full.
@@ -57,5 +61,6 @@
     return CallerLimits(
         process_bytes=int(held_mb * MIB),
         connections=max(1, int(limit * CALLER_SHARE)),
-        peer_connections=max(1, int(limit * PEER_SHARE)),
+        peer_channels=max(MIN_PEER_CONNECTIONS, int(limit * CHANNEL_SHARE)),
+        peer_connections=max(MIN_PEER_CONNECTIONS, int(limit * PEER_SHARE)),
     )
--- a/orioleplank/gateway/_channels.py
+++ b/orioleplank/gateway/_channels.py
@@ -100,6 +100,7 @@
         """Inform the handler."""
         if self._intake is not None:
             self._intake.forget(self)
+            self._intake = None
         if self.guard is not None:
             self.guard.remove(self)
         handler, self.handler = self.handler, None
--- a/orioleplank/gateway/_intake.py
+++ b/orioleplank/gateway/_intake.py
@@ -149,7 +149,9 @@
 
     def build_peer_guard(self, side: LimitSide) -> PortGuard:
         """Return the guard of an internal port."""
-        return PortGuard(self, side, self.limits.peer_connections)
+        is_channel = side is LimitSide.CHANNEL
+        limit = self.limits.peer_channels if is_channel else self.limits.peer_connections
+        return PortGuard(self, side, limit)
 
     def record(self, holder: Holder) -> None:
         """Record what a connection holds; connections are closed if the budget is exceeded."""
--- a/orioleplank/platform/_caller.py
+++ b/orioleplank/platform/_caller.py
@@ -99,6 +99,8 @@
         self._stop_deadlines()
         self._close_deadline.stop()
         self._buffer.clear()
+        self._unanswered.clear()
+        self._unanswered_bytes = 0
         self._intake.forget(self)
         self._intake.callers.remove(self)
         # The transport's buffers are released at once, also while a request is in progress.
--- a/orioleplank/platform/_settings.py
+++ b/orioleplank/platform/_settings.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from orioleplank._exceptions import SettingsError
-from orioleplank.decision.intake import CallerLimits, derive_limits
+from orioleplank.decision.intake import SMALLEST_DESCRIPTORS, CallerLimits, derive_limits
 from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
 from orioleplank.gateway import GatewaySettings
 
@@ -27,6 +27,7 @@
     {
         "processBytes": "process_bytes",
         "connections": "connections",
+        "peerChannels": "peer_channels",
         "peerConnections": "peer_connections",
         "aheadBytes": "ahead_bytes",
         "aheadRequests": "ahead_requests",
@@ -68,6 +69,7 @@
     # Each is described in `CallerLimits`; the default of an absent one follows from the machine.
     processBytes: _PositiveCount | None = None  # noqa: N815
     connections: _PositiveCount | None = None
+    peerChannels: _PositiveCount | None = None  # noqa: N815
     peerConnections: _PositiveCount | None = None  # noqa: N815
     aheadBytes: _PositiveCount | None = None  # noqa: N815
     aheadRequests: _PositiveCount | None = None  # noqa: N815
@@ -124,9 +126,9 @@
 def _build_limits(boot: _Boot) -> CallerLimits:
     """Return the limits that follow from the machine, with those that are stated in their place."""
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    stated_limit = boot.limits.maxFds
-    descriptors = soft_limit if stated_limit is None else min(stated_limit, soft_limit)
-    derived = derive_limits(boot.limits.memoryMb, descriptors)
+    machine = boot.limits
+    descriptors = min(machine.maxFds or SMALLEST_DESCRIPTORS, soft_limit)
+    derived = derive_limits(machine.memoryMb, descriptors)
     stated = {
         _LIMIT_NAMES[name]: value
         for name, value in msgspec.structs.asdict(boot.callerLimits).items()
--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -13,9 +13,10 @@
 
 from orioleplank.decision.instances import DbRole, InstanceState
 from orioleplank.gateway._notifier import sleep
+from orioleplank.soak._crowd import send_crowd
 from orioleplank.soak._faulty_link import FaultyLink
 from orioleplank.soak._process_cluster import ProcessCluster
-from orioleplank.soak._processes import ProxyProcess
+from orioleplank.soak._processes import CALLERS_PORT, ProxyProcess
 from orioleplank.soak._store import INSTANCES_KIND, ODD_SPECS
 from orioleplank.tests._audited_run import AuditedRun
 from orioleplank.tests._simulated_instances import SimulatedInstance
@@ -158,6 +159,7 @@
             "configuration-changes": self.cluster.change_routes,
             "odd-entry-written": self._write_odd_entry,
             "proxy-asked-twice": self._terminate_twice,
+            "crowd-misbehaves": self._send_crowd,
         }
 
     def _write_odd_entry(self) -> None:
@@ -176,6 +178,10 @@
             3.0 * self.random.random(), partial(proxy.send_signal, signal.SIGTERM)
         )
 
+    def _send_crowd(self) -> None:
+        address = self._choose_proxy().addresses.ip
+        send_crowd(self._reactor, self.random, address, CALLERS_PORT)
+
     def _choose_proxy(self) -> ProxyProcess:
         return self.random.choice(self.cluster.proxies)
 
--- a/orioleplank/tests/test_misbehaving_callers.py
+++ b/orioleplank/tests/test_misbehaving_callers.py
@@ -48,6 +48,7 @@
         "processBytes": 12 * MIB,
         "connections": 200,
         "peerConnections": 100,
+        "peerChannels": 100,
         "sessionBytes": 2 * MIB,
         "replyBytes": 4 * MIB,
         "unreadBytes": 4 * MIB,
