--- a/orioleplank/soak/_crowd.py
+++ b/orioleplank/soak/_crowd.py
@@ -15,14 +15,15 @@
 
 _STARTUP = b"STARTUP catalogue crowd\r\n"
 _LARGE = b"v" * 900_000
-# What each connection of a crowd sends; nothing is read.
+# What each connection of a crowd sends; nothing is read. No statement reaches an instance, because
+# the audit knows only those of its own callers.
 _FORMS = (
     b"",
     _STARTUP,
     _LARGE,
-    _STARTUP + b"QUERY c READ " + _LARGE,
+    _STARTUP + b"QUERY c EXECUTE unknown " + _LARGE,
     _STARTUP + b"".join(b"QUERY c SET n%d %s\r\n" % (n, _LARGE) for n in range(6)),
-    _STARTUP + b"QUERY c READ a\r\n" * 5000,
+    _STARTUP + b"QUERY c EXECUTE unknown\r\n" * 5000,
 )
 
 
