A read whose reply is too large is answered at once

Cause: after the limit on replies, a read was repeated at the other instances until its deadline, and its refusal then was that of the placement (BUSY), which hides that it ran.

Change: such a read fails as TOO_LARGE and is not repeated; a write or commit stays in doubt. Both texts say that the statement may have run.

Ruled out: TOO_LARGE for writes too; a caller may take it as not run.

--- a/orioleplank/gateway/_statements.py
+++ b/orioleplank/gateway/_statements.py
@@ -98,6 +98,9 @@
             outcome = await self._attempt_read(request, statement, placement)
             if isinstance(outcome, Completed):
                 return outcome
+            if outcome.failure.code is FailureCode.TOO_LARGE:
+                # The reply is as large at any other instance.
+                return outcome
             last_refusal = outcome
             avoided.add(placement.id)
         return last_refusal
--- a/orioleplank/platform/_instance.py
+++ b/orioleplank/platform/_instance.py
@@ -22,6 +22,7 @@
     FailureCode,
     Reply,
     TransactionState,
+    is_write,
 )
 from orioleplank.gateway import (
     InstanceLink,
@@ -53,6 +54,8 @@
 
     # Fires with the complete reply.
     result: Deferred[Reply] = field(default_factory=Deferred)
+    # True for a read of a caller, which changes nothing if it has run.
+    is_read: bool = False
     # Rows received so far.
     rows: list[str] = field(default_factory=list)
     # Bytes of these rows.
@@ -123,7 +126,8 @@
         The instance must have reached `min_position`, if given.
         """
         text = codec.format_statement(statement, prepared_name)
-        return self._send_query(request_id, codec.add_min_position(text, min_position))
+        text = codec.add_min_position(text, min_position)
+        return self._send_query(request_id, text, is_read=not is_write(statement))
 
     def commit(self, request_id: str) -> Deferred[Reply]:
         """Commit the transaction with the caller's request id."""
@@ -225,8 +229,8 @@
             if not pending.result.called:
                 pending.result.errback(error)
 
-    def _send_query(self, request_id: str, text: str) -> Deferred[Reply]:
-        pending = _PendingRequest()
+    def _send_query(self, request_id: str, text: str, is_read: bool = False) -> Deferred[Reply]:
+        pending = _PendingRequest(is_read=is_read)
         if self.transport is None or not self.transport.connected:
             error = InstanceUnreachableError("ask instance", self._entry.id, "it is closed")
             pending.result.errback(error)
@@ -259,7 +263,9 @@
         pending = self._pending_requests.popleft()
         pending.rows.clear()
         text = f"program read reply: {detail}; the statement may have run"
-        failure = Failure(FailureCode.IN_DOUBT, text)
+        # A read is not repeated elsewhere, where its reply is as large.
+        code = FailureCode.TOO_LARGE if pending.is_read else FailureCode.IN_DOUBT
+        failure = Failure(code, text)
         if not pending.result.called:
             pending.result.callback(Reply((), "-", failure, TransactionState.FAILED))
 
