--- a/orioleplank/gateway/_limit_reports.py
+++ b/orioleplank/gateway/_limit_reports.py
@@ -44,7 +44,7 @@
 
     def _log(self, pool: InstancePool, limit: int, outcome: str) -> None:
         self._event_log.log_event(
-            EventType.LIMIT,
+            EventType.STATEMENT_LIMIT,
             outcome=outcome,
             instance=pool.entry.id,
             service=pool.entry.service,
--- a/orioleplank/gateway/_metrics.py
+++ b/orioleplank/gateway/_metrics.py
@@ -138,6 +138,12 @@
             ("service", "account"),
         )
 
+        self.limits = Counter(
+            "orioleplank_limits",
+            "Limits met by callers, peers and instances.",
+            ("side", "reason"),
+        )
+
     @property
     def counters(self) -> tuple[Counter, ...]:
         """All counters."""
@@ -151,6 +157,7 @@
             self.permits_granted,
             self.dropped,
             self.refused_waits,
+            self.limits,
         )
 
     @property
--- a/orioleplank/gateway/_session_table.py
+++ b/orioleplank/gateway/_session_table.py
@@ -10,6 +10,7 @@
 from orioleplank.decision.session import Failure, FailureCode
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._event_log import EventLog, EventType
+from orioleplank.gateway._intake import Intake
 from orioleplank.gateway._interfaces import CallerLink
 from orioleplank.gateway._metrics import Metrics
 from orioleplank.gateway._rate_limiter import RateLimiter
@@ -39,6 +40,7 @@
         event_log: EventLog,
         metrics: Metrics,
         rate_limiter: RateLimiter,
+        intake: Intake,
     ) -> None:
         self._session_numbers = count(1)
         self._tasks: set[SessionTask] = set()
@@ -52,6 +54,7 @@
             rate_limiter,
             self._tasks.discard,
             self._handle_idle_session,
+            intake,
         )
 
     def __len__(self) -> int:
--- a/orioleplank/soak/_soak.py
+++ b/orioleplank/soak/_soak.py
@@ -14,9 +14,10 @@
 from orioleplank.decision.accounts import ClientAccount, RateLimit
 from orioleplank.decision.instances import DbRole, InstanceState
 from orioleplank.gateway._notifier import sleep
+from orioleplank.soak._crowd import send_crowd
 from orioleplank.soak._faulty_link import FaultyLink
 from orioleplank.soak._process_cluster import ProcessCluster
-from orioleplank.soak._processes import ProxyProcess
+from orioleplank.soak._processes import CALLERS_PORT, ProxyProcess
 from orioleplank.soak._store import INSTANCES_KIND, ODD_SPECS
 from orioleplank.tests._audited_run import AuditedRun
 from orioleplank.tests._changing_keys import ChangingKeys, FixedKey, KeySource
@@ -197,6 +198,7 @@
             "odd-entry-written": self._write_odd_entry,
             "proxy-asked-twice": self._terminate_twice,
             "callers-leave": self._abort_sessions,
+            "crowd-misbehaves": self._send_crowd,
         }
 
     def _write_odd_entry(self) -> None:
@@ -215,6 +217,10 @@
             3.0 * self.random.random(), partial(proxy.send_signal, signal.SIGTERM)
         )
 
+    def _send_crowd(self) -> None:
+        address = self._choose_proxy().addresses.ip
+        send_crowd(self._reactor, self.random, address, CALLERS_PORT)
+
     def _choose_proxy(self) -> ProxyProcess:
         return self.random.choice(self.cluster.proxies)
 
--- a/orioleplank/tests/test_gateway_limits.py
+++ b/orioleplank/tests/test_gateway_limits.py
@@ -39,7 +39,7 @@
         self.node = self.cluster.proxies[0]
 
     def _limit_events(self) -> list[object]:
-        return self.node.event_log.outcomes(EventType.LIMIT)
+        return self.node.event_log.outcomes(EventType.STATEMENT_LIMIT)
 
     def _pool_limit(self) -> int | None:
         return self.node.gateway.cluster_state.pools[PRIMARY].statements.limit
