Ask replicas that are predicted to be too late again between lag backoffs

A replica that was predicted to come too late for every read was sent nothing, and so reported nothing after it had caught up. Reads were refused until its last report was stale, up to 3 s, and again if it still lagged then. Sending them at once is safe, since the instance checks the position.

The latency of an instance no longer counts more in the second after BUSY or a time-out: a limit of 5 fell to 1 within two windows, because the rise that balances the decrease was left out. A floor at half of the slots was ruled out: some instances are slow well below that.

--- a/orioleplank/decision/admission/_concurrency_limit.py
+++ b/orioleplank/decision/admission/_concurrency_limit.py
@@ -268,8 +268,11 @@
     def _adjust(self, was_reached: bool, ceiling: int, now: float) -> ConcurrencyLimit:
         ratio = self.short_latency / self.unloaded_latency
         factor = min(1.0, max(MIN_LATENCY_FACTOR, TOLERATED_RATIO / ratio))
-        may_rise = was_reached and now >= self.rises_from
-        value = self.value * factor + (RISE if may_rise else 0.0)
+        value = self.value * factor + (RISE if was_reached else 0.0)
+        # The hold after a failure prevents a rise. It does not make a high latency count more than
+        # without the failure, which left slots idle: both took a limit of 5 down to 1.
+        if now < self.rises_from:
+            value = min(value, self.value)
         if value == self.value:
             return self
         return replace(self, value=_clamp(value, ceiling), used_at=now)
--- a/orioleplank/gateway/_read_placement.py
+++ b/orioleplank/gateway/_read_placement.py
@@ -219,7 +219,13 @@
         if expected_at is None:
             return None
         send_at = expected_at + WAIT_SPREAD_S * _share_of(request.id)
-        return max(0.0, send_at - self._cluster_state.lease_clock())
+        wait = max(0.0, send_at - self._cluster_state.lease_clock())
+        # A replica that would be too late is asked between two lag backoffs. The prediction holds
+        # only as long as the lag does not change, and a replica that is sent nothing reports
+        # nothing: reads would be refused for seconds after it has caught up.
+        if wait >= requirement.time_left and not pool.is_likely_behind(position):
+            return None
+        return wait
 
     def usable_lease(self, request: Request) -> Lease | None:
         """Return the lease on the primary if it allows a read of this route there, or None.
--- a/orioleplank/tests/test_gateway_reads.py
+++ b/orioleplank/tests/test_gateway_reads.py
@@ -12,6 +12,7 @@
 from orioleplank.decision.session import Begin, Commit, FailureCode, Read, Reply, Write
 from orioleplank.gateway import EventType
 from orioleplank.gateway._instance_executor import Request
+from orioleplank.gateway._instance_health import LAG_BACKOFF_MAX_S
 from orioleplank.gateway._outcome import Refused, refuse
 from orioleplank.tests._gateway_cluster import CATALOGUE, JOBS, QUOTES, GatewayCluster, GatewayNode
 from orioleplank.tests._gateway_helpers import START_S, start_cluster
@@ -128,6 +129,18 @@
         self.assertEqual(len(reads), len(served(reads)))
         self.assertLess(worst_time(reads), 0.15)
 
+    def test_replicas_that_recover_from_a_long_lag_are_asked(self) -> None:
+        """Nothing else would show that they have caught up before their newest report is stale."""
+        cluster, load = _start_load(4.5)
+        _refuse_reads(cluster)
+        cluster.run_for(0.5)
+        for name in REPLICAS:
+            cluster.group.members[name].lag = 0.003
+            cluster.group.catch_up(name)
+        cluster.run_for(LAG_BACKOFF_MAX_S)
+        reads = _run_reads(cluster, load, 1.0)
+        self.assertEqual(len(reads), len(served(reads)))
+
     def test_replica_that_receives_nothing_is_not_waited_for(self) -> None:
         cluster, load = _start_load(2.9)
         cluster.group.members["db-b"].drops_entries = True
