Requests, replies and admission of sessions get modules of their own

RequestHandler (_request_handler.py) runs the requests and holds the state and the open transaction; ReplyBuilder (_request_replies.py) records outcomes and logs refusals; OperationAdmission (_operation_admission.py) checks route, key and shutdown. The two callbacks of the session table are arguments of SessionTask, so SessionDependencies refers to no session.

Ruled out: a callback by which the handler asks whether the session has ended; it would tie session and handler into a reference cycle.

--- a/orioleplank/gateway/_session_table.py
+++ b/orioleplank/gateway/_session_table.py
@@ -13,13 +13,10 @@
 from orioleplank.gateway._intake import Intake
 from orioleplank.gateway._interfaces import CallerLink
 from orioleplank.gateway._metrics import Metrics
+from orioleplank.gateway._operation_admission import SHUTDOWN_REASON, UNKNOWN_KEY_REASON
 from orioleplank.gateway._rate_limiter import RateLimiter
-from orioleplank.gateway._sessions import (
-    SHUTDOWN_REASON,
-    UNKNOWN_KEY_REASON,
-    SessionDependencies,
-    SessionTask,
-)
+from orioleplank.gateway._request_handler import SessionDependencies
+from orioleplank.gateway._sessions import SessionTask
 from orioleplank.gateway._statements import StatementExecutor
 from orioleplank.gateway._transactions import TransactionExecutor
 
@@ -52,8 +49,6 @@
             event_log,
             metrics,
             rate_limiter,
-            self._tasks.discard,
-            self._handle_idle_session,
             intake,
         )
 
@@ -71,7 +66,15 @@
             link.refuse(refusal)
             return None
         number = next(self._session_numbers)
-        task = SessionTask(number, link, database, key, self._dependencies)
+        task = SessionTask(
+            number,
+            link,
+            database,
+            key,
+            self._dependencies,
+            self._tasks.discard,
+            self._handle_idle_session,
+        )
         self._tasks.add(task)
         if awaits_configuration:
             Deferred.fromCoroutine(
