Idle connections and the dial backoff get modules of their own

The limit on statements is now asked before the setup costs of the idle connections are compared; both only read, so the result is the same. A test imports its constant from the new module.

Ruled out: moving the shares of transactions; they read the waiters, the limit on connections and the uses, which the pool holds.

--- a/orioleplank/gateway/_pool.py
+++ b/orioleplank/gateway/_pool.py
@@ -18,10 +18,11 @@
 )
 from orioleplank.decision.instances import InstanceEntry
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
-from orioleplank.decision.session import plan_connection_setup
 from orioleplank.gateway._account_use import AccountUseCounter, ConnectionUse
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._connection_request import ConnectionRequest
+from orioleplank.gateway._dial_backoff import DialBackoff
+from orioleplank.gateway._idle_connections import IdleConnections
 from orioleplank.gateway._instance_health import INITIAL_LATENCY_S, InstanceHealth
 from orioleplank.gateway._interfaces import (
     InstanceLink,
@@ -31,15 +32,6 @@
 from orioleplank.gateway._running_statements import RunningStatements
 from orioleplank.gateway._wait_queue import QueueTooLongError, Waiter, WaitQueue
 
-# Delay before a connection is opened again after a failure, in seconds; doubled on each failure.
-DIAL_BACKOFF_MIN_S = 0.05
-DIAL_BACKOFF_MAX_S = 1.0
-# Delay before a connection is opened again after the instance refused one, in seconds.
-REFUSED_BACKOFF_S = 0.5
-# How long a request has to have waited before an idle connection is closed for it that waiters of
-# another account could use, in seconds. Earlier, both would wait for new connections; never, an
-# account with a long queue would keep all connections.
-REPLACE_WANTED_AFTER_S = 0.05
 # Share of an instance's slots for connections that are opened at the same time in the place of idle
 # ones of other accounts. Each occupies a slot: with more, an instance with many accounts would be
 # busy with new connections while requests that need none wait.
@@ -71,8 +63,6 @@
         self._dial = dial
         self._connection_limit = connection_limit
         self._generation = 0
-        # Idle connections, the least recently used first.
-        self._idle: list[PooledConnection] = []
         self._in_use: dict[PooledConnection, ConnectionUse] = {}
         self._account_uses = AccountUseCounter(now, mechanisms)
         # Mean time for which a connection stays in use, in seconds.
@@ -80,6 +70,7 @@
         # Numbers of connections that are being opened, by the account's name.
         self._opening: Counter[str] = Counter()
         self._waiters = WaitQueue(now, mechanisms, self._summarize_account_use)
+        self._idle = IdleConnections(now, self._waiters)
         self._is_fair = mechanisms.is_on(Mechanism.FAIR_QUEUEING)
         # True while transactions may wait because their account holds its share.
         self._may_hold_back = False
@@ -92,8 +83,7 @@
             lambda: is_limited and limits_statements(self.entry),
         )
         self._closed = False
-        self._retry_at = 0.0
-        self._dial_failures = 0
+        self._dial_backoff = DialBackoff(now)
         # When a connection was last released, in seconds.
         self.last_released_at = now()
 
@@ -183,7 +173,7 @@
         if not connection.is_usable or self._closed or exceeds_limit or is_outdated:
             connection.link.close()
         else:
-            self._idle.append(connection)
+            self._idle.add(connection)
         self.serve_waiters()
 
     def discard(self, connection: PooledConnection) -> None:
@@ -193,9 +183,7 @@
 
     def close_idle_connections(self) -> None:
         """Close all idle connections, which may have been lost without a TCP reset."""
-        idle, self._idle = self._idle, []
-        for connection in idle:
-            connection.link.close()
+        self._idle.close_all()
 
     def invalidate_connections(self) -> None:
         """Close the connections opened so far because the path to the instance has changed.
@@ -207,8 +195,7 @@
 
     def reset_backoff(self) -> None:
         """Clear the dial backoff and close idle connections, so that a new path is used at once."""
-        self._retry_at = 0.0
-        self._dial_failures = 0
+        self._dial_backoff.reset()
         self.close_idle_connections()
 
     def close(self) -> None:
@@ -217,23 +204,17 @@
         Connections in use are closed when they are released.
         """
         self._closed = True
-        for connection in self._idle:
-            connection.link.close()
-        self._idle.clear()
+        self._idle.close_all()
         self._waiters.fail_all(
             InstanceUnreachableError("take connection", self.entry.id, "it left")
         )
 
     def _take_idle(self, request: ConnectionRequest) -> PooledConnection | None:
-        usable = [c for c in reversed(self._idle) if request.may_use(c.link.account)]
-        if not usable or not self._may_start(request):
+        if len(self._idle) == 0 or not self._may_start(request):
+            return None
+        best = self._idle.find_usable(request)
+        if best is None:
             return None
-
-        def setup_cost(connection: PooledConnection) -> tuple[int, bool]:
-            steps = len(plan_connection_setup(connection.state, request.values, None))
-            return steps, connection.last_session_id != request.session_id
-
-        best = min(usable, key=setup_cost)
         self._idle.remove(best)
         best.last_session_id = request.session_id
         self._in_use[best] = self._account_uses.begin(request)
@@ -261,7 +242,7 @@
 
     def _may_get_connection(self) -> bool:
         """Return whether a connection may become free or may be opened soon."""
-        return self.size > len(self._idle) or self._now() >= self._retry_at
+        return self.size > len(self._idle) or self._dial_backoff.may_dial
 
     def _open_needed_connections(self) -> None:
         """Open a connection for each waiter for which none is being opened, in their order.
@@ -290,7 +271,7 @@
         Not if opening one has just failed, and not if those that are being opened will use up the
         limit on statements.
         """
-        if self._now() < self._retry_at or self._closed:
+        if not self._dial_backoff.may_dial or self._closed:
             return False
         return request.is_probe or self._opening.total() < self.statements.room
 
@@ -302,7 +283,7 @@
     def _may_replace_idle(self) -> bool:
         """True if an idle connection may be closed for one of another account."""
         max_opening = max(1, math.ceil(self.entry.slots * MAX_REPLACEMENT_SLOT_SHARE))
-        return bool(self._idle) and self._opening.total() < max_opening
+        return len(self._idle) > 0 and self._opening.total() < max_opening
 
     @property
     def _can_any_start(self) -> bool:
@@ -319,29 +300,13 @@
         if self._is_at_limit and not self._may_replace_idle:
             return False
         while self._is_at_limit:
-            connection = self._find_replaceable(waiter)
+            connection = self._idle.find_replaceable(waiter)
             if connection is None:
                 return False
             self._idle.remove(connection)
             connection.link.close()
         return True
 
-    def _find_replaceable(self, waiter: Waiter) -> PooledConnection | None:
-        """Return the idle connection to close for a waiter; None if none should be.
-
-        Connections of accounts without waiters that are as urgent come first, then the least
-        recently used. Those of accounts with such waiters are closed only for a waiter that has
-        waited for a while.
-        """
-        unwanted = (c for c in self._idle if not self._is_wanted(c, waiter))
-        has_waited = self._now() - waiter.enqueued_at >= REPLACE_WANTED_AFTER_S
-        return next(unwanted, self._idle[0] if has_waited and self._idle else None)
-
-    def _is_wanted(self, connection: PooledConnection, waiter: Waiter) -> bool:
-        """Return whether a waiter that is as urgent as `waiter` could use a connection."""
-        first = self._waiters.first_of_account(connection.link.account or "")
-        return first is not None and first.urgency <= waiter.urgency
-
     def _open_connection(self, account: str) -> None:
         self._opening[account] += 1
         dialing = self._dial(self.entry, self.record_failure, account)
@@ -354,25 +319,22 @@
 
     def _handle_opened(self, link: InstanceLink, account: str, generation: int) -> None:
         self._opening[account] -= 1
-        self._dial_failures = 0
-        self._retry_at = 0.0
+        self._dial_backoff.reset()
         if link.has_replied_on_opening:
             self.record_reply()
         if self._closed:
             link.close()
             return
-        self._idle.append(PooledConnection(link, generation=generation))
+        self._idle.add(PooledConnection(link, generation=generation))
         self.serve_waiters()
 
     def _handle_dial_failure(self, failure: Failure, account: str) -> None:
         self._opening[account] -= 1
         if failure.check(InstanceRefusedError):
             self.record_reply()
-            self._retry_at = self._now() + REFUSED_BACKOFF_S
+            self._dial_backoff.record_refusal()
         else:
-            backoff = DIAL_BACKOFF_MIN_S * 2**self._dial_failures
-            self._dial_failures = min(self._dial_failures + 1, 8)
-            self._retry_at = self._now() + min(DIAL_BACKOFF_MAX_S, backoff)
+            self._dial_backoff.record_failure()
             self.record_failure()
         if self.size == len(self._idle):
             assert failure.value is not None
@@ -380,7 +342,7 @@
 
     def serve_waiters(self) -> None:
         """Serve the waiters that may start, refuse those that would wait for too long."""
-        while self._idle and self._can_any_start and self._serve_next():
+        while len(self._idle) > 0 and self._can_any_start and self._serve_next():
             pass
         load = self._queue_load(0)
         self._waiters.refuse_expiring(self.entry.id, load.connections, load.mean_hold_time)
--- a/orioleplank/gateway/tests/test_pool_accounts.py
+++ b/orioleplank/gateway/tests/test_pool_accounts.py
@@ -13,7 +13,8 @@
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.gateway._connection import PooledConnection
 from orioleplank.gateway._connection_request import ConnectionRequest
-from orioleplank.gateway._pool import REPLACE_WANTED_AFTER_S, InstancePool
+from orioleplank.gateway._idle_connections import REPLACE_WANTED_AFTER_S
+from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._wait_queue import QueueTooLongError
 
 ENTRY = InstanceEntry("i-1", "books", "10.0.0.9:1", "a", InstanceState.READY, DbRole.PRIMARY, 5)
