The pools of all instances get a module of their own

Cause: _cluster_state.py had grown to 423 lines; beside what the proxy knows of the cluster it built, updated and closed the connection pools.

Change: InstancePools (_instance_pools.py) holds the pool of each known instance and those of the proxy's own connections. ClusterState keeps pools and own_connection_pool, which many modules and tests use; the periodic work and the reports of limits call InstancePools. _cluster_state.py has 346 lines.

Ruled out: forwarding methods for the periodic work; each would only repeat another one.

Measured: mypy without a cache finds nothing in 431 files; the unit tests of the gateway and the seven gateway tests of accounts, fairness, leaving callers, rate limits, session limits, reads and the gateway pass (193 tests).

--- a/orioleplank/gateway/_cluster_state.py
+++ b/orioleplank/gateway/_cluster_state.py
@@ -27,17 +27,16 @@
     ProxyRecord,
     ViewVersions,
 )
-from orioleplank.decision.routing import DirectPath, OwnerEstimate
+from orioleplank.decision.routing import OwnerEstimate
 from orioleplank.gateway._event_log import EventLog, EventType
-from orioleplank.gateway._instance_connector import ConnectionLimit, Dial, InstanceConnector
+from orioleplank.gateway._instance_connector import InstanceConnector
+from orioleplank.gateway._instance_pools import InstancePools
 from orioleplank.gateway._interfaces import TunnelRoute
 from orioleplank.gateway._notifier import ChangeNotifier
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._position_tracker import PositionTracker
 from orioleplank.gateway._primary_tracker import PrimaryTracker
 
-# A connection that is held for other proxies is closed after it has been idle for this long.
-UNUSED_CONNECTION_TIMEOUT_S = 3.0
 # Log lines about individual proxies per change of the fleet; the rest is logged as one count.
 MAX_FLEET_EVENT_LINES = 4
 # Time for a new process to receive its first listings from the store: a few attempts at a slow
@@ -73,7 +72,11 @@
         self.leases = LeaseTable()
         self.fleet = Fleet()
         self.fleet_history = FleetHistory()
-        self.pools: dict[str, InstancePool] = {}
+        self.instance_pools = InstancePools(
+            connector, self.now, lambda instance: self.on_instance_problem(instance), mechanisms
+        )
+        # The pool of each known instance, by its id.
+        self.pools = self.instance_pools.pools
         # Statements and transactions in progress that rely on a service's primary, by service.
         self.primary_in_flight: Counter[str] = Counter()
         # Promotions requested by this proxy that have not ended, by service.
@@ -96,10 +99,6 @@
         self._connector = connector
         # Seconds for which an instance still serves after it has announced its shutdown.
         self._drain_time_s = drain_time_s
-        # This proxy's own connections to instances to which it normally forwards statements, by
-        # instance: for statements that it receives as a backup owner, and for its own statements
-        # while it reaches no connection owner.
-        self._own_connection_pools: dict[str, InstancePool] = {}
         self._event_log = event_log
         self._seconds_since_boot = seconds_since_boot
         self._started_at = float(reactor.seconds())
@@ -225,22 +224,7 @@
             return
         entry = current or previous
         assert entry is not None
-        for pools in (self.pools, self._own_connection_pools):
-            pool = pools.get(entry.id)
-            if pool is not None and (
-                current is None or _is_different_incarnation(pool.entry, current)
-            ):
-                del pools[entry.id]
-                pool.close()
-            elif pool is not None and current is not None:
-                pool.entry = current
-        if current is not None and current.id not in self.pools:
-            self.pools[current.id] = self._build_pool(
-                current,
-                self._connector.open,
-                self._connector.connection_limit,
-                self._connector.holds_connections,
-            )
+        self.instance_pools.update(entry.id, current)
         self._event_log.log_event(
             EventType.INSTANCE,
             instance=entry.id,
@@ -252,26 +236,6 @@
             born=entry.born,
         )
 
-    def _build_pool(
-        self,
-        entry: InstanceEntry,
-        dial: Dial,
-        connection_limit: ConnectionLimit,
-        limits_statements: Callable[[InstanceEntry], bool] = lambda _: True,
-    ) -> InstancePool:
-        def report_problem(instance: str) -> None:
-            self.on_instance_problem(instance)
-
-        return InstancePool(
-            entry,
-            dial,
-            self.now,
-            connection_limit,
-            report_problem,
-            self.mechanisms,
-            limits_statements,
-        )
-
     def primary_accepts_work(self, instance: str) -> bool:
         """Return whether new work may be sent to an instance that is a primary."""
         return self.directory.accepts_work_as_primary(instance, self.now(), self._drain_time_s)
@@ -290,42 +254,7 @@
         connection owners, this is a pool besides the one of the forwarding links.
         """
         entry = self.directory.entry(instance)
-        if entry is None:
-            return None
-        if isinstance(self._connector.connection_path(entry), DirectPath):
-            return self.pools.get(instance)
-        pool = self._own_connection_pools.get(instance)
-        if pool is None:
-            pool = self._build_pool(
-                entry,
-                self._connector.open_own_connection,
-                self._connector.non_owner_connection_limit,
-            )
-            self._own_connection_pools[instance] = pool
-        return pool
-
-    def limited_pools(self) -> list[tuple[InstancePool, int]]:
-        """Return the pools with a limit on statements, each with its limit."""
-        pools = (*self.pools.values(), *self._own_connection_pools.values())
-        limits = ((pool, pool.statements.limit) for pool in pools)
-        return [(pool, limit) for pool, limit in limits if limit is not None]
-
-    def serve_waiters(self) -> None:
-        """Serve requests that may start because time has passed, such as after a measurement."""
-        for pool in (*self.pools.values(), *self._own_connection_pools.values()):
-            pool.serve_waiters()
-
-    def close_unused_connections(self) -> None:
-        """Close idle own connections to instances to which statements are normally forwarded."""
-        for pool in self._own_connection_pools.values():
-            if self.now() - pool.last_released_at >= UNUSED_CONNECTION_TIMEOUT_S:
-                pool.close_idle_connections()
-
-    def serve_held_back_transactions(self) -> None:
-        """Serve transactions that waited for other accounts to stop using an instance."""
-        for pools in (self.pools, self._own_connection_pools):
-            for pool in pools.values():
-                pool.serve_held_back()
+        return self.instance_pools.own_connection_pool(entry) if entry else None
 
     def connection_owners(self, instance: str) -> tuple[str, ...]:
         """Return the connection owners of an instance; empty if every proxy connects itself."""
@@ -415,9 +344,3 @@
         if versioned_record.record.awaited:
             return False
         return self.primaries.expects_promotion(versioned_record.record)
-
-
-def _is_different_incarnation(previous: InstanceEntry, current: InstanceEntry) -> bool:
-    if previous.address != current.address or previous.service != current.service:
-        return True
-    return bool(previous.born and current.born and previous.born != current.born)
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -302,10 +302,10 @@
                 self._platform_watcher.expire_instances()
                 self._fleet_membership.expire_lost_proxies()
                 self._rate_limiter.forget_idle_accounts()
-                self.cluster_state.close_unused_connections()
-                self.cluster_state.serve_waiters()
+                self.cluster_state.instance_pools.close_unused_connections()
+                self.cluster_state.instance_pools.serve_waiters()
                 self._limit_reports.update()
-                self.cluster_state.serve_held_back_transactions()
+                self.cluster_state.instance_pools.serve_held_back_transactions()
                 if self._platform_watcher.is_store_unreachable:
                     self._view_subscriber.fetch_from_any_peer()
                 idle_limit_s = self.cluster_state.routes.transaction_idle
--- a/orioleplank/gateway/_limit_reports.py
+++ b/orioleplank/gateway/_limit_reports.py
@@ -24,7 +24,7 @@
 
     def update(self) -> None:
         """Set the gauges to the present values, and log what changed since the last call."""
-        limited = self._cluster_state.limited_pools()
+        limited = self._cluster_state.instance_pools.limited_pools()
         self._metrics.clear_limits()
         for pool, limit in limited:
             self._metrics.set_limit(
