The structure of a transaction gets a module of its own

The permits of transactions now import the structure only.

Ruled out: moving the begin at an instance; commit and statements share its connection handling.

--- a/orioleplank/gateway/_request_handler.py
+++ b/orioleplank/gateway/_request_handler.py
@@ -39,8 +39,9 @@
 from orioleplank.gateway._rate_limiter import RateLimiter
 from orioleplank.gateway._request_replies import PendingRequest, ReplyBuilder
 from orioleplank.gateway._statements import StatementExecutor
+from orioleplank.gateway._transaction import Transaction
 from orioleplank.gateway._transaction_permits import TransactionPermits, ran_nothing
-from orioleplank.gateway._transactions import Transaction, TransactionExecutor
+from orioleplank.gateway._transactions import TransactionExecutor
 
 _TRANSACTION_STATES = {
     SessionPhase.IDLE: TransactionState.IDLE,
--- a/orioleplank/gateway/_transaction_permits.py
+++ b/orioleplank/gateway/_transaction_permits.py
@@ -5,7 +5,7 @@
 from orioleplank.decision.session import NOT_EXECUTED_CODES
 from orioleplank.gateway._outcome import Outcome, Refused
 from orioleplank.gateway._rate_limiter import RateLimiter
-from orioleplank.gateway._transactions import Transaction
+from orioleplank.gateway._transaction import Transaction
 
 
 class TransactionPermits:
