--- a/orioleplank/decision/admission/_concurrency_limit.py
+++ b/orioleplank/decision/admission/_concurrency_limit.py
@@ -22,11 +22,11 @@
 # A window without enough samples ends after this time, in seconds; it is evaluated if it has half
 # of them.
 MAX_WINDOW_S = 2.0
-# Weight of the newest window in the short-term latency: single windows vary by a fifth.
+# Weight of the newest window in the short-term latency: single windows vary by about 20%.
 WINDOW_WEIGHT = 0.5
-# Above this multiple of the unloaded latency the limit falls in proportion. Two proxies that load
-# an instance together measure as unloaded what the other one causes; from about 1.8 on they raised
-# each other's figures in simulations, up to their connections.
+# Above this multiple of the unloaded latency the limit falls in proportion. Each of two proxies at
+# one instance measures the queue of the other one as part of the unloaded latency; with 1.8 or more
+# they raise each other's limits up to the number of their connections.
 TOLERATED_RATIO = 1.5
 # Each window also raises a limit that is used by this much. A small limit gains more by it, in
 # proportion, than a large one, so that several proxies converge to equal limits. It keeps two
@@ -38,20 +38,21 @@
 # After such a failure the limit does not rise for this time, in seconds. The latency of the answers
 # shows nothing of a short queue that other proxies fill.
 FAILURE_HOLD_S = 1.0
-# Number of samples of which the unloaded latency takes in the mean at once, and its weight.
+# The unloaded latency is updated with the mean of this many samples, and this is the mean's weight.
 UNLOADED_SAMPLES = 16
 UNLOADED_WEIGHT = 0.3
-# Weight when the unloaded latency is out of date.
+# Weight of that mean when the unloaded latency is out of date.
 RELEARN_WEIGHT = 0.5
 # Weight of a higher mean while the limit is not below the slots: other proxies load the instance
 # too, and would otherwise raise what counts as unloaded, and so the limits of all, step by step.
 CAUTIOUS_WEIGHT = 0.05
-# A window below this multiple of the unloaded latency shows that the latter is out of date.
+# A window whose mean is below this multiple of the unloaded latency shows that the unloaded latency
+# is out of date.
 CLEARLY_FASTER = 0.7
 # After this time without an unloaded sample, in seconds, the unloaded latency is out of date. If
 # the limit is used, it is reduced to one statement for the next `UNLOADED_SAMPLES`, or for at most
-# `MAX_MEASURING_S`. The time is shorter while the limit is below the slots: an instance that became
-# slow for another reason than its load would be held below what it takes.
+# `MAX_MEASURING_S`. The time is shorter while the limit is below the slots: if an instance became
+# slow for another reason than its load, the old latency would keep its limit too low.
 UNLOADED_VALID_S = 20.0
 UNLOADED_VALID_BELOW_SLOTS_S = 3.0
 MAX_MEASURING_S = 0.15
@@ -100,7 +101,7 @@
     slots: int
     # Start of the present window, and its samples.
     window: Samples
-    # Samples of statements that ran alone, which the unloaded latency has not taken in yet.
+    # Samples of statements that ran alone and are not part of the unloaded latency yet.
     unloaded: Samples
     # Number of statements, before it is rounded down.
     value: float
@@ -108,7 +109,7 @@
     short_latency: float = 0.0
     # Latency without load; 0 while it is not known.
     unloaded_latency: float = 0.0
-    # When the unloaded latency last took in samples of statements that ran alone.
+    # When the unloaded latency was last updated with samples of statements that ran alone.
     unloaded_at: float = float("-inf")
     # When the present measurement of the unloaded latency began; None outside of one.
     measuring_since: float | None = None
@@ -223,9 +224,9 @@
         return replace(self, measuring_since=now, unloaded=Samples(now))
 
     def _end_measuring(self, now: float) -> ConcurrencyLimit:
-        """Give up a measurement that takes too long; the next one is due when this one was valid.
+        """End a measurement that takes too long; the next one is due as after a complete one.
 
-        At least one sample of it is taken in, so that a slow instance is not judged by old figures.
+        The samples so far are used, so that a slow instance is not judged by an old latency.
         """
         if self.measuring_since is None or self._is_measuring(now):
             return self
@@ -257,7 +258,7 @@
         return evaluated._learn_from_window(mean)._adjust(self.was_reached, ceiling, now)
 
     def _learn_from_window(self, mean: float) -> ConcurrencyLimit:
-        """Take in a window that is faster than what counted as unloaded, or the first window."""
+        """Update the unloaded latency with the first window, or with a clearly faster one."""
         if not self.unloaded_latency:
             return replace(self, unloaded_latency=mean)
         if mean >= self.unloaded_latency * CLEARLY_FASTER:
@@ -295,7 +296,8 @@
             return self
         remaining = 0.5 ** (idle / FORGET_HALF_LIFE_S)
         difference = (self.value - self.slots) * remaining
-        # The last half is dropped: rounded down, the limit would stay one below the slots.
+        # A difference of up to a half is dropped: the limit is rounded down, and would otherwise
+        # stay one below the slots.
         value = self.slots + (difference if abs(difference) > 0.5 else 0.0)
         return replace(self, value=value, used_at=now)
 
--- a/orioleplank/decision/admission/_service_order.py
+++ b/orioleplank/decision/admission/_service_order.py
@@ -44,20 +44,21 @@
 
 
 class AccountUse(Struct, frozen=True):
-    """What the accounts have of the connections of one pool."""
+    """Connections and transactions that each account has in one pool."""
 
-    # Connections in use, by the account's name. A connection that is being opened counts by the
-    # place in the queue of the request for which it is opened.
+    # Connections in use, by the account's name. A connection that is being opened is not included:
+    # the waiting request for which it is opened counts instead.
     connections: Mapping[str, int] = field(default_factory=dict)
     # How many transactions each account may hold.
     transaction_share: TransactionShare = NO_TRANSACTION_SHARE
 
 
-# An account's connections in use before the request, then the order within the account.
+# Route priority, account priority, the account's connections in use before the request, deadline
+# bucket, arrival number.
 _ServiceKey = tuple[int, int, int, int, int]
 
 
-class _Lane(Generic[QueuedT]):
+class _AccountQueue(Generic[QueuedT]):
     """The requests of one account that are not served yet, in their order."""
 
     def __init__(self, account: str, requests: Sequence[QueuedT], use: AccountUse) -> None:
@@ -66,11 +67,11 @@
         # Connections that the account has once the requests before the next one are served.
         self._connections = use.connections.get(account, 0)
         self._allowance = use.transaction_share.allowance(account)
-        # Transactions that the account may not begin now.
+        # Transactions that were passed over, because the account may not begin them now.
         self.held_back: list[QueuedT] = []
 
     def find_next(self) -> QueuedT | None:
-        """Return the first request that may be served; transactions above the share are put off."""
+        """Return the first request that may be served; pass over transactions above the share."""
         while self._next_index < len(self._requests):
             request = self._requests[self._next_index]
             if not request.is_transaction or self._allowance is None or self._allowance > 0:
@@ -102,10 +103,10 @@
 ) -> Iterator[tuple[QueuedT, bool]]:
     """Return the waiting requests in the order of service, each with whether it may be served now.
 
-    `lanes` holds the requests of each account in their order. The order is: route priority, account
-    priority, fewest connections in use by the account, deadline bucket, arrival. Each request
-    that comes before in this order counts as a connection of its account. Transactions that exceed
-    the share of their account come last, and may not be served now.
+    `lanes` holds the queue of each account, in order. The order of service is: route priority,
+    account priority, fewest connections in use by the account, deadline bucket, arrival. A request
+    that is ordered before another one counts as a connection of its account. Transactions that
+    exceed the share of their account come last, and may not be served now.
     """
     if len(lanes) == 1 and not use.transaction_share.is_limiting:
         for requests in lanes.values():
@@ -114,13 +115,15 @@
     if not use.transaction_share.is_limiting:
         yield from _merge_unlimited(lanes, use.connections)
         return
-    yield from _merge_lanes([_Lane(account, requests, use) for account, requests in lanes.items()])
+    yield from _merge_queues(
+        [_AccountQueue(account, requests, use) for account, requests in lanes.items()]
+    )
 
 
 def _merge_unlimited(
-    lanes: Mapping[str, Sequence[QueuedT]], connections: Mapping[str, int]
+    queues: Mapping[str, Sequence[QueuedT]], connections: Mapping[str, int]
 ) -> Iterator[tuple[QueuedT, bool]]:
-    """Merge lanes as `_merge_lanes` does, without a limit for transactions.
+    """Merge queues as `_merge_queues` does, without a limit for transactions.
 
     It is separate because it runs for each connection that becomes free.
     """
@@ -134,7 +137,7 @@
             0,
             requests,
         )
-        for account, requests in lanes.items()
+        for account, requests in queues.items()
     ]
     heapify(heads)
     while heads:
@@ -157,22 +160,22 @@
         heapreplace(heads, head)
 
 
-def _merge_lanes(lanes: Collection[_Lane[QueuedT]]) -> Iterator[tuple[QueuedT, bool]]:
-    heads: list[tuple[_ServiceKey, _Lane[QueuedT], QueuedT]] = []
-    for lane in lanes:
-        request = lane.find_next()
+def _merge_queues(queues: Collection[_AccountQueue[QueuedT]]) -> Iterator[tuple[QueuedT, bool]]:
+    heads: list[tuple[_ServiceKey, _AccountQueue[QueuedT], QueuedT]] = []
+    for queue in queues:
+        request = queue.find_next()
         if request is not None:
-            heads.append((lane.service_key(request), lane, request))
-    # The keys contain the arrival number, so that lanes are never compared.
+            heads.append((queue.service_key(request), queue, request))
+    # The keys contain the arrival number, so that queues are never compared.
     heapify(heads)
     while heads:
-        _, lane, request = heads[0]
+        _, queue, request = heads[0]
         yield request, True
-        lane.advance(request)
-        following = lane.find_next()
+        queue.advance(request)
+        following = queue.find_next()
         if following is None:
             heappop(heads)
         else:
-            heapreplace(heads, (lane.service_key(following), lane, following))
-    held_back = [request for lane in lanes for request in lane.held_back]
+            heapreplace(heads, (queue.service_key(following), queue, following))
+    held_back = [request for queue in queues for request in queue.held_back]
     yield from ((request, False) for request in sorted(held_back))
--- a/orioleplank/decision/admission/_transaction_share.py
+++ b/orioleplank/decision/admission/_transaction_share.py
@@ -14,8 +14,8 @@
 # Share of a pool's connections that transactions of one account may hold.
 TRANSACTION_SHARE = 0.5
 # How long an account counts as using an instance after its last use, in seconds. Statements are
-# short, so that most of the time even a steady account has none in progress; 15 a second at an
-# owner, as in the first deployment, leave gaps of up to half a second.
+# short, so that even a steady account has none in progress most of the time: with 15 statements a
+# second there are gaps of up to half a second.
 RECENT_USE_S = 2.0
 
 
--- a/orioleplank/decision/admission/tests/test_service_order.py
+++ b/orioleplank/decision/admission/tests/test_service_order.py
@@ -29,16 +29,16 @@
     return QueuedRequest(priority, account_priority, bucket, arrival, account, is_transaction)
 
 
-def _lanes(*requests: QueuedRequest) -> dict[str, list[QueuedRequest]]:
-    lanes: dict[str, list[QueuedRequest]] = {}
+def _queues(*requests: QueuedRequest) -> dict[str, list[QueuedRequest]]:
+    queues: dict[str, list[QueuedRequest]] = {}
     for request in sorted(requests):
-        lanes.setdefault(request.account, []).append(request)
-    return lanes
+        queues.setdefault(request.account, []).append(request)
+    return queues
 
 
 def _arrivals(use: AccountUse, *requests: QueuedRequest) -> list[int]:
     """Return the arrival numbers of requests in their order of service."""
-    return [r.arrival_number for r, _ in order_by_service(_lanes(*requests), use)]
+    return [r.arrival_number for r, _ in order_by_service(_queues(*requests), use)]
 
 
 class _Replay:
@@ -48,7 +48,7 @@
         self._free = connections
         self._hold_s = hold_s
         self._in_use: Counter[str] = Counter()
-        self._lanes: dict[str, list[QueuedRequest]] = {}
+        self._queues: dict[str, list[QueuedRequest]] = {}
         self._arrived_at: dict[int, float] = {}
         # Waiting times in seconds, by account.
         self.waits: dict[str, list[float]] = {}
@@ -68,21 +68,21 @@
                 self._in_use[account] -= 1
             else:
                 self._add(request, now)
-            while self._free and self._lanes:
+            while self._free and self._queues:
                 first = self._serve_first(now)
                 end = (now + self._hold_s, 1_000_000 + len(self.served), None, first.account)
                 heappush(events, end)
 
     def _add(self, request: QueuedRequest, now: float) -> None:
         self._arrived_at[request.arrival_number] = now
-        self._lanes.setdefault(request.account, []).append(request)
-        self._lanes[request.account].sort()
+        self._queues.setdefault(request.account, []).append(request)
+        self._queues[request.account].sort()
 
     def _serve_first(self, now: float) -> QueuedRequest:
-        first, _ = next(order_by_service(self._lanes, AccountUse(self._in_use)))
-        self._lanes[first.account].remove(first)
-        if not self._lanes[first.account]:
-            del self._lanes[first.account]
+        first, _ = next(order_by_service(self._queues, AccountUse(self._in_use)))
+        self._queues[first.account].remove(first)
+        if not self._queues[first.account]:
+            del self._queues[first.account]
         self._free -= 1
         self._in_use[first.account] += 1
         self.served.append(first)
@@ -149,7 +149,7 @@
 
 
 class TestHotAccount(testtools.TestCase):
-    """One account sends 7.5 times its usual beside 85 calm ones."""
+    """One account sends 7.5 times its usual beside 85 others at their usual rate."""
 
     def _replay(self) -> _Replay:
         random, number, arrivals = Random(7), 0, []
@@ -160,7 +160,7 @@
                 number += 1
                 arrivals.append((at, _request(number, account, bucket=int(at / 0.25))))
                 at += random.expovariate(rate)
-        # 500 requests a second can be served; 790 arrive, 340 of them of calm accounts.
+        # 500 requests a second can be served; 790 arrive, 340 of them from the other accounts.
         replay = _Replay(connections=10, hold_s=0.02)
         replay.run(arrivals)
         return replay
--- a/orioleplank/gateway/_wait_queue.py
+++ b/orioleplank/gateway/_wait_queue.py
@@ -64,8 +64,8 @@
     """A queue ordered by priority, then fairly among accounts, then by earliest deadline.
 
     In order of arrival, work with a distant deadline would delay work with a close one, and an
-    account that sends too much would delay all others. `account_use` returns what the accounts have
-    of the connections now.
+    account that sends too much would delay all others. `account_use` returns the connections and
+    transactions that each account has now.
     """
 
     def __init__(
@@ -79,7 +79,7 @@
         self._account_use = account_use
         self._is_fair = mechanisms.is_on(Mechanism.FAIR_QUEUEING)
         # The waiters of each account in their order; accounts without waiters are left out.
-        self._lanes: dict[str, list[Waiter]] = {}
+        self._queues: dict[str, list[Waiter]] = {}
         self._length = 0
         self._next_arrival_number = 1
         self._last_expiry_check_at = now()
@@ -90,12 +90,12 @@
     @property
     def accounts(self) -> Collection[str]:
         """Names of the accounts that have waiters."""
-        return self._lanes.keys()
+        return self._queues.keys()
 
     def first_of_account(self, account: str) -> Waiter | None:
         """Return the first waiter of an account; None if it has none."""
-        lane = self._lanes.get(account)
-        return lane[0] if lane else None
+        queue = self._queues.get(account)
+        return queue[0] if queue else None
 
     @property
     def servable(self) -> Iterator[Waiter]:
@@ -108,33 +108,33 @@
     @property
     def has_probe(self) -> bool:
         """True while a probe is among the waiting requests."""
-        return any(waiter.request.is_probe for lane in self._lanes.values() for waiter in lane)
+        return any(waiter.request.is_probe for queue in self._queues.values() for waiter in queue)
 
     def count_ahead(self, request: ConnectionRequest) -> int:
         """Return how many waiters are served before a new request."""
         if not self._length:
             return 0
         new = self._build_waiter(request, Deferred())
-        lane = self._lanes.get(new.account, [])
+        queue = self._queues.get(new.account, [])
         use = self._account_use()
-        if len(lane) == self._length and not use.transaction_share.is_limiting:
-            return bisect(lane, new)
-        longer_lane = list(lane)
-        insort(longer_lane, new)
-        ordered = order_by_service({**self._lanes, new.account: longer_lane}, use)
+        if len(queue) == self._length and not use.transaction_share.is_limiting:
+            return bisect(queue, new)
+        longer_queue = list(queue)
+        insort(longer_queue, new)
+        ordered = order_by_service({**self._queues, new.account: longer_queue}, use)
         return next(ahead for ahead, (waiter, _) in enumerate(ordered) if waiter is new)
 
     def enqueue(self, request: ConnectionRequest) -> Deferred[PooledConnection]:
         """Add a request; cancelling the result removes it."""
 
         def remove_waiter(_: object) -> None:
-            if waiter in self._lanes.get(waiter.account, ()):
+            if waiter in self._queues.get(waiter.account, ()):
                 self.remove(waiter)
 
         result: Deferred[PooledConnection] = Deferred(remove_waiter)
         waiter = self._build_waiter(request, result)
         self._next_arrival_number += 1
-        insort(self._lanes.setdefault(waiter.account, []), waiter)
+        insort(self._queues.setdefault(waiter.account, []), waiter)
         self._length += 1
         return result
 
@@ -148,7 +148,7 @@
     def fail_all(self, error: BaseException) -> None:
         """Remove all waiters and fail their results with `error`."""
         waiters = [waiter for waiter, _ in self._in_order()]
-        self._lanes.clear()
+        self._queues.clear()
         self._length = 0
         for waiter in waiters:
             waiter.result.errback(error)
@@ -178,15 +178,15 @@
 
     def _in_order(self) -> Iterator[tuple[Waiter, bool]]:
         """Return the waiters in the order of service, each with whether it may be served now."""
-        return order_by_service(self._lanes, self._account_use()) if self._length else iter(())
+        return order_by_service(self._queues, self._account_use()) if self._length else iter(())
 
     def remove(self, waiter: Waiter) -> None:
         """Remove a waiter without a result."""
-        lane = self._lanes[waiter.account]
-        del lane[bisect_left(lane, waiter)]
+        queue = self._queues[waiter.account]
+        del queue[bisect_left(queue, waiter)]
         self._length -= 1
-        if not lane:
-            del self._lanes[waiter.account]
+        if not queue:
+            del self._queues[waiter.account]
 
     def _build_waiter(
         self, request: ConnectionRequest, result: Deferred[PooledConnection]
@@ -197,7 +197,7 @@
             request.account.priority if self._is_fair else 0,
             self._deadline_bucket(deadline),
             self._next_arrival_number,
-            # Without fairness all requests are in one lane, so that accounts do not matter.
+            # Without fairness all requests are in one queue, whatever their account.
             request.account.name if self._is_fair else "",
             request.is_transaction,
             deadline,
