--- a/orioleplank/decision/intake/__init__.py
+++ b/orioleplank/decision/intake/__init__.py
@@ -1,7 +1,7 @@
-"""Limits on what callers, peers and instances can make the process keep, and whom they hit.
+"""Limits on what callers, peers and instances can make the process keep, and how they apply.
 
-Addresses clients that are not under control: many at once that send a lot, send or read slowly,
-or stop half-way.
+Addresses clients outside of the operator's control: many at once that send a lot, send or read
+slowly, or stop half-way through a message.
 """
 
 from orioleplank.decision.intake._connection_table import (
--- a/orioleplank/decision/intake/_connection_table.py
+++ b/orioleplank/decision/intake/_connection_table.py
@@ -8,8 +8,8 @@
 
 K = TypeVar("K")
 
-# Share of the limit that may be open in addition while it is being closed: closing takes a turn of
-# the event loop, and a flood opens many connections in one turn.
+# Connections that are being closed may exceed the limit by this share of it: closing takes a turn
+# of the event loop, in which many new connections may arrive.
 CLOSING_SHARE = 1 / 8
 
 
@@ -24,7 +24,7 @@
 
 
 class Refused(Struct, frozen=True):
-    """The new connection is refused; `may_reply` if there is room to tell it so."""
+    """The new connection is refused; `may_reply` if a reply may be sent before it is closed."""
 
     may_reply: bool
 
@@ -35,16 +35,18 @@
 class ConnectionTable(Generic[K]):
     """The connections of one port, up to a limit.
 
-    Addresses crowds of connections that are opened and not used. A new connection takes the place
-    of the oldest one that has sent no first message, then of the oldest one that has never been
-    used. Connections that were used are kept: most sessions are long and idle.
+    Addresses large numbers of connections that are opened and not used. A new connection takes the
+    place of the oldest one that has sent no first message; if there is none, of the oldest one that
+    has sent no request. Others are kept: most sessions are long and idle.
     """
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
         self._closing_limit = max(1, int(limit * CLOSING_SHARE))
-        # In the order of their opening.
+        # Connections that have sent nothing, in the order of their opening. The values are not
+        # used.
         self._silent: dict[K, None] = {}
+        # Connections that have sent a first message and no request, in the order of these messages.
         self._unused: dict[K, None] = {}
         self._used: set[K] = set()
         self._closing: set[K] = set()
--- a/orioleplank/decision/intake/_held_bytes.py
+++ b/orioleplank/decision/intake/_held_bytes.py
@@ -1,4 +1,4 @@
-"""Counts the bytes held for each connection, and decides which connections exceed the budget."""
+"""Counts the bytes held for each connection, and decides which ones to close over the budget."""
 
 from __future__ import annotations
 
@@ -6,16 +6,16 @@
 
 K = TypeVar("K")
 
-# Connections are closed until this share of the budget is held, so that not each further message
-# exceeds it again.
+# Connections are closed until at most this share of the budget is held; otherwise each further
+# message would exceed the budget again.
 SHARE_AFTER_CLOSING = 3 / 4
 
 
 class HeldBytes(Generic[K]):
     """Bytes held in the process, by connection.
 
-    Addresses crowds whose single connections stay within their limits. Over the budget the
-    connections that hold the most are closed first; callers with small messages are served on.
+    Addresses many connections of which each stays within its own limits. Over the budget, those
+    that hold the most are closed first, so that callers with small messages are still served.
     """
 
     def __init__(self, budget: int) -> None:
--- a/orioleplank/decision/intake/_limits.py
+++ b/orioleplank/decision/intake/_limits.py
@@ -5,12 +5,13 @@
 from msgspec import Struct
 
 MIB = 1024 * 1024
-# The smallest machine of the deployments.
+# Memory, in MB, and descriptors of the smallest machine in the deployments.
 SMALLEST_MEMORY_MB = 200.0
 SMALLEST_DESCRIPTORS = 4300
-# Memory of a process without held bytes: about 46 MB once it serves, and 2,150 connections.
+# Memory of a process without held bytes, in MB: about 46 once it serves, and the rest for 2,150
+# open connections.
 BASE_MEMORY_MB = 80.0
-# Bytes of memory that one held byte may take while it is parsed, encoded and sent on.
+# Bytes of memory that one held byte may take: it is copied when it is parsed, encoded or sent on.
 MEMORY_FACTOR = 2.0
 # Share of the descriptors that connections of callers, channels, and connections to each other
 # internal port may take. The rest is for files, instances and the instance side of tunnels.
@@ -20,7 +21,7 @@
 
 
 class CallerLimits(Struct, frozen=True):
-    """Limits on what one process keeps for others; no caller inside the protocol meets them."""
+    """Limits on what one process keeps for others; callers that keep to the protocol meet none."""
 
     # Bytes held in the process for callers, peers and instances together: read and not handled,
     # unanswered, kept in sessions, received of replies, and not read by the other side.
@@ -31,11 +32,12 @@
     peer_channels: int = int(SMALLEST_DESCRIPTORS * CHANNEL_SHARE)
     # Open connections to each other internal port and to the readiness port.
     peer_connections: int = int(SMALLEST_DESCRIPTORS * PEER_SHARE)
-    # Bytes of unanswered requests of one connection from which on no further one is handled.
+    # With this many bytes of unanswered requests of one connection, its next one is not handled
+    # yet.
     ahead_bytes: int = MIB
-    # Unanswered requests of one connection from which on no further one is handled.
+    # With this many unanswered requests of one connection, its next one is not handled yet.
     ahead_requests: int = 5
-    # Bytes of answers that one caller, or of frames that one peer, may leave unread.
+    # Bytes of answers that one caller may leave unread, and of frames that one peer may.
     unread_bytes: int = 32 * MIB
     # Seconds for which answers may stay unread after the write buffer was full.
     unread_timeout: float = 60.0
@@ -55,7 +57,8 @@
 def derive_limits(memory_mb: float | None, descriptors: int | None) -> CallerLimits:
     """Return the limits for a machine; the smallest one is assumed where nothing is stated."""
     memory = SMALLEST_MEMORY_MB if memory_mb is None else memory_mb
-    # Below the base at least a quarter of the memory, so that single messages are served.
+    # At least a quarter of the memory, so that a machine with less than `BASE_MEMORY_MB` still
+    # serves single messages.
     held_mb = max((memory - BASE_MEMORY_MB) / MEMORY_FACTOR, memory / 4)
     limit = SMALLEST_DESCRIPTORS if descriptors is None else descriptors
     return CallerLimits(
--- a/orioleplank/decision/intake/_session_limits.py
+++ b/orioleplank/decision/intake/_session_limits.py
@@ -9,7 +9,7 @@
 
 
 class SessionSize(Struct, frozen=True):
-    """What a session keeps, each byte once."""
+    """Numbers and bytes of the values and prepared statements that a session keeps."""
 
     # Bytes of names, values and prepared statements.
     byte_count: int = 0
@@ -28,7 +28,7 @@
 def find_excess(session: Session, statement: Statement, limits: CallerLimits) -> str | None:
     """Return which limit a session would exceed after a statement, as text; None if none.
 
-    Addresses sessions that set or prepare without end.
+    Addresses sessions that set values or prepare statements without end.
     """
     match statement:
         case SetValue(name, value):
--- a/orioleplank/decision/quota/_account_permits.py
+++ b/orioleplank/decision/quota/_account_permits.py
@@ -1,4 +1,4 @@
-"""The permits of one account at one proxy, its waiting operations, and what coordinators said."""
+"""One account at one proxy: its unused permits, waiting operations, and refused requests."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 from orioleplank.decision.accounts import RateLimit
 from orioleplank.decision.quota._demand import Demand
 
-# How long a permit may be used after it was asked for. A longer time needs fewer messages, but
-# widens the window over which the permits of a coordinator may be used.
+# How long a permit may be used after it was requested, in seconds. A longer time needs fewer
+# messages, but lets more operations start in one window of the rate limit.
 PERMIT_LIFETIME_S = 0.25
-# How long the state of an account without operations is kept.
+# How long the state of an account without operations is kept, in seconds.
 IDLE_TIME_S = 3.0
 
 
@@ -49,7 +49,7 @@
     """A coordinator grants nothing more until a time."""
 
     until: float
-    # False if it is new and grants nothing for that reason.
+    # True if the limit is the reason; False if the coordinator is new and does not grant yet.
     is_by_limit: bool
 
 
@@ -71,9 +71,9 @@
         self.waiters: deque[Waiter] = deque()
         # The coordinator that is being asked, and since when; None if none is.
         self.pending: tuple[str, float] | None = None
-        # By coordinator.
+        # The latest refusal of each coordinator, by its name.
         self.refusals: dict[str, Refusal] = {}
-        # Until when coordinators are not asked that denied being one, by name.
+        # By name of a proxy that denied being a coordinator: until when it is not asked again.
         self.denied_until: dict[str, float] = {}
         self._limit = limit
         self._demand = Demand()
@@ -81,7 +81,7 @@
         self._expiries: deque[float] = deque()
 
     def record_operation(self, limit: RateLimit, now: float) -> None:
-        """Record that an operation arrives; refusals under another limit no longer count."""
+        """Record that an operation arrives; a changed limit makes earlier refusals void."""
         self._demand = self._demand.record_operation(now)
         if limit != self._limit:
             self._limit = limit
@@ -109,9 +109,9 @@
     # Coordinators.
 
     def end_pending(self, coordinator: str, asked_at: float) -> None:
-        """End the order of `asked_at`; another one than the awaited order has no effect.
+        """End the pending order if it is the one of `asked_at`.
 
-        The operations that have waited since then go on to the other coordinator.
+        Operations that arrived by that time and still wait go on to the other coordinator.
         """
         if self.pending != (coordinator, asked_at):
             return
@@ -144,7 +144,7 @@
     def forget_expired(self, now: float) -> None:
         """Drop permits, refusals and denials that no longer count."""
         self._drop_expired(now)
-        # One that has just expired still explains the refusal of operations that wait.
+        # A refusal that has just expired still explains why waiting operations get no permit.
         is_recent = {n: now < r.until + IDLE_TIME_S for n, r in self.refusals.items()}
         self.refusals = {n: r for n, r in self.refusals.items() if is_recent[n]}
         self.denied_until = {n: until for n, until in self.denied_until.items() if now < until}
--- a/orioleplank/decision/quota/_coordinators.py
+++ b/orioleplank/decision/quota/_coordinators.py
@@ -3,9 +3,9 @@
 Each account has two coordinators: the first two active proxies in a ranking by account. Every proxy
 computes them by itself, and a change of the fleet moves only the accounts of the proxies concerned.
 
-A new coordinator does not know what the previous one granted, which may still grant to proxies that
-do not know of the change. Therefore the time at which its bucket starts to fill depends on how it
-became a coordinator.
+A new coordinator does not know what the previous one has granted. The previous one may also still
+grant permits to proxies that do not know of the change. Therefore the time at which the bucket of
+the new one starts to fill depends on how it became a coordinator.
 """
 
 from __future__ import annotations
@@ -17,36 +17,37 @@
 from orioleplank.decision.group import LEASE_DURATION_S
 from orioleplank.decision.membership import Fleet, rank_proxies
 
-# Each account has this many coordinators, so that one may fail without a stop of the account.
+# Coordinators of each account; while one of them has failed, the other one grants permits.
 COORDINATOR_COUNT = 2
-# From a change of the fleet until a new coordinator's bucket starts to fill: the time in which the
-# other proxies learn of the change.
+# Time from a change of the fleet until a new coordinator's bucket starts to fill, in seconds: the
+# other proxies learn of the change within it.
 HANDOVER_DELAY_S = 1.0
-# Number of latest changes of the fleet that are kept, to date the tasks of this proxy. An older
-# change counts as the oldest one that is kept, which delays a bucket but never grants too much.
+# Number of the latest changes of the fleet that are kept, from which this proxy finds out when it
+# became a coordinator. An older change counts as the oldest one that is kept, which delays a bucket
+# but never grants too much.
 MAX_KEPT_CHANGES = 32
 
 
 def select_coordinators(account: str, names: tuple[str, ...]) -> tuple[str, ...]:
     """Return the names of the coordinators of an account among the active proxies."""
-    return rank_proxies(_subject(account), names)[:COORDINATOR_COUNT]
+    return rank_proxies(_ranking_key(account), names)[:COORDINATOR_COUNT]
 
 
-def _subject(account: str) -> str:
+def _ranking_key(account: str) -> str:
     return f"permits {account}"
 
 
 class FleetChange(Struct, frozen=True):
     """Proxies that became active or ceased to be active at one time."""
 
-    # Lease clock.
+    # In seconds of the lease clock.
     at: float
     added: frozenset[str]
     removed: frozenset[str]
 
 
 class CoordinatorTable:
-    """The coordinators of accounts by the fleet that one proxy knows, and when they changed.
+    """The coordinators of accounts in the fleet that one proxy knows, and when they changed.
 
     The coordinators of an account are computed when they are first needed. Later changes of the
     fleet update them by comparing with the proxies that were added, so that a change costs little
@@ -131,7 +132,11 @@
         return self._fills_from[account]
 
     def _held_since(self, account: str) -> float:
-        """Return when the fleet last changed in a way that gave this proxy the account."""
+        """Return when this proxy became a coordinator of an account.
+
+        This is the latest change of the fleet that added this proxy, or before which
+        `COORDINATOR_COUNT` proxies ranked ahead of it.
+        """
         coordinators = self.coordinators(account)
         ahead = set(coordinators[: coordinators.index(self._own_name)])
         for change in reversed(self._changes):
@@ -145,11 +150,11 @@
 
     def _find_ahead(self, account: str, names: frozenset[str]) -> set[str]:
         """Return the proxies of `names` that rank before this one for an account."""
-        ranked = rank_proxies(_subject(account), (*names, self._own_name))
+        ranked = rank_proxies(_ranking_key(account), (*names, self._own_name))
         return set(ranked[: ranked.index(self._own_name)])
 
     def _find_retired_predecessors(self, account: str, since: float) -> tuple[float, ...]:
-        """Return when the proxies were retired that this one may have replaced.
+        """Return when those proxies were retired that this one may have replaced.
 
         These are the retired proxies that would be a coordinator if they were active and this proxy
         was not there. One that was retired after `since` was a coordinator beside this proxy.
--- a/orioleplank/decision/quota/_demand.py
+++ b/orioleplank/decision/quota/_demand.py
@@ -1,7 +1,7 @@
 """How many permits a proxy will need soon, from the operations that it recently received.
 
-Load pattern: a steady flow through one proxy, which would otherwise ask for each operation. What is
-asked for ahead and not used expires, so that it is lost to the account.
+Load pattern: a steady flow through one proxy, which would otherwise send a request for each
+operation. A permit that is requested in advance and not used expires, and is lost to the account.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
         return Demand(self._rate_at(now) + 1.0 / SMOOTHING_TIME_S, now)
 
     def expected_count(self, seconds: float, now: float) -> int:
-        """Return how many operations arrive almost certainly within the next `seconds`.
+        """Return a number of operations that almost certainly arrive within the next `seconds`.
 
         This is two standard deviations below the mean of a Poisson process.
         """
--- a/orioleplank/decision/quota/_permit_coordinator.py
+++ b/orioleplank/decision/quota/_permit_coordinator.py
@@ -17,10 +17,11 @@
 from orioleplank.decision.quota._coordinators import COORDINATOR_COUNT, CoordinatorTable
 from orioleplank.decision.quota._token_bucket import TokenBucket
 
-# Requests per second that one coordinator receives for one account that is over its limit. Each
-# takes about 6 µs to decode, grant and answer, without the socket.
+# Requests per second that one coordinator is to receive for one account that is over its limit; the
+# more proxies ask, the less often each of them does. docs/CAPACITY.md has the cost of a request.
 MAX_ASKS_PER_S = 400.0
-# Longest time until a refused proxy asks again: a raised limit or a full bucket is used by then.
+# Longest time until a refused proxy asks again, in seconds, so that it learns of a raised limit or
+# a filled bucket.
 MAX_WAIT_S = 5.0
 # Period over which the proxies that ask for an account are counted, in seconds.
 COUNTING_PERIOD_S = 1.0
@@ -46,7 +47,8 @@
 
     def __init__(self, bucket: TokenBucket, fills_from: float) -> None:
         self.bucket = bucket
-        # When the bucket started to fill; another value means that it is another bucket.
+        # When the bucket started to fill. Where the coordinator table has another time by now, this
+        # bucket is replaced by a new one.
         self.fills_from = fills_from
         self._counted_from = float("-inf")
         self._senders: set[str] = set()
--- a/orioleplank/decision/quota/_permit_holder.py
+++ b/orioleplank/decision/quota/_permit_holder.py
@@ -1,12 +1,12 @@
-"""The asking side of rate limits: gets permits from coordinators and gives them to operations.
+"""The requesting side of rate limits: gets permits from coordinators for operations.
 
 Load pattern: operations of an account arrive at one proxy or at all of them, steadily or in bursts,
 below the limit or far above it, while coordinators fail or change. An operation waits for at most
 one answer of each coordinator. What a coordinator has refused is remembered until the time that it
 stated, so that operations beyond the limit cost no messages.
 
-All times are in seconds of the lease clock. A permit is dated by the time at which it was asked
-for, so that it also expires while the VM is suspended.
+All times are in seconds of the lease clock. The lifetime of a permit counts from when it was
+requested, so that it also expires while the VM is suspended.
 """
 
 from __future__ import annotations
@@ -26,16 +26,17 @@
 )
 from orioleplank.decision.quota._coordinators import CoordinatorTable
 
-# For how long a coordinator that did not answer is avoided.
+# For how long a coordinator that did not answer is avoided, in seconds.
 SILENCE_S = 1.0
-# For how long one that denied being a coordinator of an account is not asked for this account.
+# For how long a proxy that denied being a coordinator of an account is not asked for its permits,
+# in seconds.
 DENIAL_S = 0.25
-# When to retry an operation that was refused because no coordinator answered.
+# Time until a retry of an operation that was refused because no coordinator answered, in seconds.
 UNAVAILABLE_RETRY_S = 0.5
 
 
 class PermitOrder(Struct, frozen=True):
-    """Permits to ask a coordinator for."""
+    """A request for permits that is to be sent to a coordinator."""
 
     # Name of the coordinator.
     coordinator: str
@@ -51,10 +52,10 @@
         self._own_name = own_name
         self._coordinators = coordinators
         self._accounts: dict[str, AccountPermits] = {}
-        # Until when coordinators are avoided that did not answer, by name.
+        # By name of a coordinator that did not answer: until when it is avoided.
         self._silent_until: dict[str, float] = {}
-        # Accounts with waiting operations for which nothing is being asked. The values are not
-        # used; the order is that of arrival.
+        # Accounts with waiting operations and no pending order, in the order of arrival; the values
+        # are not used.
         self._unasked: dict[str, None] = {}
 
     @property
@@ -68,7 +69,7 @@
         return bool(self._unasked)
 
     def request(self, account: str, limit: RateLimit, decide: Decide, now: float) -> None:
-        """Request a permit for one operation; `decide` is called with the decision, also at once.
+        """Request a permit for one operation; `decide` is called with the decision, now or later.
 
         After this call, `collect_orders` has to be called.
         """
@@ -85,7 +86,7 @@
             decide(self._explain_refusal(state, waiter, now))
             return
         state.waiters.append(waiter)
-        self._note_unasked(state)
+        self._mark_unasked(state)
 
     def give_back(self, permit: Permit, now: float) -> None:
         """Take back the permit of an operation that was not sent; an expired one is dropped."""
@@ -94,9 +95,9 @@
             state.add(1, permit.expires_at, now)
 
     def collect_orders(self, now: float) -> tuple[PermitOrder, ...]:
-        """Return the permits to ask for now; refuse the operations for which nobody can be asked.
+        """Return the orders to send now; refuse operations for which no coordinator can be asked.
 
-        Each order counts as asked for at `now`.
+        Each order is dated `now`.
         """
         accounts, self._unasked = self._unasked, {}
         states = (self._accounts[name] for name in accounts if name in self._accounts)
@@ -104,7 +105,7 @@
         return tuple(order for order in orders if order is not None)
 
     def _order(self, state: AccountPermits, now: float) -> PermitOrder | None:
-        """Return what to ask for the operation that has waited longest, and those behind it."""
+        """Return the order for all waiting operations, to the coordinator chosen for the first."""
         if state.pending is not None:
             return None
         while state.waiters:
@@ -130,15 +131,15 @@
             state.record_refusal(coordinator, now + grant.wait, grant.is_ready)
         state.add(grant.count, asked_at + PERMIT_LIFETIME_S, now)
         state.end_pending(coordinator, asked_at)
-        self._note_unasked(state)
+        self._mark_unasked(state)
 
     def handle_silence(self, coordinator: str, account: str, asked_at: float, now: float) -> None:
-        """Note that a coordinator has not answered the order of `asked_at` in time."""
+        """Record that a coordinator has not answered the order of `asked_at` in time."""
         self._silent_until[coordinator] = now + SILENCE_S
         state = self._accounts.get(account)
         if state is not None:
             state.end_pending(coordinator, asked_at)
-            self._note_unasked(state)
+            self._mark_unasked(state)
 
     def forget_idle_accounts(self, now: float) -> None:
         """Drop the state of accounts that have sent nothing recently."""
@@ -150,14 +151,14 @@
         silent = self._silent_until.items()
         self._silent_until = {name: until for name, until in silent if until > now}
 
-    def _note_unasked(self, state: AccountPermits) -> None:
+    def _mark_unasked(self, state: AccountPermits) -> None:
         if state.waiters and state.pending is None:
             self._unasked[state.account] = None
 
     def _choose_coordinator(self, state: AccountPermits, waiter: Waiter, now: float) -> str | None:
         """Return the coordinator to ask next for an operation; None if no one may grant a permit.
 
-        One that was silent a moment ago is asked only while no other one has answered.
+        A coordinator that did not answer lately is asked only if no other one has refused.
         """
         names = self._order_by_preference(state.account)
         open_to_ask = [n for n in names if n not in waiter.tried and state.may_ask(n, now)]
@@ -171,7 +172,7 @@
         return now < self._silent_until.get(coordinator, float("-inf"))
 
     def _order_by_preference(self, account: str) -> tuple[str, ...]:
-        """Return the coordinators: this proxy itself first, others by proxy to share the load."""
+        """Return the coordinators: this proxy itself first, then by a ranking that spreads load."""
         coordinators = self._coordinators.coordinators(account)
         if self._own_name in coordinators:
             others = (name for name in coordinators if name != self._own_name)
@@ -181,7 +182,7 @@
     def _explain_refusal(
         self, state: AccountPermits, waiter: Waiter, now: float
     ) -> OverLimit | Unavailable:
-        """Return why no permit can be had: the limit, if a coordinator refused because of it."""
+        """Return why no permit is available: the limit, if a coordinator refused because of it."""
         names = self._coordinators.coordinators(state.account)
         refusals = [
             state.refusals[name] for name in names if state.is_refused_by(name, waiter.arrived_at)
