Operations wait for coordinators that do not grant permits yet

An operation was refused at once while both coordinators of its account were new, or neither answered. Operations now wait as long as their route's time allows, and then for the first permits. Operations over the limit of an account are refused at once as before.

--- a/orioleplank/gateway/_rate_limiter.py
+++ b/orioleplank/gateway/_rate_limiter.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 from twisted.internet.defer import Deferred
 
-from orioleplank.decision.accounts import ClientAccount
+from orioleplank.decision.accounts import ClientAccount, RateLimit
 from orioleplank.decision.mechanisms import Mechanism
 from orioleplank.decision.membership import PeerMessage, PermitsAsked, PermitsTold, ProxyRecord
 from orioleplank.decision.quota import (
@@ -23,6 +23,7 @@
 from orioleplank.decision.session import FailureCode
 from orioleplank.gateway._cluster_state import ClusterState
 from orioleplank.gateway._metrics import Metrics
+from orioleplank.gateway._notifier import sleep
 from orioleplank.gateway._outcome import Refused, refuse, refuse_by_operator
 from orioleplank.gateway._peer_socket import PeerSocket
 from orioleplank.gateway._permit_batches import PermitBatch, group_orders
@@ -33,6 +34,9 @@
 ANSWER_TIMEOUT_S = 0.08
 # Longest wait for the first listing of the fleet before its state is checked again.
 START_CHECK_INTERVAL_S = 0.2
+# Shortest wait before another request for a permit, in seconds, so that rounding of times causes no
+# series of requests.
+MIN_RETRY_INTERVAL_S = 0.02
 # The step that refusals and log lines name.
 STEP = "rate limit"
 
@@ -77,18 +81,30 @@
 
     # Operations.
 
-    async def admit(self, account: ClientAccount) -> Permit | Refused | None:
-        """Return a permit for one operation, or why it is refused; None if it needs no permit."""
+    async def admit(
+        self, account: ClientAccount, max_wait: float = 0.0
+    ) -> Permit | Refused | None:
+        """Return a permit for one operation, or why it is refused; None if it needs no permit.
+
+        An operation waits for at most `max_wait` seconds while no coordinator can grant permits,
+        for example after a restart of the whole fleet, and then for one of their first permits.
+        Otherwise one over the limit is refused at once.
+        """
         is_on = self._cluster_state.mechanisms.is_on(Mechanism.RATE_LIMITS)
         if account.limit is None or not is_on:
             return None
         while self._cluster_state.is_starting and not self._cluster_state.fleet.active():
             await self._cluster_state.changed.wait(START_CHECK_INTERVAL_S)
-        result: Deferred[PermitDecision] = Deferred()
-        now = self._cluster_state.lease_clock()
-        self._holder.request(account.name, account.limit, result.callback, now)
-        self._schedule_flush()
-        decision = await result
+        deadline = self._cluster_state.lease_clock() + max_wait
+        decision = await self._request_permit(account.name, account.limit)
+        has_waited = False
+        while isinstance(decision, Unavailable) or (has_waited and isinstance(decision, OverLimit)):
+            pause = max(MIN_RETRY_INTERVAL_S, decision.retry_after)
+            if self._cluster_state.lease_clock() + pause >= deadline:
+                break
+            await sleep(self._reactor, pause)
+            has_waited = True
+            decision = await self._request_permit(account.name, account.limit)
         self._count_decision(account, decision)
         match decision:
             case Permit():
@@ -96,6 +112,12 @@
             case _:
                 return _build_refusal(account, decision)
 
+    async def _request_permit(self, account: str, limit: RateLimit) -> PermitDecision:
+        result: Deferred[PermitDecision] = Deferred()
+        self._holder.request(account, limit, result.callback, self._cluster_state.lease_clock())
+        self._schedule_flush()
+        return await result
+
     def give_back(self, permit: Permit | None) -> None:
         """Take back the permit of an operation that was not sent to an instance."""
         if permit is not None:
--- a/orioleplank/gateway/_request_handler.py
+++ b/orioleplank/gateway/_request_handler.py
@@ -180,7 +180,7 @@
         caller = self._admission.check_transaction()
         if isinstance(caller, Refused):
             return self._replies.refuse(pending, caller)
-        permit = await self._dependencies.rate_limiter.admit(caller.account)
+        permit = await self._dependencies.rate_limiter.admit(caller.account, caller.route.timeout)
         if isinstance(permit, Refused):
             return self._replies.build(
                 pending, self._build_request(pending, caller.route, caller.account), permit
@@ -243,7 +243,7 @@
         if isinstance(caller, Refused):
             return self._replies.refuse(pending, caller)
         rate_limiter = self._dependencies.rate_limiter
-        permit = await rate_limiter.admit(caller.account)
+        permit = await rate_limiter.admit(caller.account, caller.route.timeout)
         if self.has_ended and not isinstance(permit, Refused):
             rate_limiter.give_back(permit)
             return Reply()
