Simulated callers and the event log in memory get modules of their own

In the tests only imports change.

Ruled out: moving the fetcher of store views; it needs the cluster's type.

--- a/orioleplank/tests/_gateway_cluster.py
+++ b/orioleplank/tests/_gateway_cluster.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
 from random import Random
@@ -24,9 +23,8 @@
 )
 from orioleplank.decision.mechanisms import ALL_ON, MechanismSwitches
 from orioleplank.decision.membership import ViewVersions
-from orioleplank.decision.session import Failure, Reply, Statement
+from orioleplank.decision.session import Reply, Statement
 from orioleplank.gateway import (
-    EventType,
     Gateway,
     GatewayDependencies,
     GatewaySettings,
@@ -35,7 +33,9 @@
     ViewUnavailableError,
     build_kernel,
 )
+from orioleplank.tests._memory_event_log import MemoryEventLog
 from orioleplank.tests._node_reactor import DatagramNetwork, NodeReactor
+from orioleplank.tests._simulated_caller import SimulatedCaller
 from orioleplank.tests._simulated_channels import SimulatedChannels
 from orioleplank.tests._simulated_dialer import SimulatedDialer, SimulatedPromotions
 from orioleplank.tests._simulated_instances import SERVICE, SimulatedGroup, SimulatedInstance
@@ -56,79 +56,6 @@
 )
 
 
-class MemoryEventLog:
-    """Stores in memory the events that a gateway logs; replaces its event log."""
-
-    def __init__(self) -> None:
-        self.events: list[tuple[EventType, dict[str, Any]]] = []
-
-    def log_event(self, event_type: EventType, **fields: object) -> None:
-        """Keep an event with its fields."""
-        self.events.append((event_type, fields))
-
-    def log_request(self, **fields: object) -> None:
-        """Keep a request event with its fields."""
-        self.log_event(EventType.REQUEST, **fields)
-
-    def log_limit(self, **fields: object) -> None:
-        """Keep an event about a met limit."""
-        self.log_event(EventType.LIMIT, **fields)
-
-    def outcomes(self, event_type: EventType) -> list[Any]:
-        """Return the outcomes of the events of a type, None for those without one."""
-        return [
-            fields.get("outcome")
-            for logged_type, fields in self.events
-            if logged_type is event_type
-        ]
-
-
-@dataclass(slots=True)
-class SimulatedCaller:
-    """One caller's end of a session; implements the gateway's `CallerLink`."""
-
-    replies: list[Reply] = field(default_factory=list)
-    refusal: Failure | None = None
-    has_received_ready: bool = False
-    is_closed: bool = False
-    session: Any = None
-    # Called with each reply.
-    on_reply: Callable[[Reply], None] = lambda reply: None
-    # Called once when the session ends.
-    on_close: Callable[[], None] = lambda: None
-
-    def send_ready(self) -> None:
-        """Record that the session is open."""
-        self.has_received_ready = True
-
-    def reply(self, reply: Reply) -> None:
-        """Record a reply."""
-        self.replies.append(reply)
-        self.on_reply(reply)
-
-    def refuse(self, failure: Failure) -> None:
-        """Record why the session was refused, and close it."""
-        self.refusal = failure
-        self.close()
-
-    def resume_reading(self) -> None:
-        """Do nothing: each request arrives on its own, so reading never stops."""
-
-    def close(self) -> None:
-        """Close the session and notify it, as a closed connection does."""
-        if not self.is_closed:
-            self.is_closed = True
-            if self.session is not None:
-                self.session.handle_disconnect()
-            self.on_close()
-
-    def disconnect(self) -> None:
-        """Close the session because the proxy's process has ended."""
-        if not self.is_closed:
-            self.is_closed = True
-            self.on_close()
-
-
 @dataclass(slots=True)
 class GatewayNode(Node):
     """One proxy, whose process can be killed and started again."""
--- a/orioleplank/tests/_gateway_helpers.py
+++ b/orioleplank/tests/_gateway_helpers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from orioleplank.decision.session import FailureCode, Reply, Write
-from orioleplank.tests._gateway_cluster import GatewayCluster, SimulatedCaller
+from orioleplank.tests._gateway_cluster import GatewayCluster
+from orioleplank.tests._simulated_caller import SimulatedCaller
 
 START_S = 3.0
 
--- a/orioleplank/tests/test_gateway_accounts.py
+++ b/orioleplank/tests/test_gateway_accounts.py
@@ -7,15 +7,9 @@
 
 from orioleplank.decision.accounts import AccountTable, ClientAccount
 from orioleplank.decision.session import Begin, Commit, FailureCode, Read, Write
-from orioleplank.tests._gateway_cluster import (
-    CATALOGUE,
-    JOBS,
-    QUOTES,
-    GatewayCluster,
-    GatewayNode,
-    SimulatedCaller,
-)
+from orioleplank.tests._gateway_cluster import CATALOGUE, JOBS, QUOTES, GatewayCluster, GatewayNode
 from orioleplank.tests._gateway_helpers import failure_code
+from orioleplank.tests._simulated_caller import SimulatedCaller
 from orioleplank.tests._simulated_channels import SimulatedChannel
 
 START_S = 4.0
--- a/orioleplank/tests/test_gateway_fairness.py
+++ b/orioleplank/tests/test_gateway_fairness.py
@@ -8,7 +8,8 @@
 
 from orioleplank.decision.accounts import AccountTable, ClientAccount
 from orioleplank.decision.session import Begin, Reply, Write
-from orioleplank.tests._gateway_cluster import QUOTES, GatewayCluster, GatewayNode, SimulatedCaller
+from orioleplank.tests._gateway_cluster import QUOTES, GatewayCluster, GatewayNode
+from orioleplank.tests._simulated_caller import SimulatedCaller
 
 START_S = 4.0
 HOT, CALM = ClientAccount("hot", 1), ClientAccount("calm", 1)
--- a/orioleplank/tests/test_gateway_leaving_callers.py
+++ b/orioleplank/tests/test_gateway_leaving_callers.py
@@ -7,7 +7,8 @@
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
 from orioleplank.decision.session import Begin, Commit, Read, SetValue, Write
 from orioleplank.gateway._pool import InstancePool
-from orioleplank.tests._gateway_cluster import QUOTES, GatewayCluster, GatewayNode, SimulatedCaller
+from orioleplank.tests._gateway_cluster import QUOTES, GatewayCluster, GatewayNode
+from orioleplank.tests._simulated_caller import SimulatedCaller
 
 START_S = 4.0
 PRIMARY = "db-a"
--- a/orioleplank/tests/test_gateway_load.py
+++ b/orioleplank/tests/test_gateway_load.py
@@ -6,13 +6,8 @@
 
 from orioleplank.decision.membership._fleet import _rendezvous_hash
 from orioleplank.decision.session import Begin, Commit, FailureCode, Read, Reply, Write
-from orioleplank.tests._gateway_cluster import (
-    JOBS,
-    QUOTES,
-    GatewayCluster,
-    GatewayNode,
-    SimulatedCaller,
-)
+from orioleplank.tests._gateway_cluster import JOBS, QUOTES, GatewayCluster, GatewayNode
+from orioleplank.tests._simulated_caller import SimulatedCaller
 
 START_S = 4.0
 # An equal share would be two connections to an instance per proxy. That is too few for each proxy
--- a/orioleplank/tests/test_gateway_operators.py
+++ b/orioleplank/tests/test_gateway_operators.py
@@ -12,7 +12,8 @@
 from orioleplank.decision.session import Begin, Commit, FailureCode, Reply, Write
 from orioleplank.gateway import EventType
 from orioleplank.gateway._peer_socket import PeerSocket
-from orioleplank.tests._gateway_cluster import QUOTES, GatewayCluster, GatewayNode, SimulatedCaller
+from orioleplank.tests._gateway_cluster import QUOTES, GatewayCluster, GatewayNode
+from orioleplank.tests._simulated_caller import SimulatedCaller
 
 START_S = 4.0
 PROXIES = 9
--- a/orioleplank/tests/test_gateway_rate_limits.py
+++ b/orioleplank/tests/test_gateway_rate_limits.py
@@ -23,14 +23,9 @@
 )
 from orioleplank.gateway import EventType
 from orioleplank.gateway._peer_socket import decode_message
-from orioleplank.tests._gateway_cluster import (
-    JOBS,
-    QUOTES,
-    GatewayCluster,
-    GatewayNode,
-    SimulatedCaller,
-)
+from orioleplank.tests._gateway_cluster import JOBS, QUOTES, GatewayCluster, GatewayNode
 from orioleplank.tests._gateway_helpers import failure_code, keep_writing
+from orioleplank.tests._simulated_caller import SimulatedCaller
 
 PROXIES = 6
 KEY = "a-key-that-is-never-shown"
--- a/orioleplank/tests/test_gateway_shutdown.py
+++ b/orioleplank/tests/test_gateway_shutdown.py
@@ -17,9 +17,9 @@
     ROUTES,
     GatewayCluster,
     GatewayNode,
-    SimulatedCaller,
 )
 from orioleplank.tests._gateway_helpers import failure_code, start_cluster
+from orioleplank.tests._simulated_caller import SimulatedCaller
 
 # The settings of the simulated proxies.
 GRACE_S = 6.0
--- a/orioleplank/tests/test_gateway_sync_replication.py
+++ b/orioleplank/tests/test_gateway_sync_replication.py
@@ -8,8 +8,9 @@
 
 from orioleplank.decision.session import FailureCode, Read, Reply, Write
 from orioleplank.gateway import EventType
-from orioleplank.tests._gateway_cluster import CATALOGUE, QUOTES, GatewayCluster, SimulatedCaller
+from orioleplank.tests._gateway_cluster import CATALOGUE, QUOTES, GatewayCluster
 from orioleplank.tests._gateway_helpers import START_S, failure_code
+from orioleplank.tests._simulated_caller import SimulatedCaller
 from orioleplank.tests._simulated_instances import SERVICE, SimulatedInstance
 
 # Time after which a crashed instance is no longer listed or remembered by a proxy, in seconds.
