The delivery through a tunnel gets a module of its own

Ruled out: separating what an instance executes from the delivery; both use the state of the connection.

--- a/orioleplank/tests/_simulated_dialer.py
+++ b/orioleplank/tests/_simulated_dialer.py
@@ -13,8 +13,9 @@
     InstanceUnreachableError,
     TunnelRoute,
 )
+from orioleplank.tests._relayed_delivery import deliver_via
 from orioleplank.tests._simulated_instances import SimulatedGroup
-from orioleplank.tests._simulated_links import SimulatedLink, deliver_via
+from orioleplank.tests._simulated_links import SimulatedLink
 from orioleplank.tests._simulator import Node
 
 HANDSHAKE_S = 0.012
--- a/orioleplank/tests/_simulated_links.py
+++ b/orioleplank/tests/_simulated_links.py
@@ -33,13 +33,14 @@
     InstanceUnreachableError,
     RequestOptions,
 )
+from orioleplank.tests._relayed_delivery import deliver_via
 from orioleplank.tests._simulated_instances import (
     CommitEntry,
     ExecutionRecord,
     SimulatedGroup,
     SimulatedInstance,
 )
-from orioleplank.tests._simulator import Node, Simulator
+from orioleplank.tests._simulator import Node
 
 EXECUTION_S = 0.005
 # Interval of the checks whether replicas have received a commit.
@@ -390,23 +391,3 @@
         if self._is_open:
             self._is_open = False
             self._simulator.call_on_node(self._node, self._fail_pending)
-
-
-def deliver_via(
-    simulator: Simulator,
-    source: Node,
-    relay: Node | None,
-    target: Node,
-    call: Callable[[], None],
-    is_reply: bool = False,
-) -> None:
-    """Deliver a message from `source` to `target`, through a tunnel at `relay` if given."""
-    if relay is None:
-        simulator.deliver(source.name, target.name, call, is_reply=is_reply)
-        return
-    relay_node = relay
-
-    def forward() -> None:
-        simulator.deliver(relay_node.name, target.name, call, is_reply=is_reply)
-
-    simulator.deliver(source.name, relay_node.name, forward, is_reply=is_reply)
