Answer placement queries: where a request would go now, and why

A proxy answers on its metrics address, path /placement, and the command 'orioleplank placement' asks it. The answer comes from the code that places requests, run on copies of the position tracker, the random generator and the table of coordinators, since look-ups there leave traces. Whether a connection owner is avoided is now found without creating a channel to it.

--- a/orioleplank/cli/_main.py
+++ b/orioleplank/cli/_main.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from orioleplank._exceptions import OrioleplankError, SettingsError
-from orioleplank.cli import _call, _load, _logs, _objects, _report, _run
+from orioleplank.cli import _call, _load, _logs, _objects, _placement, _report, _run
 from orioleplank.cli._output import ExitCode, OutputFormat
 from orioleplank.soak import add_arguments
 
@@ -45,6 +45,7 @@
     _add_operation_commands(commands)
     _add_report_command(commands)
     _add_call_command(commands)
+    _add_placement_command(commands)
     _add_load_command(commands)
     _add_log_commands(commands)
     _add_standin_commands(commands)
@@ -159,6 +160,24 @@
     parser.set_defaults(run=_call.call_command)
 
 
+def _add_placement_command(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser],
+) -> None:
+    parser = _add_command(
+        commands, "placement", "Show where a proxy would send a request now; nothing is sent."
+    )
+    parser.add_argument(
+        "--metrics", required=True, metavar="HOST:PORT", help="metrics address of a proxy"
+    )
+    parser.add_argument("--database", required=True)
+    parser.add_argument("--account", help="client account (default: a caller without one)")
+    parser.add_argument(
+        "--age", metavar="SECONDS", help="maximum age of the data (default: the route's)"
+    )
+    parser.add_argument("kind", help="read, write or read-only-transaction")
+    parser.set_defaults(run=_placement.placement_command)
+
+
 def _add_load_command(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
     parser = _add_command(commands, "load", "Run a load experiment with faults at set times.")
     parser.add_argument("file", type=Path, metavar="FILE")
--- a/orioleplank/decision/quota/__init__.py
+++ b/orioleplank/decision/quota/__init__.py
@@ -13,6 +13,7 @@
     CoordinatorTable,
     select_coordinators,
 )
+from orioleplank.decision.quota._held_permits import HeldPermits, find_held_permits
 from orioleplank.decision.quota._permit_coordinator import PermitCoordinator, find_limits
 from orioleplank.decision.quota._permit_holder import PermitHolder, PermitOrder
 from orioleplank.decision.quota._token_bucket import TokenBucket
@@ -22,6 +23,7 @@
     "HANDOVER_DELAY_S",
     "PERMIT_LIFETIME_S",
     "CoordinatorTable",
+    "HeldPermits",
     "OverLimit",
     "Permit",
     "PermitCoordinator",
@@ -30,6 +32,7 @@
     "PermitOrder",
     "TokenBucket",
     "Unavailable",
+    "find_held_permits",
     "find_limits",
     "select_coordinators",
 ]
--- a/orioleplank/decision/routing/__init__.py
+++ b/orioleplank/decision/routing/__init__.py
@@ -26,6 +26,7 @@
     ReadRequirement,
     ReplicaExpected,
     SelectedInstance,
+    expected_time,
     explain_candidate,
     place_read,
 )
@@ -51,6 +52,7 @@
     "choose_connection_path",
     "choose_owner",
     "direct_path",
+    "expected_time",
     "explain_candidate",
     "order_by_account",
     "owner_connection_limit",
--- a/orioleplank/decision/routing/_placement.py
+++ b/orioleplank/decision/routing/_placement.py
@@ -104,7 +104,7 @@
     if not eligible:
         retry_after = _find_retry_time(candidates, requirement)
         return NoInstanceAvailable(_explain(candidates, requirement), retry_after)
-    best = _choose(sorted(eligible, key=_expected_time)[:2], random)
+    best = _choose(sorted(eligible, key=_sort_key)[:2], random)
     if best.is_primary:
         return SelectedInstance(best.id, None)
     if best.wait > 0 and requirement.min_position is not None:
@@ -117,7 +117,7 @@
     has_news = any(candidate.owner_estimate.weight > 0 for candidate in best)
     if random is None or len(best) < 2 or not has_news:
         return best[0]
-    first_time, second_time = (_expected_time(candidate)[0] for candidate in best)
+    first_time, second_time = (expected_time(candidate) for candidate in best)
     ratio = second_time / max(first_time, 1e-6)
     second_share = 0.5 * max(0.0, MAX_TIME_RATIO - ratio) / (MAX_TIME_RATIO - 1.0)
     return best[1] if random.random() < second_share else best[0]
@@ -170,9 +170,14 @@
     return candidate.owner_estimate.combine(own_estimate)
 
 
-def _expected_time(candidate: ReadCandidate) -> tuple[float, str]:
+def expected_time(candidate: ReadCandidate) -> float:
+    """Return the time by which candidates are compared, in seconds, with the zone penalty."""
     zone_penalty = 0.0 if candidate.in_same_zone else CROSS_ZONE_PENALTY_S
-    return candidate.wait + _service_time(candidate) + zone_penalty, candidate.id
+    return candidate.wait + _service_time(candidate) + zone_penalty
+
+
+def _sort_key(candidate: ReadCandidate) -> tuple[float, str]:
+    return expected_time(candidate), candidate.id
 
 
 def _explain(candidates: Sequence[ReadCandidate], requirement: ReadRequirement) -> str:
--- a/orioleplank/gateway/_forwarding_client.py
+++ b/orioleplank/gateway/_forwarding_client.py
@@ -91,14 +91,17 @@
 
     def channel(self, owner: ProxyRecord) -> OwnerChannel:
         """Return the channel to an owner, which may be this proxy."""
-        if owner.name == self._own_name and self.loopback_channel is not None:
-            return self.loopback_channel
-        channel = self._by_address.get(owner.address)
+        channel = self._find_channel(owner)
         if channel is None:
             channel = OwnerChannel(owner.address, self._dialer, self._now)
             self._by_address[owner.address] = channel
         return channel
 
+    def _find_channel(self, owner: ProxyRecord) -> OwnerChannel | None:
+        if owner.name == self._own_name and self.loopback_channel is not None:
+            return self.loopback_channel
+        return self._by_address.get(owner.address)
+
     def close_channels_except(self, addresses: Collection[str]) -> None:
         """Close the channels to proxies that are no longer at one of these addresses."""
         obsolete = [address for address in self._by_address if address not in addresses]
@@ -119,7 +122,8 @@
         """Return whether an owner is avoided for an instance now."""
         if self._now() < self._avoided.get((instance, owner.name), 0.0):
             return True
-        return self.channel(owner).is_unresponsive
+        channel = self._find_channel(owner)
+        return channel is not None and channel.is_unresponsive
 
 
 class ForwardingLink:
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -32,6 +32,7 @@
 from orioleplank.gateway._notifier import sleep
 from orioleplank.gateway._owner_channel import OwnerChannel
 from orioleplank.gateway._peer_socket import PeerSocket
+from orioleplank.gateway._placement_view import PlacementView
 from orioleplank.gateway._platform_watcher import PlatformWatcher
 from orioleplank.gateway._position_exchange import PositionExchange
 from orioleplank.gateway._primary_monitor import PRIMARY_CHECK_INTERVAL_S, PrimaryMonitor
@@ -190,6 +191,9 @@
         )
         self._limit_reports = LimitReports(self.cluster_state, event_log, self.metrics)
         self._rate_limiter = RateLimiter(reactor, self.cluster_state, own_record, metrics)
+        self.placement_view = PlacementView(
+            settings.name, statements, connector, self._rate_limiter
+        )
         self.sessions = SessionTable(
             self.cluster_state,
             statements,
@@ -250,7 +254,7 @@
         channels = ChannelFactory(self.forwarding_server.accept, self.intake)
         self._reactor.listenTCP(int(port) + CHANNEL_PORT_OFFSET, channels, interface=host)
         host, _, port = self._settings.metrics_address.rpartition(":")
-        metrics = self.metrics.build_site(self._reactor)
+        metrics = self.placement_view.build_site(self._reactor, self.metrics.render)
         metrics.guard = self.intake.build_peer_guard(LimitSide.HTTP)
         self._reactor.listenTCP(int(port), metrics, interface=host)
         for component in (
--- a/orioleplank/gateway/_instance_connector.py
+++ b/orioleplank/gateway/_instance_connector.py
@@ -15,6 +15,7 @@
     DirectPath,
     ForwardingPath,
     OwnerEstimate,
+    OwnerNews,
     choose_connection_path,
     choose_owner,
     direct_path,
@@ -158,13 +159,14 @@
         return ForwardingLink(
             entry,
             self._forwarding,
-            lambda account: self._select_owner(entry, account, self._random),
+            lambda account: self.select_owner(entry, account, self._random),
             on_unreachable,
         )
 
-    def _select_owner(
+    def select_owner(
         self, entry: InstanceEntry, account: str, random: Random | None
     ) -> ProxyRecord | None:
+        """Return the owner for a forwarded statement, possibly this proxy; None if none is left."""
         path = self.connection_path(entry)
         owners = path.owners if isinstance(path, ForwardingPath) else ()
         if self._mechanisms.is_on(Mechanism.ACCOUNT_AFFINITY):
@@ -188,10 +190,14 @@
         uses_news = self._mechanisms.is_on(Mechanism.OWNER_LOAD)
         if not uses_news or self.holds_connections(entry):
             return OwnerEstimate()
-        owner = self._select_owner(entry, account, None)
+        owner = self.select_owner(entry, account, None)
         news = self._forwarding.owner_loads.news(entry.id, owner.name) if owner else None
         return news.estimate(self._now()) if news is not None else OwnerEstimate()
 
+    def owner_news(self, entry: InstanceEntry, owner: str) -> OwnerNews | None:
+        """Return the newest load that an owner told of an instance; None without any."""
+        return self._forwarding.owner_loads.news(entry.id, owner)
+
     # Tunnels.
 
     def use_tunnel(self, instance: str, tunnel_route: TunnelRoute) -> None:
--- a/orioleplank/gateway/_metrics.py
+++ b/orioleplank/gateway/_metrics.py
@@ -4,12 +4,11 @@
 
 from bisect import bisect_left
 from collections import defaultdict
-from typing import Any
 
 from orioleplank.decision.session import Statement
 from orioleplank.gateway._instance_executor import Request
 from orioleplank.gateway._outcome import WAIT_STEP, Completed, Outcome, Refused
-from orioleplank.http import HttpServerFactory, Response
+from orioleplank.http import Response
 
 # Upper bounds of the latency histogram, in seconds.
 LATENCY_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0)
@@ -207,10 +206,6 @@
                 if outcome.step == WAIT_STEP:
                     self.refused_waits.increment(route.service, request.account.name)
 
-    def build_site(self, reactor: Any) -> HttpServerFactory:
-        """Return a web site that serves the metrics in text format on every path."""
-        return HttpServerFactory(reactor, lambda _: self.render())
-
     def render(self) -> Response:
         """Return the metrics in the text format of Prometheus."""
         # Imported when the metrics are first read, so that a restart does not wait for it.
--- a/orioleplank/gateway/_position_tracker.py
+++ b/orioleplank/gateway/_position_tracker.py
@@ -36,6 +36,14 @@
         # Positions of the primary of the term before the latest one.
         self._earlier_histories: dict[str, PositionHistory] = {}
 
+    def copy(self) -> PositionTracker:
+        """Return a tracker with the same positions, for look-ups that must not be recorded here."""
+        copied = PositionTracker(self._find_lease, self._now, self._mechanisms)
+        copied.required_at.update(self.required_at)
+        copied._histories.update(self._histories)
+        copied._earlier_histories.update(self._earlier_histories)
+        return copied
+
     def record(self, lease: Lease, service: str, requested_at: float, position: Position) -> None:
         """Add the position in a primary's response to a request sent at `requested_at`.
 
--- a/orioleplank/gateway/_rate_limiter.py
+++ b/orioleplank/gateway/_rate_limiter.py
@@ -19,6 +19,7 @@
     PermitDecision,
     PermitHolder,
     Unavailable,
+    find_held_permits,
 )
 from orioleplank.decision.session import FailureCode
 from orioleplank.gateway._cluster_state import ClusterState
@@ -103,6 +104,19 @@
             self._holder.give_back(permit, self._cluster_state.lease_clock())
             self._schedule_flush()
 
+    def find_permits(self, account: ClientAccount) -> tuple[int, Refused | None] | None:
+        """Return the number of unused permits, and the refusal if none may be asked for.
+
+        None for an account that needs no permits. Nothing is asked for or recorded.
+        """
+        is_on = self._cluster_state.mechanisms.is_on(Mechanism.RATE_LIMITS)
+        if account.limit is None or not is_on:
+            return None
+        now = self._cluster_state.lease_clock()
+        held = find_held_permits(self._holder, account.name, account.limit, now)
+        refusal = _build_refusal(account, held.refusal) if held.refusal is not None else None
+        return held.count, refusal
+
     def is_expired(self, permit: Permit) -> bool:
         """Return whether a permit may no longer be used to start an operation."""
         return self._cluster_state.lease_clock() >= permit.expires_at
--- a/orioleplank/gateway/_read_placement.py
+++ b/orioleplank/gateway/_read_placement.py
@@ -86,9 +86,9 @@
         cluster_state, route = self._cluster_state, request.route
         lease = self.usable_lease(request)
         primary = lease.primary if lease else ""
-        requirement = self._build_requirement(request)
+        requirement = self.build_requirement(request)
         candidates = [
-            self._build_candidate(entry, entry.id == primary, requirement, request)
+            self.build_candidate(entry, entry.id == primary, requirement, request)
             for entry in cluster_state.directory.entries_of_service(route.service)
             if entry.id not in excluded
             and not avoided.contains(entry.id)
@@ -149,15 +149,16 @@
         """Return a refusal that states each candidate and the reason against it."""
         entries = self._cluster_state.directory.entries_of_service(request.route.service)
         reasons = (
-            f"{entry.id}: {self._explain_instance(request, avoided, entry)}"
+            f"{entry.id}: {self.explain_instance(request, avoided, entry)}"
             for entry in tuple(entries)[:MAX_EXPLAINED_CANDIDATES]
         )
         candidates = tuple(reason[:MAX_EXPLANATION_LENGTH] for reason in reasons)
         return replace(outcome, candidates=candidates)
 
-    def _explain_instance(
+    def explain_instance(
         self, request: Request, avoided: AvoidedInstances, entry: InstanceEntry
     ) -> str:
+        """Return the reason against an instance, or that it may serve the request."""
         lease = self.usable_lease(request)
         primary = lease.primary if lease else ""
         refusal = avoided.refusals.get(entry.id)
@@ -165,24 +166,26 @@
             return f"{refusal.failure.code.value}, {refusal.reason}"
         if not accepts_work(self._cluster_state, entry.id, primary):
             return "takes no work"
-        requirement = self._build_requirement(request)
-        candidate = self._build_candidate(entry, entry.id == primary, requirement, request)
+        requirement = self.build_requirement(request)
+        candidate = self.build_candidate(entry, entry.id == primary, requirement, request)
         return explain_candidate(candidate, requirement)
 
     # What a read requires, and the candidates.
 
-    def _build_requirement(self, request: Request) -> ReadRequirement:
+    def build_requirement(self, request: Request) -> ReadRequirement:
+        """Return what a read requires of an instance now."""
         return ReadRequirement(
             self._needed_position(request), self._executor.remaining_time(request)
         )
 
-    def _build_candidate(
+    def build_candidate(
         self,
         entry: InstanceEntry,
         is_primary: bool,
         requirement: ReadRequirement,
         request: Request,
     ) -> ReadCandidate:
+        """Return what placement compares of an instance that accepts work."""
         pool, mechanisms = self._cluster_state.pools[entry.id], self._cluster_state.mechanisms
         wait = None if is_primary else self._expected_wait(pool, requirement, request)
         weighs_latency = mechanisms.is_on(Mechanism.LATENCY_PREFERENCE)
