--- a/orioleplank/tests/_state_fingerprint.py
+++ b/orioleplank/tests/_state_fingerprint.py
@@ -17,8 +17,8 @@
     """Return one line for each value that is reachable from a gateway, with its path."""
     lines: list[str] = []
     seen: dict[int, str] = {}
-    # Values are kept, so that no object is created with the address of an earlier one.
     pending: deque[tuple[str, object]] = deque([("gateway", gateway)])
+    # Values are kept, so that no object is created with the address of an earlier one.
     kept: list[object] = []
     while pending:
         path, value = pending.popleft()
