--- a/orioleplank/gateway/_placement_query.py
+++ b/orioleplank/gateway/_placement_query.py
@@ -26,6 +26,7 @@
 from orioleplank.gateway._avoided_instances import AvoidedInstances
 from orioleplank.gateway._instance_connector import InstanceConnector
 from orioleplank.gateway._instance_executor import Request
+from orioleplank.gateway._operation_admission import SHUTDOWN_REASON, UNKNOWN_KEY_REASON
 from orioleplank.gateway._outcome import Refused, refuse, refuse_by_operator
 from orioleplank.gateway._placement_answer import (
     CandidateAnswer,
@@ -42,7 +43,6 @@
 from orioleplank.gateway._pool import InstancePool
 from orioleplank.gateway._rate_limiter import RateLimiter
 from orioleplank.gateway._read_placement import accepts_work
-from orioleplank.gateway._sessions import SHUTDOWN_REASON, UNKNOWN_KEY_REASON
 from orioleplank.gateway._statements import StatementExecutor
 
 # Names the request in no log; it only determines which share of `WAIT_SPREAD_S` a read waits.
--- a/orioleplank/gateway/_rate_limiter.py
+++ b/orioleplank/gateway/_rate_limiter.py
@@ -82,9 +82,7 @@
 
     # Operations.
 
-    async def admit(
-        self, account: ClientAccount, max_wait: float = 0.0
-    ) -> Permit | Refused | None:
+    async def admit(self, account: ClientAccount, max_wait: float = 0.0) -> Permit | Refused | None:
         """Return a permit for one operation, or why it is refused; None if it needs no permit.
 
         An operation waits for at most `max_wait` seconds while no coordinator can grant permits,
--- a/orioleplank/tests/test_gateway_placement.py
+++ b/orioleplank/tests/test_gateway_placement.py
@@ -14,7 +14,7 @@
 from orioleplank.decision.routing import OwnerEstimate
 from orioleplank.decision.session import Begin, Read, Write
 from orioleplank.gateway._cluster_state import ClusterState
-from orioleplank.gateway._sessions import SHUTDOWN_REASON
+from orioleplank.gateway._operation_admission import SHUTDOWN_REASON
 from orioleplank.tests._gateway_cluster import (
     CATALOGUE,
     JOBS,
