--- a/orioleplank/decision/mechanisms.py
+++ b/orioleplank/decision/mechanisms.py
@@ -58,7 +58,7 @@
     UNAWAITED_REPORT = "unawaited-report"
     # The number of statements in progress at an instance has a limit that is learned.
     CONCURRENCY_LIMIT = "concurrency-limit"
-    # Connection owners tell their load, by which reads and owners are chosen.
+    # Connection owners report their load, by which instances and owners are chosen.
     OWNER_LOAD = "owner-load"
     # Accounts are held to their rate limits.
     RATE_LIMITS = "rate-limits"
--- a/orioleplank/decision/routing/_connection_owners.py
+++ b/orioleplank/decision/routing/_connection_owners.py
@@ -31,9 +31,9 @@
 # consider themselves owners after a change of the fleet.
 OWNER_SHARE = 0.38
 NON_OWNER_SHARE = 0.1
-# Expected waits at the two owners that differ by less than this, in seconds, leave a statement at
-# the one that it prefers: at the other one its account may need a new connection, which costs a
-# slot tens of milliseconds.
+# A statement stays at its preferred owner unless the expected wait at the other one is shorter by
+# more than this, in seconds: there its account may need a new connection, which occupies a slot of
+# the instance for tens of milliseconds.
 OWNER_WAIT_MARGIN_S = 0.05
 
 
@@ -124,8 +124,8 @@
     """Return the owners in the order in which statements of an account prefer them.
 
     All proxies compute the same order, so that the connections of an account are at one owner;
-    otherwise each owner would need connections of every account. Backup owners stay last. The
-    order is unchanged for callers without an account.
+    otherwise each owner would need connections for every account. Backup owners stay last. Without
+    an account the order is unchanged.
     """
     if not account:
         return owners
@@ -142,9 +142,9 @@
 ) -> ProxyRecord | None:
     """Return the first owner for which `is_avoided` is false; None when there is none.
 
-    While the second owner has a clearly shorter `expected_wait`, in seconds, it is preferred. With
-    `random`, senders move in proportion to the waits: they have the same news, and must not all
-    move at once.
+    The second owner is preferred while its `expected_wait`, in seconds, is shorter by more than
+    `OWNER_WAIT_MARGIN_S`. With `random` it is then chosen with a probability that follows the ratio
+    of the waits: many senders have the same load reports, and must not all move at once.
     """
     usable = [owner for owner in path.owners[:OWNER_COUNT] if not is_avoided(owner)]
     if len(usable) < OWNER_COUNT:
--- a/orioleplank/decision/routing/_owner_load.py
+++ b/orioleplank/decision/routing/_owner_load.py
@@ -1,8 +1,8 @@
-"""What a proxy knows of the queues at connection owners, from their responses.
+"""Estimates the load at connection owners from the load reports in their responses.
 
 Load pattern: statements of many proxies meet at the few owners of an instance, so a proxy's own
-queue and latency say little about the wait there. News of an owner's queue loses its weight within
-about a second, and what was sent since is added to it.
+queue and latency say little about the wait there. A load report loses its weight within about a
+second, and the requests that were sent since are added to it.
 """
 
 from __future__ import annotations
@@ -12,43 +12,44 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-# Time in which news loses half of its weight, in seconds: a queue of statements of 3 ms to 35 ms
-# changes completely within a few tenths of a second.
+# Time in which a load report loses half of its weight, in seconds: a queue of statements that take
+# 3 ms to 35 ms each changes completely within a few tenths of a second.
 NEWS_HALF_LIFE_S = 0.25
-# Weight of the newest response in the mean time without a wait, while the news before it is new.
+# Weight of the newest response in the mean of `base_time` if the previous report is recent; the
+# weight rises to 1 with the age of the previous report.
 BASE_TIME_WEIGHT = 0.2
 
 
 class OwnerLoad(Struct, frozen=True):
-    """The load of an owner's connections to one instance, as the owner tells it."""
+    """The load of an owner's connections to one instance, as the owner reports it."""
 
     # Requests that wait, and statements in progress.
     waiting: int
     running: int
-    # How many statements the owner lets be in progress.
+    # Number of statements that the owner allows to be in progress.
     limit: int
     # Expected time until a new request starts, in seconds.
     expected_wait: float
 
 
 class OwnerEstimate(Struct, frozen=True):
-    """Expected time of a statement through an owner, and how much it counts."""
+    """Expected time of a statement that is sent through an owner, and its weight."""
 
-    # Wait at the owner, service and the time on the way, in seconds.
+    # Sum of the wait at the owner, the service time and the network latency, in seconds.
     time: float = 0.0
-    # From 0 (no news) to 1 (new news).
+    # From 0 (no load report) to 1 (a report that has just arrived).
     weight: float = 0.0
 
     def combine(self, own_estimate: float) -> float:
-        """Return the expected time, given what this proxy expects without news, in seconds."""
+        """Return the weighted mean of this estimate and one of this proxy's own, in seconds."""
         return own_estimate + (self.time - own_estimate) * self.weight
 
 
 class OwnerNews(Struct, frozen=True):
-    """The newest load of an owner, and what this proxy has added to it."""
+    """The newest load report of an owner, and what this proxy has sent there since."""
 
     load: OwnerLoad
-    # When the news was received, in seconds.
+    # When the report was received, in seconds.
     received_at: float
     # Mean time from sending to the response, without the wait at the owner, in seconds.
     base_time: float
@@ -56,11 +57,11 @@
     sent_since: int = 0
 
     def add_sent(self) -> OwnerNews:
-        """Return the news after another request was sent."""
+        """Return the report after another request was sent."""
         return replace(self, sent_since=self.sent_since + 1)
 
     def weight(self, now: float) -> float:
-        """Return how much the news counts: 1 when it is new, towards 0 as it gets old."""
+        """Return the weight of the report: 1 when it arrives, towards 0 as it gets old."""
         return math.pow(0.5, max(0.0, now - self.received_at) / NEWS_HALF_LIFE_S)
 
     def estimate(self, now: float) -> OwnerEstimate:
@@ -89,9 +90,9 @@
 def update_news(
     news: OwnerNews | None, load: OwnerLoad, elapsed: float | None, now: float
 ) -> OwnerNews:
-    """Return the news after a response with an owner's load.
+    """Return the report that replaces `news` after a response with an owner's load.
 
-    `elapsed` is the time since its request was sent, in seconds; None if the response is no sample.
+    `elapsed` is the time since the request was sent, in seconds; None if it is no latency sample.
     """
     if elapsed is None:
         base_time = news.base_time if news is not None else 0.0
@@ -99,6 +100,7 @@
     sample = max(0.0, elapsed - load.expected_wait)
     if news is None or not news.base_time:
         return OwnerNews(load, now, sample)
-    # Otherwise an instance that was slow would be avoided until many samples have been taken.
+    # An old report counts less: otherwise an instance that has recovered would be avoided until
+    # many samples have been taken.
     sample_weight = 1.0 - (1.0 - BASE_TIME_WEIGHT) * news.weight(now)
     return OwnerNews(load, now, news.base_time + (sample - news.base_time) * sample_weight)
--- a/orioleplank/decision/routing/_placement.py
+++ b/orioleplank/decision/routing/_placement.py
@@ -6,8 +6,8 @@
 
 Instances may be slow or busy, and traffic between availability zones costs time and money. An
 instance in the proxy's own zone is preferred unless it is slower than an instance in another zone
-by more than the penalty for crossing zones. Many proxies may have the same news of the owners'
-queues; they choose at random between two instances of similar times, so as not to move at once.
+by more than the penalty for crossing zones. Many proxies may have the same load reports of owners;
+they choose at random between two instances of similar times, so that not all move at once.
 """
 
 from __future__ import annotations
@@ -23,8 +23,8 @@
 # Added to the expected time of an instance in another availability zone: twice the round-trip time,
 # because traffic between zones costs money as well as time.
 CROSS_ZONE_PENALTY_S = 0.05
-# From this ratio of the expected times on the second-best instance is not chosen. Below it, its
-# share falls from one half at equal times.
+# The second-best instance is chosen with a probability of one half if the expected times are equal.
+# The probability falls to 0 at this ratio of the times.
 MAX_TIME_RATIO = 2.0
 # Least time that has to be left for a read after its wait for a replica, in seconds: one round trip
 # between regions.
@@ -49,7 +49,8 @@
     is_lagging: bool = False
     # Seconds until its log is expected to have that position; 0 where this is not predicted.
     wait: float = 0.0
-    # What the connection owner that would be used has told; without weight if it told nothing.
+    # Estimate from the load report of the connection owner that would be used; its weight is 0
+    # without a report.
     owner_estimate: OwnerEstimate = OwnerEstimate()
 
 
@@ -98,7 +99,7 @@
 ) -> Placement:
     """Choose the eligible candidate with the shortest expected time; the lower id breaks ties.
 
-    With `random` and news of an owner, the second-best one is chosen at times too.
+    With `random` and a load report of an owner, the second-best one is sometimes chosen instead.
     """
     eligible = [candidate for candidate in candidates if _may_serve(candidate, requirement)]
     if not eligible:
@@ -114,8 +115,8 @@
 
 def _choose(best: Sequence[ReadCandidate], random: Random | None) -> ReadCandidate:
     """Choose between the two best candidates, or take the only one."""
-    has_news = any(candidate.owner_estimate.weight > 0 for candidate in best)
-    if random is None or len(best) < 2 or not has_news:
+    has_report = any(candidate.owner_estimate.weight > 0 for candidate in best)
+    if random is None or len(best) < 2 or not has_report:
         return best[0]
     first_time, second_time = (_expected_time(candidate)[0] for candidate in best)
     ratio = second_time / max(first_time, 1e-6)
@@ -151,7 +152,7 @@
 
 
 def explain_candidate(candidate: ReadCandidate, requirement: ReadRequirement) -> str:
-    """Return why a candidate does not serve a read now; why none is known if it may."""
+    """Return why a candidate does not serve a read now, or that it may serve it."""
     if candidate.is_primary:
         return "may serve it as the primary"
     if requirement.min_position is None:
--- a/orioleplank/decision/routing/_replica_lag.py
+++ b/orioleplank/decision/routing/_replica_lag.py
@@ -16,15 +16,15 @@
 REPORT_LIFETIME_S = 3.0
 # Interval of the reports that are kept besides the newest, in seconds.
 REPORT_INTERVAL_S = 0.1
-# A replica has stalled if it gained less than this share of the time over at least this many
-# seconds. The time spans several commits of a service with 10 writes a second.
+# A replica has stalled if its log advanced by less than `STALL_RATE` seconds per second, over at
+# least this many seconds. The time spans several commits of a service with 10 writes a second.
 STALL_TIME_S = 0.5
 STALL_RATE = 0.25
-# Added to the predicted time, in seconds: differences between message delays, which otherwise send
-# a read a few milliseconds too early.
+# Added to the predicted time, in seconds. Message delays vary, so that a read would otherwise often
+# arrive a few milliseconds too early.
 PREDICTION_MARGIN_S = 0.02
-# A replica that lacked a position although it was expected to have it is asked again for it after
-# this time, in seconds; doubled each time until its log has grown.
+# Time until a replica that lacked an expected position is tried again, in seconds; doubled each
+# time until its log has grown.
 MISS_DELAY_MIN_S = 0.05
 MISS_DELAY_MAX_S = 0.8
 
@@ -42,7 +42,8 @@
 class ReplicaReports:
     """The latest position reports of one incarnation of an instance.
 
-    Small while there are none, since a proxy knows far more instances than it reads from.
+    It has slots to stay small while there are no reports: a proxy knows far more instances than it
+    reads from.
     """
 
     __slots__ = ("_miss_delay", "_next_attempt_at", "_reports")
--- a/orioleplank/decision/routing/tests/test_owner_choice.py
+++ b/orioleplank/decision/routing/tests/test_owner_choice.py
@@ -1,4 +1,4 @@
-"""Choices by the owners' news: between instances for a read, and between two owners."""
+"""Choices by the load reports of owners: of an instance for a read, and of one of two owners."""
 
 from __future__ import annotations
 
--- a/orioleplank/decision/routing/tests/test_owner_load.py
+++ b/orioleplank/decision/routing/tests/test_owner_load.py
@@ -1,4 +1,4 @@
-"""What news of an owner's queue is worth, and how it changes with time and with what is sent."""
+"""The weight of an owner's load report, and the effect of time and of requests sent since."""
 
 from __future__ import annotations
 
@@ -12,33 +12,33 @@
 
 class TestOwnerNews(testtools.TestCase):
     def test_news_loses_its_weight_within_about_a_second(self) -> None:
-        news = OwnerNews(_BUSY, 10.0, 0.02)
-        self.assertEqual(1.0, news.weight(10.0))
-        self.assertLess(news.weight(11.0), 0.1)
+        report = OwnerNews(_BUSY, 10.0, 0.02)
+        self.assertEqual(1.0, report.weight(10.0))
+        self.assertLess(report.weight(11.0), 0.1)
 
     def test_idle_owner_has_no_wait_until_its_limit_is_used_up(self) -> None:
-        news = OwnerNews(_IDLE, 0.0, 0.02)
+        report = OwnerNews(_IDLE, 0.0, 0.02)
         for _ in range(3):
-            news = news.add_sent()
-        self.assertEqual(0.0, news.expected_wait)
+            report = report.add_sent()
+        self.assertEqual(0.0, report.expected_wait)
 
     def test_requests_sent_since_lengthen_the_wait(self) -> None:
         """Otherwise a burst would all go to the owner that was idle in the last response."""
-        news = OwnerNews(_IDLE, 0.0, 0.02)
+        report = OwnerNews(_IDLE, 0.0, 0.02)
         for _ in range(20):
-            news = news.add_sent()
-        self.assertGreater(news.expected_wait, 0.05)
+            report = report.add_sent()
+        self.assertGreater(report.expected_wait, 0.05)
 
     def test_wait_of_a_busy_owner_grows_by_its_own_pace(self) -> None:
-        news = OwnerNews(_BUSY, 0.0, 0.02).add_sent()
-        self.assertAlmostEqual(0.11, news.expected_wait)
+        report = OwnerNews(_BUSY, 0.0, 0.02).add_sent()
+        self.assertAlmostEqual(0.11, report.expected_wait)
 
     def test_old_base_time_is_replaced_by_a_new_sample(self) -> None:
         """An instance that was slow and recovered is used again after one good answer."""
-        news = update_news(OwnerNews(_IDLE, 0.0, 0.3), _IDLE, 0.02, 3.0)
-        self.assertLess(news.base_time, 0.03)
+        report = update_news(OwnerNews(_IDLE, 0.0, 0.3), _IDLE, 0.02, 3.0)
+        self.assertLess(report.base_time, 0.03)
 
     def test_base_time_excludes_the_wait_at_the_owner(self) -> None:
-        news = update_news(None, _BUSY, 0.13, 0.0)
-        self.assertAlmostEqual(0.03, news.base_time)
-        self.assertEqual(0, update_news(news.add_sent(), _BUSY, None, 1.0).sent_since)
+        report = update_news(None, _BUSY, 0.13, 0.0)
+        self.assertAlmostEqual(0.03, report.base_time)
+        self.assertEqual(0, update_news(report.add_sent(), _BUSY, None, 1.0).sent_since)
--- a/orioleplank/gateway/_forwarding_client.py
+++ b/orioleplank/gateway/_forwarding_client.py
@@ -68,7 +68,7 @@
         self._now = now
         self._by_address: dict[str, OwnerChannel] = {}
         self._numbers = count(1)
-        # The loads that the owners told.
+        # The load reports of the owners.
         self.owner_loads = OwnerLoads(now)
         # The channel to this proxy itself; None until its forwarding server is built.
         self.loopback_channel: OwnerChannel | None = None
@@ -287,7 +287,7 @@
         return pending_reply.addBoth(handle_reply)
 
     def _abandon_request(self) -> None:
-        """Fail the pending request, which may have run, and tell its owner."""
+        """Fail the pending request, which may have run, and notify its owner."""
         if self._pending_request is None:
             return
         owner, correlation_id, _ = self._pending_request
--- a/orioleplank/gateway/_instance_connector.py
+++ b/orioleplank/gateway/_instance_connector.py
@@ -177,20 +177,20 @@
         )
 
     def _expected_wait(self, instance: str, owner: ProxyRecord) -> float:
-        """Return the expected wait at an owner by its news, in seconds; 0 without news."""
-        news = self._forwarding.owner_loads.news(instance, owner.name)
-        if news is None or not self._mechanisms.is_on(Mechanism.OWNER_LOAD):
+        """Return the expected wait at an owner by its load report, in seconds; 0 without one."""
+        report = self._forwarding.owner_loads.news(instance, owner.name)
+        if report is None or not self._mechanisms.is_on(Mechanism.OWNER_LOAD):
             return 0.0
-        return news.expected_wait * news.weight(self._now())
+        return report.expected_wait * report.weight(self._now())
 
     def owner_estimate(self, entry: InstanceEntry, account: str) -> OwnerEstimate:
-        """Return what the owner that a statement would be sent to has told of its load."""
-        uses_news = self._mechanisms.is_on(Mechanism.OWNER_LOAD)
-        if not uses_news or self.holds_connections(entry):
+        """Return the estimate for the owner to which a statement would be sent."""
+        uses_reports = self._mechanisms.is_on(Mechanism.OWNER_LOAD)
+        if not uses_reports or self.holds_connections(entry):
             return OwnerEstimate()
         owner = self._select_owner(entry, account, None)
-        news = self._forwarding.owner_loads.news(entry.id, owner.name) if owner else None
-        return news.estimate(self._now()) if news is not None else OwnerEstimate()
+        report = self._forwarding.owner_loads.news(entry.id, owner.name) if owner else None
+        return report.estimate(self._now()) if report is not None else OwnerEstimate()
 
     # Tunnels.
 
