--- a/orioleplank/decision/admission/_service_order.py
+++ b/orioleplank/decision/admission/_service_order.py
@@ -99,24 +99,24 @@
 
 
 def order_by_service(
-    lanes: Mapping[str, Sequence[QueuedT]], use: AccountUse
+    queues: Mapping[str, Sequence[QueuedT]], use: AccountUse
 ) -> Iterator[tuple[QueuedT, bool]]:
     """Return the waiting requests in the order of service, each with whether it may be served now.
 
-    `lanes` holds the queue of each account, in order. The order of service is: route priority,
+    `queues` holds the queue of each account, in order. The order of service is: route priority,
     account priority, fewest connections in use by the account, deadline bucket, arrival. A request
     that is ordered before another one counts as a connection of its account. Transactions that
     exceed the share of their account come last, and may not be served now.
     """
-    if len(lanes) == 1 and not use.transaction_share.is_limiting:
-        for requests in lanes.values():
+    if len(queues) == 1 and not use.transaction_share.is_limiting:
+        for requests in queues.values():
             yield from ((request, True) for request in requests)
         return
     if not use.transaction_share.is_limiting:
-        yield from _merge_unlimited(lanes, use.connections)
+        yield from _merge_unlimited(queues, use.connections)
         return
     yield from _merge_queues(
-        [_AccountQueue(account, requests, use) for account, requests in lanes.items()]
+        [_AccountQueue(account, requests, use) for account, requests in queues.items()]
     )
 
 
--- a/orioleplank/decision/failover/_work_history.py
+++ b/orioleplank/decision/failover/_work_history.py
@@ -22,7 +22,8 @@
 NEWEST_OUTCOMES = 3
 # How long the work has to fail before a primary is suspected, in seconds.
 WORK_FAILURE_TIMEOUT_S = 0.8
-# How long it has to fail if no other proxy has sent the primary work that shows anything.
+# How long it has to fail if no other proxy has sent the primary work that shows anything,
+# in seconds.
 UNCONFIRMED_WORK_FAILURE_S = 3.0
 # A primary is not replaced for failing work within this time after the latest change of the
 # primary, in seconds. It bounds how often a service moves when all its instances fail.
--- a/orioleplank/decision/routing/__init__.py
+++ b/orioleplank/decision/routing/__init__.py
@@ -14,10 +14,10 @@
     select_owners,
 )
 from orioleplank.decision.routing._owner_load import (
+    LoadReport,
     OwnerEstimate,
     OwnerLoad,
-    OwnerNews,
-    update_news,
+    update_load_report,
 )
 from orioleplank.decision.routing._placement import (
     NoInstanceAvailable,
@@ -40,7 +40,7 @@
     "NoInstanceAvailable",
     "OwnerEstimate",
     "OwnerLoad",
-    "OwnerNews",
+    "LoadReport",
     "Placement",
     "PositionReport",
     "ReadCandidate",
@@ -58,5 +58,5 @@
     "owner_connection_limit",
     "place_read",
     "select_owners",
-    "update_news",
+    "update_load_report",
 ]
--- a/orioleplank/decision/routing/tests/test_owner_choice.py
+++ b/orioleplank/decision/routing/tests/test_owner_choice.py
@@ -1,4 +1,4 @@
-"""Choices by the owners' news: between instances for a read, and between two owners."""
+"""Choices by the load reports of owners: of an instance for a read, and of one of two owners."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
     return chosen
 
 
-class TestPlacementByNews(testtools.TestCase):
+class TestPlacementByLoadReports(testtools.TestCase):
     """Load: instances of one service that differ in speed, read by many proxies."""
 
     def test_instance_with_a_long_queue_at_its_owner_is_not_chosen(self) -> None:
@@ -46,14 +46,14 @@
         ]
         self.assertEqual({"db-b"}, set(_place_many(candidates)))
 
-    def test_old_news_counts_no_longer(self) -> None:
+    def test_old_report_counts_no_longer(self) -> None:
         candidates = [
             _candidate("db-a", OwnerEstimate(0.3, 0.001)),
             _candidate("db-b", OwnerEstimate()),
         ]
         self.assertGreater(_place_many(candidates)["db-a"], 100)
 
-    def test_many_senders_with_the_same_news_do_not_all_move(self) -> None:
+    def test_many_senders_with_the_same_report_do_not_all_move(self) -> None:
         """All at the best one would only move the queue there."""
         candidates = [
             _candidate("db-a", OwnerEstimate(0.033, 1.0)),
@@ -63,11 +63,11 @@
         self.assertGreater(chosen["db-b"], chosen["db-a"])
         self.assertGreater(chosen["db-a"], 100)
 
-    def test_without_news_the_best_instance_is_always_chosen(self) -> None:
+    def test_without_a_report_the_best_instance_is_always_chosen(self) -> None:
         candidates = [_candidate("db-b", OwnerEstimate()), _candidate("db-a", OwnerEstimate())]
         self.assertEqual({"db-a"}, set(_place_many(candidates)))
 
-    def test_zone_penalty_applies_beside_news(self) -> None:
+    def test_zone_penalty_applies_beside_reports(self) -> None:
         """Traffic between zones costs money."""
         candidates = [
             _candidate("db-a", OwnerEstimate(0.02, 1.0), in_same_zone=False),
--- a/orioleplank/decision/routing/tests/test_placement_load.py
+++ b/orioleplank/decision/routing/tests/test_placement_load.py
@@ -1,4 +1,4 @@
-"""Reads of many senders at instances of one service, placed by the owners' news."""
+"""Reads of many senders at instances of one service, placed by the owners' load reports."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
     send_arrivals,
 )
 from orioleplank.decision.routing import (
+    LoadReport,
     OwnerEstimate,
     OwnerLoad,
-    OwnerNews,
     ReadCandidate,
     ReadRequirement,
     SelectedInstance,
     place_read,
-    update_news,
+    update_load_report,
 )
 
 # One-way latency between senders and owners, in seconds.
@@ -39,13 +39,13 @@
     """A proxy without connections: it places reads and sends them to owners."""
 
     def __init__(
-        self, clock: Clock, owners: dict[str, Owner], random: Random, uses_news: bool
+        self, clock: Clock, owners: dict[str, Owner], random: Random, uses_reports: bool
     ) -> None:
         self._clock = clock
         self._owners = owners
         self._random = random
-        self._uses_news = uses_news
-        self._news: dict[str, OwnerNews] = {}
+        self._uses_reports = uses_reports
+        self._reports: dict[str, LoadReport] = {}
         # Latency of each instance, and when it was updated, in seconds.
         self._latencies = dict.fromkeys(owners, (INITIAL_LATENCY_S, 0.0))
         self._in_flight = dict.fromkeys(owners, 0)
@@ -58,15 +58,15 @@
         placement = place_read(
             [self._candidate(name) for name in self._owners],
             ReadRequirement(Position(1, 1)),
-            self._random if self._uses_news else None,
+            self._random if self._uses_reports else None,
         )
         assert isinstance(placement, SelectedInstance)
         self._send(placement.id)
 
     def _candidate(self, name: str) -> ReadCandidate:
         estimate = OwnerEstimate()
-        if self._uses_news and name in self._news:
-            estimate = self._news[name].estimate(self._clock.now)
+        if self._uses_reports and name in self._reports:
+            estimate = self._reports[name].estimate(self._clock.now)
         return ReadCandidate(
             name,
             True,
@@ -85,8 +85,8 @@
     def _send(self, name: str) -> None:
         sent_at, owner = self._clock.now, self._owners[name]
         self._in_flight[name] += 1
-        if name in self._news:
-            self._news[name] = self._news[name].add_sent()
+        if name in self._reports:
+            self._reports[name] = self._reports[name].add_sent()
 
         def respond(has_run: bool) -> None:
             load = OwnerLoad(*owner.load)
@@ -96,7 +96,9 @@
             elapsed = self._clock.now - sent_at
             self._in_flight[name] -= 1
             sample = elapsed if has_run else None
-            self._news[name] = update_news(self._news.get(name), load, sample, self._clock.now)
+            self._reports[name] = update_load_report(
+                self._reports.get(name), load, sample, self._clock.now
+            )
             if not has_run:
                 self.refused += 1
                 return
@@ -111,7 +113,7 @@
 def _run(
     works: tuple[float, ...],
     rate: float,
-    uses_news: bool,
+    uses_reports: bool,
     slowdown: Callable[[float, int], float] = lambda now, running: 1.0,
 ) -> list[_Sender]:
     """Run senders with this rate in all; the slowdown is that of the first instance."""
@@ -121,7 +123,7 @@
         factor = slowdown if number == 0 else lambda now, running: 1.0
         instance = Instance(clock, Random(number), SLOTS, mean_work=work, slowdown=factor)
         owners[f"db-{number}"] = Owner(clock, instance, 26, SLOTS, is_limited=True)
-    senders = [_Sender(clock, owners, Random(n), uses_news) for n in range(SENDERS)]
+    senders = [_Sender(clock, owners, Random(n), uses_reports) for n in range(SENDERS)]
     for sender in senders:
         send_arrivals(clock, random, sender, lambda _: rate / SENDERS, SECONDS)
     clock.run_until(SECONDS)
@@ -138,9 +140,9 @@
 
     works = (0.006, 0.012, 0.042)
 
-    def test_slow_tail_is_shorter_with_news(self) -> None:
+    def test_slow_tail_is_shorter_with_reports(self) -> None:
         rate = 0.8 * sum(SLOTS / (work * 1.04) for work in self.works)
-        before, after = (_run(self.works, rate, uses_news) for uses_news in (False, True))
+        before, after = (_run(self.works, rate, uses_reports) for uses_reports in (False, True))
         times = [_quantile(run, 0.99, SETTLED_S, SECONDS) for run in (before, after)]
         self.assertLess(times[1], times[0])
         self.assertLessEqual(
@@ -149,12 +151,12 @@
 
 
 class TestHerd(testtools.TestCase):
-    """Load: many senders with the same news; the queues must not swing between the instances."""
+    """Load: many senders with the same report; the queues must not swing between the instances."""
 
     def test_no_instance_is_flooded_while_another_is_idle(self) -> None:
         works = (0.015, 0.015, 0.015)
         rate = 0.8 * sum(SLOTS / (work * 1.04) for work in works)
-        senders = _run(works, rate, uses_news=True)
+        senders = _run(works, rate, uses_reports=True)
         answers = [a for sender in senders for a in sender.answers if a[0] >= SETTLED_S]
         for second in range(int(SETTLED_S), int(SECONDS)):
             names = [name for at, name, _ in answers if second <= at < second + 1]
--- a/orioleplank/gateway/_cancellation.py
+++ b/orioleplank/gateway/_cancellation.py
@@ -1,4 +1,4 @@
-"""Tells the work for a request that its caller has left."""
+"""Notifies the work for a request that its caller has left."""
 
 from __future__ import annotations
 
--- a/orioleplank/gateway/_failure_confirmation.py
+++ b/orioleplank/gateway/_failure_confirmation.py
@@ -15,9 +15,11 @@
 from orioleplank.gateway._instance_prober import InstanceProber
 from orioleplank.gateway._tunnel import build_tunnel_route
 
-# A response that a peer has received within this time shows that the primary is running.
+# A response that a peer has received within this time, in seconds, shows that the primary is
+# running.
 RECENT_RESPONSE_S = 1.0
-# While no peer responds, a proxy relies on its own observation only after failures for this long.
+# While no peer responds, a proxy relies on its own observation only after failures for this
+# long, in seconds. `UNCONFIRMED_WORK_FAILURE_S` is the same for failing work.
 UNCONFIRMED_FAILURE_S = 3.0
 
 
@@ -96,10 +98,10 @@
         return is_failed
 
     def _is_isolated(self, record: GroupRecord, is_unanswered: bool) -> bool:
-        """Return whether the silence of all peers rather shows a fault of this proxy's own.
+        """Return whether this proxy itself may be cut off, because no peer has responded.
 
-        No longer so once the peers have been silent, or the primary has failed here, for
-        `UNCONFIRMED_FAILURE_S`.
+        After `UNCONFIRMED_FAILURE_S` without responses of peers, or with failures of the primary,
+        it relies on its own observation.
         """
         if not is_unanswered:
             self._peers_silent_since.pop(record.service, None)
--- a/orioleplank/gateway/_gateway.py
+++ b/orioleplank/gateway/_gateway.py
@@ -107,8 +107,8 @@
         self.forwarding_client = forwarding = ForwardingClient(
             settings.name, dependencies.channels, reactor.seconds
         )
-        # Of its own, and different at each proxy: choices between instances and owners follow the
-        # load, and would shift the random times of all periodic work.
+        # A random generator of its own, so that the choices of instances and owners do not change
+        # the random times of periodic work; it differs by proxy.
         placement_random = Random(settings.name)
         connector = InstanceConnector(
             own_record,
--- a/orioleplank/gateway/_limit_reports.py
+++ b/orioleplank/gateway/_limit_reports.py
@@ -9,7 +9,7 @@
 
 
 class LimitReports:
-    """Sets the gauges of all limited pools, and logs limits that become low or come back.
+    """Sets the gauges of all limited pools, and logs limits that become low or recover.
 
     A limit is low from when it is less than half of the instance's slots until it has reached the
     slots again; in between it would be logged at every change.
--- a/orioleplank/gateway/_placement_query.py
+++ b/orioleplank/gateway/_placement_query.py
@@ -252,12 +252,12 @@
         own = QueueAnswer(self._proxy, pool.waiting, len(pool.statements), pool.expected_wait)
         if owner is None or owner == self._proxy:
             return (own,)
-        news = self._connector.owner_news(entry, owner)
-        if news is None:
+        report = self._connector.owner_load_report(entry, owner)
+        if report is None:
             return (own,)
-        age = self._cluster_state.now() - news.received_at
-        load = news.load
-        return own, QueueAnswer(owner, load.waiting, load.running, news.expected_wait, age)
+        age = self._cluster_state.now() - report.received_at
+        load = report.load
+        return own, QueueAnswer(owner, load.waiting, load.running, report.expected_wait, age)
 
 
 def _copy_random(random: Random | None) -> Random | None:
--- a/orioleplank/gateway/_primary_tracker.py
+++ b/orioleplank/gateway/_primary_tracker.py
@@ -6,11 +6,11 @@
 
 from orioleplank.decision.group import GroupPhase, GroupRecord
 
-# Time within which all responsive proxies release their leases: two round trips between regions,
-# plus the completion of running work at the old primary in a switchover.
+# Time within which all responsive proxies release their leases, in seconds: two round trips between
+# regions, plus the completion of running work at the old primary in a switchover.
 LEASE_RELEASE_TIMEOUT_S = 1.0
-# How long statements wait for the new primary once the group record says that the leases have been
-# released, which is written just before the promotion is requested.
+# How long statements wait for the new primary, in seconds, once the group record says that the
+# leases have been released, which is written just before the promotion is requested.
 PROMOTION_WAIT_S = 2.0
 
 
--- a/orioleplank/gateway/_rate_limiter.py
+++ b/orioleplank/gateway/_rate_limiter.py
@@ -31,9 +31,11 @@
 from orioleplank.gateway._permit_server import PermitServer
 from orioleplank.gateway._view_subscriber import INITIAL_REQUEST_NUMBER_LIMIT
 
-# A coordinator that has not answered by then is given up: three round trips between regions.
+# A coordinator that has not answered by then is given up, in seconds: three round trips
+# between regions.
 ANSWER_TIMEOUT_S = 0.08
-# Longest wait for the first listing of the fleet before its state is checked again.
+# Longest wait for the first listing of the fleet before its state is checked again, in
+# seconds.
 START_CHECK_INTERVAL_S = 0.2
 # Shortest wait before another request for a permit, in seconds, so that rounding of times causes no
 # series of requests.
@@ -46,7 +48,7 @@
     """A request for permits that is not answered yet."""
 
     batch: PermitBatch
-    # Lease clock.
+    # In seconds of the lease clock.
     asked_at: float
 
 
--- a/orioleplank/tests/test_gateway_owner_load.py
+++ b/orioleplank/tests/test_gateway_owner_load.py
@@ -5,7 +5,7 @@
 import testtools
 
 from orioleplank.decision.mechanisms import ALL_ON, Mechanism, MechanismSwitches
-from orioleplank.decision.routing import OwnerNews
+from orioleplank.decision.routing import LoadReport
 from orioleplank.decision.session import Write
 from orioleplank.gateway._frames import NotSent
 from orioleplank.gateway._running_statements import INITIAL_STATEMENT_S
@@ -40,12 +40,12 @@
     return pool is not None and pool.statements.mean_time != INITIAL_STATEMENT_S
 
 
-def _known_news(cluster: GatewayCluster, node: GatewayNode, instance: str) -> list[OwnerNews]:
+def _known_reports(cluster: GatewayCluster, node: GatewayNode, instance: str) -> list[LoadReport]:
     """Return what a proxy knows of the owners of an instance."""
     loads = node.gateway.forwarding_client.owner_loads
     owners = cluster.proxies[0].gateway.cluster_state.connection_owners(instance)
-    known = (loads.news(instance, owner) for owner in owners)
-    return [news for news in known if news is not None]
+    known = (loads.report(instance, owner) for owner in owners)
+    return [report for report in known if report is not None]
 
 
 class TestNewsOfOwners(testtools.TestCase):
@@ -53,11 +53,11 @@
         cluster = _start_cluster()
         node = _non_owner(cluster, "db-a")
         cluster.send_and_wait(cluster.open_session(node, QUOTES), Write("q1 oak"))
-        news = _known_news(cluster, node, "db-a")
-        self.assertEqual(1, len(news))
-        self.assertEqual(0, news[0].load.waiting)
-        self.assertGreaterEqual(news[0].load.limit, 1)
-        self.assertGreater(news[0].base_time, 0.0)
+        reports = _known_reports(cluster, node, "db-a")
+        self.assertEqual(1, len(reports))
+        self.assertEqual(0, reports[0].load.waiting)
+        self.assertGreaterEqual(reports[0].load.limit, 1)
+        self.assertGreater(reports[0].base_time, 0.0)
 
     def test_burst_is_seen_as_a_queue(self) -> None:
         cluster = _start_cluster()
@@ -65,22 +65,22 @@
         for number in range(40):
             cluster.send_request(cluster.open_session(node, QUOTES), Write(f"q{number} oak"))
         cluster.run_for(0.015)
-        news = _known_news(cluster, node, "db-a")
-        self.assertGreater(max(n.load.waiting for n in news), 0)
-        self.assertGreater(max(n.expected_wait for n in news), 0.0)
+        reports = _known_reports(cluster, node, "db-a")
+        self.assertGreater(max(r.load.waiting for r in reports), 0)
+        self.assertGreater(max(r.expected_wait for r in reports), 0.0)
 
     def test_switched_off_owners_tell_nothing(self) -> None:
         cluster = _start_cluster(MechanismSwitches(frozenset({Mechanism.OWNER_LOAD})))
         node = _non_owner(cluster, "db-a")
         cluster.send_and_wait(cluster.open_session(node, QUOTES), Write("q1 oak"))
-        self.assertEqual([], _known_news(cluster, node, "db-a"))
+        self.assertEqual([], _known_reports(cluster, node, "db-a"))
 
 
 class TestUseOfNews(testtools.TestCase):
     """A sender that knows of a long queue at the owner that it prefers."""
 
     def _answering_owners(self, mechanisms: MechanismSwitches) -> int:
-        """Return how many owners answered, with news of a long queue at the preferred one."""
+        """Return how many owners answered, with a report of a long queue at the preferred one."""
         cluster = _start_cluster(mechanisms)
         node = _non_owner(cluster, "db-a")
         caller = cluster.open_session(node, QUOTES)
--- a/orioleplank/tests/test_gateway_placement.py
+++ b/orioleplank/tests/test_gateway_placement.py
@@ -148,9 +148,9 @@
         caller = cluster.open_session(node, CATALOGUE)
         cluster.send_and_wait(caller, Read("k"))
         # News of owners with similar times at all instances, so that each choice is random.
-        news = OwnerEstimate(0.2, 1.0)
+        estimate = OwnerEstimate(0.2, 1.0)
         foreseen, executed = [], []
-        with mock.patch.object(ClusterState, "owner_estimate", lambda *_: news):
+        with mock.patch.object(ClusterState, "owner_estimate", lambda *_: estimate):
             for _ in range(20):
                 before = describe_state(node.gateway)
                 foreseen.append(query(node, READ, CATALOGUE)["instance"])
