--- a/review/standin2/instances.py
+++ b/review/standin2/instances.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import count
 from typing import Any
 
 from review.standin2.store import ENDS, Store
@@ -34,6 +35,8 @@
     text: str
     values: dict[str, str]
     position: Position
+    # Number of the connection's transaction; 0 outside of one.
+    transaction: int
 
 
 @dataclass(eq=False)
@@ -48,6 +51,8 @@
     has_failed: bool = False
     writes: list[tuple[str, str, str]] = field(default_factory=list)
     values_at_begin: dict[str, str] = field(default_factory=dict)
+    # Number of the transaction, different for each.
+    number: int = 0
 
     @property
     def state(self) -> str:
@@ -229,7 +234,11 @@
             case "BEGIN":
                 if rest != "READ" and self.role != "primary":
                     return [], "-", f"READONLY {self.name}"
+                if session.transaction != " ":
+                    session.has_failed = True
+                    return [], "-", "MALFORMED a transaction is open"
                 session.transaction = "R" if rest == "READ" else "W"
+                session.number = next(self.group.transaction_numbers)
                 session.values_at_begin = dict(session.values)
             case _:
                 return await self._run_work(session, request, verb, rest)
@@ -263,6 +272,7 @@
         if verb != "READ" and session.transaction != "R" and self.role != "primary":
             session.has_failed = session.transaction != " "
             return [], "-", f"READONLY {self.name}"
+        number = session.number if session.transaction != " " else 0
         rows = self._apply(session, request, verb, rest)
         work = Work(
             time.monotonic(),
@@ -271,6 +281,7 @@
             f"{verb} {shape} {rest}".replace("  ", " ")[:80],
             {name: value[:20] for name, value in session.values.items()},
             self.position,
+            number,
         )
         self.group.on_work(work)
         return rows, f"{self.name}.{request[:40]}", None
@@ -312,6 +323,7 @@
         self.promote_s: float = settings.get("promote_s", 1.0)
         self.instances: dict[str, Instance] = {}
         self.zones: dict[str, str] = {}
+        self.transaction_numbers = count(1)
         self.on_work: Callable[[Work], None] = lambda work: None
         self.on_commit: Callable[[Instance, Commit], None] = lambda instance, commit: None
         self._tasks: set[asyncio.Task[None]] = set()
