--- a/review/standin2/instances.py
+++ b/review/standin2/instances.py
@@ -62,7 +62,13 @@
         return "E" if self.has_failed else "T"
 
     def roll_back(self) -> None:
-        """End the transaction without its writes."""
+        """End the transaction without its writes and without the values set in it, as in SQL."""
+        if self.transaction != " ":
+            self.values = dict(self.values_at_begin)
+        self.end()
+
+    def end(self) -> None:
+        """End the transaction."""
         self.transaction, self.has_failed = " ", False
         self.writes.clear()
 
@@ -87,6 +93,8 @@
         self.running = 0
         self.sessions: set[Session] = set()
         self.state = "ready"
+        # Commits that still fail: they run, and their transactions are rolled back.
+        self.failing_commits = 0
         self.server: asyncio.Server | None = None
 
     @property
@@ -229,7 +237,6 @@
                     self.group.demote(self)
                 return self._report()
             case "ROLLBACK":
-                session.values = dict(session.values_at_begin)
                 session.roll_back()
             case "BEGIN":
                 if rest != "READ" and self.role != "primary":
@@ -273,6 +280,10 @@
             session.has_failed = session.transaction != " "
             return [], "-", f"READONLY {self.name}"
         number = session.number if session.transaction != " " else 0
+        if verb == "COMMIT" and self.failing_commits > 0:
+            self.failing_commits -= 1
+            session.roll_back()
+            return [], "-", f"EXECFAIL {self.name}"
         rows = self._apply(session, request, verb, rest)
         work = Work(
             time.monotonic(),
@@ -297,7 +308,7 @@
                 return []
         if session.writes:
             self.group.commit(self, tuple(session.writes))
-        session.roll_back()
+        session.end()
         return []
 
     def read_item(self, item: str) -> str:
