--- a/review/standin2/instances.py
+++ b/review/standin2/instances.py
@@ -15,6 +15,8 @@
 MAX_LINE_BYTES = 4 * 1024 * 1024
 # Requests that wait for a slot of an instance before it answers BUSY.
 QUEUE_LENGTH = 40
+# Seconds for which a replaced primary goes on if nobody asks it to step down.
+OLD_PRIMARY_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -337,6 +339,8 @@
         self.transaction_numbers = count(1)
         self.on_work: Callable[[Work], None] = lambda work: None
         self.on_commit: Callable[[Instance, Commit], None] = lambda instance, commit: None
+        # Called with the old primary and the new one when a promotion takes effect.
+        self.on_promoted: Callable[[Instance, Instance], None] = lambda old, new: None
         self._tasks: set[asyncio.Task[None]] = set()
 
     def add(self, name: str, address: tuple[str, int], zone: str, role: str) -> Instance:
@@ -376,7 +380,7 @@
 
     def demote(self, instance: Instance) -> None:
         """Make an instance a replica of the present primary."""
-        if instance is self.primary:
+        if instance is self.primary or instance.role == "replica":
             return
         instance.role, instance.term = "replica", self.primary.term
         instance.log, instance.received = list(self.primary.log), []
@@ -394,6 +398,9 @@
 
     async def _promote(self, instance: Instance) -> None:
         await asyncio.sleep(self.promote_s)
+        if not instance.runs:
+            return
+        old = self.primary
         instance.log += instance.received
         instance.received = []
         instance.term = self.primary.term + 1
@@ -403,6 +410,9 @@
             if other is not instance and other.role == "replica":
                 other.term = instance.term
                 other.log, other.received = list(instance.log), []
+        self.on_promoted(old, instance)
+        await asyncio.sleep(OLD_PRIMARY_S)
+        self.demote(old)
 
 
 def _format(position: Position) -> str:
