--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -153,6 +153,8 @@
         self.machine: dict[str, Any] = {"memoryMb": 300, "maxFds": 4300, "linkMbps": 1000.0}
         self.machine |= settings.pop("machine", {})
         self.services: int = settings.pop("services", 1)
+        # First and last port for communication between the machines.
+        self.internal_ports: tuple[int, int] = settings.pop("internal_ports", (7440, 7455))
         self.subnet = f"127.{random.randrange(20, 220)}.{random.randrange(1, 250)}"
         self.host = f"{self.subnet}.200"
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -265,7 +267,7 @@
             "region": proxy.zone,
             "zones": {zone: zone for zone in ("z-a", "z-b", "z-c")},
             "listen": {"front": f"{proxy.ip}:8784", "ready": f"{proxy.ip}:8785"},
-            "internalPorts": [7440, 7455],
+            "internalPorts": list(self.internal_ports),
             "seedNodes": [],
             "bootstrap": proxy.starts == 0,
             "lossCounts": False,
@@ -279,6 +281,10 @@
             "cloud": {"address": f"{self.host}:8790", "duties": ["failover"], "dutyPerS": 50.0},
         }
 
+    def list_ends(self) -> list[str]:
+        """Return why processes have ended, at all machines."""
+        return [f"{proxy.name}: {end}" for proxy in self.proxies for end in proxy.ends]
+
     async def is_ready(self, proxy: Proxy) -> bool:
         """Return whether a proxy answers the readiness question with 200."""
         try:
