--- a/review/standin2/deployment.py
+++ b/review/standin2/deployment.py
@@ -29,10 +29,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt` of a case."""
+    """Writes what was sent, answered and run to the file of a case."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file: TextIO = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: Path) -> None:
+        self._file: TextIO = path.open("w", encoding="utf-8")
         self._began_at = time.monotonic()
 
     def add(self, text: str) -> None:
